Set down the layout, the core types and the decision modules

Cause: ports and adapters, data classes inside and singledispatch have to hold from the first code on. Change: core with results, model, admission, routing, fan-out, claims, configuration and quarantine; ports; import-linter contracts, mypy strict, ruff. Conclusion: decisions take events and return actions and read no clock.

--- /dev/null
+++ b/chestnuthall/core/admission/_events.py
@@ -0,0 +1,81 @@
+"""Events that an admission queue takes and actions that it returns."""
+
+from dataclasses import dataclass
+
+from chestnuthall.core.model import AdmissionAccount
+from chestnuthall.core.results import Failure
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionEvent:
+    """Base of all events; ``now_ms`` is the instance's monotonic time."""
+
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Arrive(AdmissionEvent):
+    """A query asks for admission; ``cost`` is its number of shard calls."""
+
+    ticket: str
+    class_name: str
+    kind: str
+    cost: float
+    deadline_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Release(AdmissionEvent):
+    """An admitted query ended; ``service_ms`` is the time since admission."""
+
+    ticket: str
+    service_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Withdraw(AdmissionEvent):
+    """A queued query is no longer wanted by its caller."""
+
+    ticket: str
+
+
+@dataclass(frozen=True, slots=True)
+class ExpireDue(AdmissionEvent):
+    """Refuse the queued queries whose deadline has passed."""
+
+
+@dataclass(frozen=True, slots=True)
+class FleetUseReported(AdmissionEvent):
+    """Other instances served ``cost`` more shard calls of a class."""
+
+    class_name: str
+    cost: float
+
+
+@dataclass(frozen=True, slots=True)
+class LimitChanged(AdmissionEvent):
+    """The number of shard calls that may run at once has changed."""
+
+    limit_cost: float
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionAction:
+    """Base of all actions."""
+
+    ticket: str
+
+
+@dataclass(frozen=True, slots=True)
+class Admit(AdmissionAction):
+    """The query may start its shard calls."""
+
+    account: AdmissionAccount
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse(AdmissionAction):
+    """The query is not run."""
+
+    failure: Failure
+    account: AdmissionAccount
--- /dev/null
+++ b/chestnuthall/core/claims/_partitions.py
@@ -0,0 +1,14 @@
+"""Placement of idempotency keys in ledger partitions."""
+
+from zlib import crc32
+
+
+def partition_name_of(idempotency_key: str, n_partitions: int) -> str:
+    """Return the name of the ledger partition that holds a key.
+
+    Examples
+    --------
+    >>> partition_name_of("hold-17", 64) == partition_name_of("hold-17", 64)
+    True
+    """
+    return f"p{crc32(idempotency_key.encode()) % n_partitions:04d}"
--- /dev/null
+++ b/chestnuthall/core/fanout/__init__.py
@@ -0,0 +1,41 @@
+"""The state machine of one query over its shards."""
+
+from chestnuthall.core.fanout._events import (
+    Action,
+    Begin,
+    CallAnswered,
+    CallFailed,
+    Cancel,
+    Complete,
+    Completion,
+    Dispatch,
+    Event,
+    MapReplaced,
+    Replan,
+    SetTimer,
+    TimerFired,
+)
+from chestnuthall.core.fanout._machine import FanOut, FanOutContext
+from chestnuthall.core.fanout._merge import coverage_of, merge_hits
+from chestnuthall.core.fanout._targets import target_shards
+
+__all__ = [
+    "Action",
+    "Begin",
+    "CallAnswered",
+    "CallFailed",
+    "Cancel",
+    "Complete",
+    "Completion",
+    "Dispatch",
+    "Event",
+    "FanOut",
+    "FanOutContext",
+    "MapReplaced",
+    "Replan",
+    "SetTimer",
+    "TimerFired",
+    "coverage_of",
+    "merge_hits",
+    "target_shards",
+]
--- /dev/null
+++ b/chestnuthall/core/fanout/_events.py
@@ -0,0 +1,104 @@
+"""Events that a fan-out takes and actions that it returns."""
+
+from dataclasses import dataclass
+
+from chestnuthall.core.model import (
+    Coverage,
+    FanOutAccount,
+    Hit,
+    PartitionMap,
+    ShardAnswer,
+    ShardCall,
+)
+from chestnuthall.core.results import Failure
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """Base of all events; ``now_ms`` is the instance's monotonic time."""
+
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Begin(Event):
+    """The query was admitted and its map is pinned."""
+
+
+@dataclass(frozen=True, slots=True)
+class CallAnswered(Event):
+    """A replica answered a call."""
+
+    call_id: str
+    answer: ShardAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class CallFailed(Event):
+    """A call ended without an answer."""
+
+    call_id: str
+    failure: Failure
+
+
+@dataclass(frozen=True, slots=True)
+class TimerFired(Event):
+    """The timer that was set last ran out."""
+
+
+@dataclass(frozen=True, slots=True)
+class MapReplaced(Event):
+    """The answer to ``Replan``: another map to pin, or None if there is none."""
+
+    partition_map: PartitionMap | None
+
+
+@dataclass(frozen=True, slots=True)
+class Action:
+    """Base of all actions."""
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatch(Action):
+    """Start a shard call."""
+
+    call: ShardCall
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel(Action):
+    """Cancel a shard call whose answer is no longer needed."""
+
+    call_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class SetTimer(Action):
+    """Replace the timer; it fires at ``at_ms``."""
+
+    at_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Replan(Action):
+    """Ask for a map of another snapshot than the ones that are gone."""
+
+    gone_snapshot_ids: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Completion:
+    """The outcome of a fan-out; ``failure`` is None for an answer."""
+
+    failure: Failure | None
+    hits: tuple[Hit, ...]
+    coverage: Coverage
+    snapshot_id: int
+    account: FanOutAccount
+
+
+@dataclass(frozen=True, slots=True)
+class Complete(Action):
+    """End the query; calls that still run have been cancelled."""
+
+    completion: Completion
--- /dev/null
+++ b/chestnuthall/core/fanout/_progress.py
@@ -0,0 +1,41 @@
+"""Progress of one shard and of its calls."""
+
+from dataclasses import dataclass, field
+
+from chestnuthall.core.model import Shard, ShardAnswer, ShardCall
+
+
+@dataclass(slots=True)
+class RunningCall:
+    """A call that has neither answered nor failed."""
+
+    call: ShardCall
+    started_ms: float
+
+
+@dataclass(slots=True)
+class ShardProgress:
+    """What is known about one shard of the plan.
+
+    ``retry_at_ms`` is set while the shard waits for its next attempt;
+    ``is_given_up`` means that no further attempt will be made.
+    """
+
+    shard: Shard
+    running: dict[str, RunningCall] = field(default_factory=dict)
+    tried_names: set[str] = field(default_factory=set)
+    answer: ShardAnswer | None = None
+    n_attempts: int = 0
+    is_hedged: bool = False
+    is_given_up: bool = False
+    retry_at_ms: float | None = None
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether nothing more will come from the shard."""
+        return self.answer is not None or (self.is_given_up and not self.running)
+
+    @property
+    def oldest_start_ms(self) -> float | None:
+        """Start of the call that has run longest, or None."""
+        return min((item.started_ms for item in self.running.values()), default=None)
--- /dev/null
+++ b/chestnuthall/core/model/_answers.py
@@ -0,0 +1,109 @@
+"""Shard calls, shard answers, coverage and answers to callers."""
+
+from dataclasses import dataclass
+
+from chestnuthall.core.model._accounts import Account
+from chestnuthall.core.model._partition_map import KeyRange, Replica
+from chestnuthall.core.model._requests import Request
+from chestnuthall.core.results import Failure, Repeat, ResultCode, RunState
+
+
+@dataclass(frozen=True, slots=True)
+class Hit:
+    """One ranked record; a higher score ranks first, then the smaller key."""
+
+    key: str
+    score: float
+    record: str
+
+
+@dataclass(frozen=True, slots=True)
+class ShardCall:
+    """One call to one replica; ``deadline_ms`` is on the instance's clock."""
+
+    call_id: str
+    replica: Replica
+    shard_id: str
+    snapshot_id: int
+    deadline_ms: float
+    request: Request
+
+
+@dataclass(frozen=True, slots=True)
+class ShardAnswer:
+    """A whole answer of a replica that echoes the identity of its call.
+
+    ``n_documents_searched`` is the number of documents that the replica looked
+    at; it is below the shard's size where the replica stopped early.
+    ``held_snapshots`` are the snapshots that the replica can serve now.
+    """
+
+    call_id: str
+    shard_id: str
+    snapshot_id: int
+    hits: tuple[Hit, ...]
+    n_documents_searched: int
+    held_snapshots: tuple[int, ...] = ()
+    is_draining: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Coverage:
+    """How much of the pinned snapshot an answer includes, in documents.
+
+    Examples
+    --------
+    >>> Coverage(900, 1000, 9, 10, (KeyRange("s", "t"),)).ratio
+    0.9
+    """
+
+    n_documents_covered: int
+    n_documents_total: int
+    n_shards_covered: int
+    n_shards_total: int
+    missing_ranges: tuple[KeyRange, ...] = ()
+
+    @property
+    def ratio(self) -> float:
+        """Covered documents as a part of all; 1.0 for an empty index."""
+        if self.n_documents_total == 0:
+            return 1.0 if self.n_shards_covered == self.n_shards_total else 0.0
+        return self.n_documents_covered / self.n_documents_total
+
+    @property
+    def is_full(self) -> bool:
+        """Whether every document of every shard is included."""
+        return (
+            self.n_shards_covered == self.n_shards_total
+            and self.n_documents_covered == self.n_documents_total
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A successful answer to a caller."""
+
+    request_id: str
+    result_code: ResultCode
+    hits: tuple[Hit, ...]
+    coverage: Coverage
+    snapshot_id: int
+    configuration_revision: int
+    account: Account
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A request that ends without an answer.
+
+    ``run`` and ``repeat`` hold for this request and may be narrower than
+    those of the failure's kind.
+    """
+
+    request_id: str
+    failure: Failure
+    run: RunState
+    repeat: Repeat
+    configuration_revision: int
+    account: Account
+    retry_after_ms: float | None = None
--- /dev/null
+++ b/chestnuthall/core/model/_environment.py
@@ -0,0 +1,94 @@
+"""The environment document as the decisions see it."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class Objective:
+    """Service-level objective: a part of requests answered well in time."""
+
+    latency_ms: float
+    good_ratio: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerClass:
+    """A class of callers and what it is owed.
+
+    ``share`` is a weight relative to the other classes. A higher ``urgency``
+    goes first among the classes that are within their share. From
+    ``soft_deadline_ms`` on, an answer at or above the coverage floor is
+    returned without waiting for stragglers.
+    """
+
+    name: str
+    share: float
+    urgency: int
+    coverage_floor_ratio: float
+    deadline_ms: float
+    soft_deadline_ms: float | None = None
+    n_queued_max: int = 256
+    objective: Objective = field(default_factory=lambda: Objective(1000.0, 0.99))
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamGroup:
+    """A group of upstreams that serve one index.
+
+    ``n_slots`` and ``n_connections_max`` are per replica.
+    ``reserved_ratios`` maps a kind of request to the part of the group's
+    limit that other kinds may use only while it is idle.
+    """
+
+    name: str
+    n_slots: int
+    n_connections_max: int
+    connect_cost_ms: float
+    reserved_ratios: tuple[tuple[str, float], ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ExtraLoadPolicy:
+    """Budget for hedges and retries, as a part of all shard calls.
+
+    The budget falls linearly from ``max_ratio`` at utilisation
+    ``full_below_ratio`` to nothing at ``none_above_ratio``.
+    """
+
+    max_ratio: float = 0.03
+    full_below_ratio: float = 0.70
+    none_above_ratio: float = 0.95
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EnvironmentDocument:
+    """Everything that operators define for one environment."""
+
+    classes: tuple[CallerClass, ...]
+    groups: tuple[UpstreamGroup, ...]
+    extra_load: ExtraLoadPolicy = field(default_factory=ExtraLoadPolicy)
+
+    def class_named(self, name: str) -> CallerClass | None:
+        """Return the class of that name, or None."""
+        return next((item for item in self.classes if item.name == name), None)
+
+    def group_named(self, name: str) -> UpstreamGroup | None:
+        """Return the upstream group of that name, or None."""
+        return next((item for item in self.groups if item.name == name), None)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Configuration:
+    """An accepted environment document with its identity.
+
+    ``digest`` is the SHA-256 of ``text`` in hexadecimal. ``revision`` grows by
+    one with each accepted change of the environment. ``stored_text`` is the
+    whole value of the object in the store, which peers pass on unchanged.
+    """
+
+    environment: str
+    revision: int
+    digest: str
+    text: str
+    document: EnvironmentDocument
+    stored_text: str = ""
--- /dev/null
+++ b/chestnuthall/core/model/_partition_map.py
@@ -0,0 +1,66 @@
+"""Partition maps: which shard holds which keys in one snapshot of an index."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class KeyRange:
+    """Keys from ``start`` up to but without ``end``; an empty end is unbounded.
+
+    Examples
+    --------
+    >>> KeyRange("b", "d").contains("c")
+    True
+    >>> KeyRange("b", "").contains("a")
+    False
+    """
+
+    start: str
+    end: str
+
+    def contains(self, key: str) -> bool:
+        """Return whether the key lies in the range."""
+        return self.start <= key and (not self.end or key < self.end)
+
+
+@dataclass(frozen=True, slots=True)
+class Replica:
+    """One upstream process that serves a shard."""
+
+    name: str
+    address: str
+    zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class Shard:
+    """One part of an index with the replicas that serve it."""
+
+    shard_id: str
+    key_range: KeyRange
+    n_documents: int
+    replicas: tuple[Replica, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PartitionMap:
+    """The shards of one snapshot of a group's index.
+
+    ``snapshot_id`` grows by one with each published snapshot of the group.
+    """
+
+    group: str
+    snapshot_id: int
+    shards: tuple[Shard, ...]
+
+    @property
+    def n_documents(self) -> int:
+        """Number of documents in all shards."""
+        return sum(shard.n_documents for shard in self.shards)
+
+    def shard_for_key(self, key: str) -> Shard | None:
+        """Return the shard whose key range holds the key, or None."""
+        for shard in self.shards:
+            if shard.key_range.contains(key):
+                return shard
+        return None
--- /dev/null
+++ b/chestnuthall/core/model/_requests.py
@@ -0,0 +1,82 @@
+"""Requests of callers, one type per kind."""
+
+from dataclasses import dataclass
+from functools import singledispatch
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Request:
+    """What every request of a caller has.
+
+    ``arrived_ms`` and ``deadline_ms`` are readings of the instance's monotonic
+    clock. ``fingerprint`` identifies the content of the request, without its
+    id, so that a resend has the same one.
+    """
+
+    request_id: str
+    class_name: str
+    group: str
+    arrived_ms: float
+    deadline_ms: float
+    fingerprint: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SearchRequest(Request):
+    """A search over all shards of a group; returns the best ``n_hits_max`` hits."""
+
+    query: str
+    n_hits_max: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LookupRequest(Request):
+    """A lookup of a single record by its key."""
+
+    key: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MutationRequest(Request):
+    """A request that must run at most once, such as a hold or a renewal.
+
+    ``issued_at_ms`` is the caller's wall-clock time in milliseconds since the
+    epoch at which it made ``idempotency_key``.
+    """
+
+    key: str
+    payload: str
+    idempotency_key: str
+    issued_at_ms: float
+
+
+@singledispatch
+def kind_of(request: Request) -> str:
+    """Return the name of the request's kind: search, lookup or mutation."""
+    raise TypeError(f"not a request: {type(request).__name__}")
+
+
+@kind_of.register
+def _(request: SearchRequest) -> str:
+    return "search"
+
+
+@kind_of.register
+def _(request: LookupRequest) -> str:
+    return "lookup"
+
+
+@kind_of.register
+def _(request: MutationRequest) -> str:
+    return "mutation"
+
+
+@singledispatch
+def is_idempotent(request: Request) -> bool:
+    """Return whether the request may be run more than once."""
+    return True
+
+
+@is_idempotent.register
+def _(request: MutationRequest) -> bool:
+    return False
--- /dev/null
+++ b/chestnuthall/core/quarantine/__init__.py
@@ -0,0 +1,9 @@
+"""Requests that crash the upstreams that run them."""
+
+from chestnuthall.core.quarantine._register import (
+    QuarantineRegister,
+    QuarantineSettings,
+    Suspicion,
+)
+
+__all__ = ["QuarantineRegister", "QuarantineSettings", "Suspicion"]
--- /dev/null
+++ b/chestnuthall/core/results/_codes.py
@@ -0,0 +1,75 @@
+"""Numbers of the result codes, in blocks of one thousand by cause."""
+
+from enum import Enum, IntEnum
+
+
+class ResultCode(IntEnum):
+    """Number that identifies a result in answers, logs and metrics.
+
+    1xxx is success, 2xxx a fault of the request, 3xxx a refusal for load or
+    policy, 4xxx a fault of an upstream, 5xxx a fault of the object store or of
+    a claim, and 9xxx a defect. Numbers are never reused.
+    """
+
+    OK = 1000
+    OK_PARTIAL = 1001
+
+    BAD_HTTP = 2000
+    INVALID_REQUEST = 2001
+    BODY_TOO_LARGE = 2002
+    NOT_FOUND = 2003
+    UNKNOWN_CLASS = 2004
+    UNKNOWN_GROUP = 2005
+    CONFIGURATION_REJECTED = 2006
+
+    NOT_READY = 3000
+    QUEUE_FULL = 3001
+    DEADLINE_UNREACHABLE = 3002
+    DEADLINE_PASSED = 3003
+    SHUTTING_DOWN = 3004
+    QUARANTINED = 3005
+    RATE_LIMITED = 3006
+
+    NO_REPLICA = 4000
+    CONNECTION_LOST = 4001
+    CALL_TIMED_OUT = 4002
+    CALL_MISMATCH = 4003
+    SNAPSHOT_GONE = 4004
+    SHED_BY_UPSTREAM = 4005
+    UPSTREAM_ERROR = 4006
+    COVERAGE_BELOW_FLOOR = 4007
+    OUTCOME_UNKNOWN = 4008
+    CALL_CANCELLED = 4009
+
+    STORE_UNAVAILABLE = 5000
+    STORE_WRITE_UNKNOWN = 5001
+    OBJECT_CONFLICT = 5002
+    OBJECT_NOT_FOUND = 5003
+    KEY_ALREADY_CLAIMED = 5004
+    KEY_EXPIRED = 5005
+    LEDGER_FULL = 5006
+    CLAIM_UNSETTLED = 5007
+
+    INTERNAL_ERROR = 9000
+
+
+class RunState(Enum):
+    """What a result says about whether any upstream ran the request."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class Repeat(Enum):
+    """What a caller may do after a result.
+
+    ``SAFE`` allows the same request again; ``NEW_KEY`` allows it with a new
+    idempotency key; ``ASK`` means that the outcome has to be looked up first;
+    ``NEVER`` means that a repeat cannot succeed.
+    """
+
+    SAFE = "safe"
+    NEW_KEY = "new_key"
+    ASK = "ask"
+    NEVER = "never"
--- /dev/null
+++ b/chestnuthall/core/results/tests/test_table.py
@@ -0,0 +1,23 @@
+"""Guards against a result code that the docs do not describe."""
+
+from pathlib import Path
+
+import pytest
+
+from chestnuthall.core.results import FAILURE_KINDS, ResultCode
+
+TABLE = Path(__file__).parents[4] / "docs" / "result-codes.md"
+
+
+@pytest.mark.parametrize("kind", FAILURE_KINDS.values(), ids=lambda kind: kind.name)
+def test_docs_row_equals_code(kind):
+    row = (
+        f"| {int(kind.code)} | `{kind.name}` | {kind.http_status}"
+        f" | {kind.run.value} | {kind.repeat.value} | {kind.summary} |"
+    )
+    assert row in TABLE.read_text().splitlines()
+
+
+def test_every_code_has_a_kind_or_is_success():
+    successes = {ResultCode.OK, ResultCode.OK_PARTIAL}
+    assert set(ResultCode) - set(FAILURE_KINDS) == successes
--- /dev/null
+++ b/chestnuthall/core/routing/__init__.py
@@ -0,0 +1,16 @@
+"""Choice of snapshot and replica, hedging and the extra-load budget."""
+
+from chestnuthall.core.routing._budget import ExtraLoadBudget
+from chestnuthall.core.routing._catalog import SnapshotCatalog
+from chestnuthall.core.routing._latency import LatencyWindow
+from chestnuthall.core.routing._replicas import ReplicaState
+from chestnuthall.core.routing._router import Router, RouterSettings
+
+__all__ = [
+    "ExtraLoadBudget",
+    "LatencyWindow",
+    "ReplicaState",
+    "Router",
+    "RouterSettings",
+    "SnapshotCatalog",
+]
--- /dev/null
+++ b/chestnuthall/core/routing/_catalog.py
@@ -0,0 +1,81 @@
+"""Partition maps known for a group, by snapshot."""
+
+from collections.abc import Callable, Iterable
+
+from chestnuthall.core.model import PartitionMap, Replica, Shard
+
+N_SNAPSHOTS_KEPT = 3
+
+HoldsSnapshot = Callable[[Replica, int], bool]
+
+
+class SnapshotCatalog:
+    """The newest partition maps of one group.
+
+    Older maps stay for queries that have pinned them; maps beyond the newest
+    ``N_SNAPSHOTS_KEPT`` are dropped.
+    """
+
+    def __init__(self, group: str) -> None:
+        self.group = group
+        self._maps: dict[int, PartitionMap] = {}
+
+    def add(self, partition_map: PartitionMap) -> bool:
+        """Add or replace a map; return whether its snapshot is a new one.
+
+        A map of a known snapshot replaces it, since replicas come and go
+        while the snapshot stays.
+        """
+        is_new = partition_map.snapshot_id not in self._maps
+        self._maps[partition_map.snapshot_id] = partition_map
+        for snapshot_id in sorted(self._maps)[:-N_SNAPSHOTS_KEPT]:
+            del self._maps[snapshot_id]
+        return is_new and partition_map.snapshot_id in self._maps
+
+    @property
+    def newest_id(self) -> int | None:
+        """The newest snapshot id known, or None."""
+        return max(self._maps, default=None)
+
+    def maps(self) -> tuple[PartitionMap, ...]:
+        """Return the kept maps, newest first."""
+        return tuple(self._maps[key] for key in sorted(self._maps, reverse=True))
+
+    def choose(
+        self, holds: HoldsSnapshot, excluded: Iterable[int] = ()
+    ) -> PartitionMap | None:
+        """Return the map that a new query pins.
+
+        This is the newest snapshot for which every shard has a replica that
+        holds it, or else the one with the most documents within reach, since
+        a snapshot that is still being loaded would lose coverage.
+        """
+        skipped = set(excluded)
+        best: PartitionMap | None = None
+        best_ratio = -1.0
+        for partition_map in self.maps():
+            if partition_map.snapshot_id in skipped:
+                continue
+            ratio = _reachable_ratio(partition_map, holds)
+            if ratio >= 1.0:
+                return partition_map
+            if ratio > best_ratio:
+                best, best_ratio = partition_map, ratio
+        return best
+
+
+def _reachable_ratio(partition_map: PartitionMap, holds: HoldsSnapshot) -> float:
+    total = partition_map.n_documents
+    if total == 0:
+        return 1.0
+    snapshot_id = partition_map.snapshot_id
+    reachable = sum(
+        shard.n_documents
+        for shard in partition_map.shards
+        if _is_reachable(shard, snapshot_id, holds)
+    )
+    return reachable / total
+
+
+def _is_reachable(shard: Shard, snapshot_id: int, holds: HoldsSnapshot) -> bool:
+    return any(holds(replica, snapshot_id) for replica in shard.replicas)
--- /dev/null
+++ b/chestnuthall/ports/__init__.py
@@ -0,0 +1,41 @@
+"""Protocols through which the services reach the outside."""
+
+from chestnuthall.ports._clock import Clock
+from chestnuthall.ports._driving import (
+    ConfigurationReceiver,
+    RequestHandler,
+    RequestTracker,
+)
+from chestnuthall.ports._metrics import Metrics
+from chestnuthall.ports._objects import ObjectStore, StoredObject, WatchBatch
+from chestnuthall.ports._peers import (
+    ClassUse,
+    DrainNotice,
+    MemberUpdate,
+    PeerConfiguration,
+    PeerDigest,
+    PeerService,
+    PeerTransport,
+    QuarantineNotice,
+)
+from chestnuthall.ports._shards import ShardCaller
+
+__all__ = [
+    "ClassUse",
+    "Clock",
+    "ConfigurationReceiver",
+    "DrainNotice",
+    "MemberUpdate",
+    "Metrics",
+    "ObjectStore",
+    "PeerConfiguration",
+    "PeerDigest",
+    "PeerService",
+    "PeerTransport",
+    "QuarantineNotice",
+    "RequestHandler",
+    "RequestTracker",
+    "ShardCaller",
+    "StoredObject",
+    "WatchBatch",
+]
--- /dev/null
+++ b/chestnuthall/ports/_objects.py
@@ -0,0 +1,74 @@
+"""The platform's object API."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from chestnuthall.core.results import Failure
+
+
+@dataclass(frozen=True, slots=True)
+class StoredObject:
+    """An object of the platform with the version of its last write.
+
+    Versions are positive and grow with every write to any object of the kind.
+    ``value`` is the body, JSON text of at most one megabyte.
+    """
+
+    kind: str
+    name: str
+    version: int
+    value: str
+
+
+@dataclass(frozen=True, slots=True)
+class WatchBatch:
+    """Changes after a version; ``version`` is where the next watch starts."""
+
+    version: int
+    changed: tuple[StoredObject, ...]
+    deleted_names: tuple[str, ...] = ()
+
+
+class ObjectStore(Protocol):
+    """Objects with versions, conditional updates and watches.
+
+    Failures: ``OBJECT_NOT_FOUND``, ``OBJECT_CONFLICT``, ``RATE_LIMITED`` and
+    ``STORE_UNAVAILABLE`` say that a write had no effect;
+    ``STORE_WRITE_UNKNOWN`` says that it may have had one, now or later.
+    """
+
+    async def get(
+        self, kind: str, name: str, timeout_ms: float
+    ) -> StoredObject | Failure:
+        """Read one object."""
+        ...
+
+    async def list_kind(
+        self, kind: str, timeout_ms: float
+    ) -> tuple[StoredObject, ...] | Failure:
+        """Read all objects of a kind."""
+        ...
+
+    async def create(
+        self, kind: str, name: str, value: str, timeout_ms: float
+    ) -> StoredObject | Failure:
+        """Write an object that must not exist yet."""
+        ...
+
+    async def update(
+        self, kind: str, name: str, value: str, version: int, timeout_ms: float
+    ) -> StoredObject | Failure:
+        """Write an object whose version must still be ``version``."""
+        ...
+
+    async def delete(
+        self, kind: str, name: str, version: int, timeout_ms: float
+    ) -> Failure | None:
+        """Delete an object whose version must still be ``version``."""
+        ...
+
+    async def watch(
+        self, kind: str, after_version: int, timeout_ms: float
+    ) -> WatchBatch | Failure:
+        """Wait for changes of a kind after a version; an empty batch on timeout."""
+        ...
--- /dev/null
+++ b/chestnuthall/ports/_shards.py
@@ -0,0 +1,29 @@
+"""Calls to upstream replicas."""
+
+from typing import Protocol
+
+from chestnuthall.core.model import PartitionMap, Replica, ShardAnswer, ShardCall
+from chestnuthall.core.results import Failure
+
+
+class ShardCaller(Protocol):
+    """Runs shard calls. Cancelling the awaiting task cancels the call.
+
+    A failure's kind says whether the replica can have begun the call:
+    ``NO_REPLICA`` (nothing was written), ``SHED_BY_UPSTREAM`` and
+    ``SNAPSHOT_GONE`` say that it did not; any other that it may have.
+    """
+
+    async def call(self, call: ShardCall) -> ShardAnswer | Failure:
+        """Run one call and return the whole answer that echoes its id."""
+        ...
+
+    async def fetch_partition_map(
+        self, replica: Replica, timeout_ms: float
+    ) -> PartitionMap | Failure:
+        """Return the newest partition map that a replica knows."""
+        ...
+
+    def set_connection_budget(self, group: str, n_connections: int) -> None:
+        """Set how many connections may be open to each replica of a group."""
+        ...
