--- /dev/null
+++ b/chestnuthall/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""The outside world: HTTP, gRPC, statsd, settings, documents and logs."""
--- /dev/null
+++ b/chestnuthall/adapters/callers/__init__.py
@@ -0,0 +1,16 @@
+"""The HTTP interface towards callers and operators."""
+
+from chestnuthall.adapters.callers._encode import encode_account, encode_outcome
+from chestnuthall.adapters.callers._frontend import (
+    CallerFrontend,
+    respond_to_http_error,
+)
+from chestnuthall.adapters.callers._models import read_request
+
+__all__ = [
+    "CallerFrontend",
+    "encode_account",
+    "encode_outcome",
+    "read_request",
+    "respond_to_http_error",
+]
--- /dev/null
+++ b/chestnuthall/adapters/callers/_models.py
@@ -0,0 +1,133 @@
+"""Bodies that callers send."""
+
+from functools import singledispatch
+from hashlib import sha256
+from typing import Annotated, Final
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from chestnuthall.core.model import (
+    LookupRequest,
+    MutationRequest,
+    Request,
+    SearchRequest,
+)
+from chestnuthall.core.results import INVALID_REQUEST, NOT_FOUND, Failure
+
+RequestId = Annotated[str, Field(pattern=r"^[A-Za-z0-9_.:-]{1,64}$")]
+Name = Annotated[str, Field(pattern=r"^[a-z][a-z0-9-]{0,62}$")]
+DEADLINE_DEFAULT_MS: Final = 10_000.0
+
+
+class _RequestModel(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    request_id: RequestId
+    class_name: Annotated[Name, Field(alias="class")]
+    group: Name
+    deadline_ms: Annotated[float, Field(gt=0.0, le=600_000.0)] | None = None
+
+
+class SearchModel(_RequestModel):
+    """Body of ``POST /v1/search``."""
+
+    query: Annotated[str, Field(min_length=1, max_length=8192)]
+    n_hits_max: Annotated[int, Field(ge=1, le=1000)] = 10
+
+
+class LookupModel(_RequestModel):
+    """Body of ``POST /v1/lookup``."""
+
+    key: Annotated[str, Field(min_length=1, max_length=512)]
+
+
+class MutationModel(_RequestModel):
+    """Body of ``POST /v1/mutate``; the key is made by the caller."""
+
+    key: Annotated[str, Field(min_length=1, max_length=512)]
+    payload: Annotated[str, Field(max_length=65_536)] = ""
+    idempotency_key: Annotated[str, Field(min_length=8, max_length=128)]
+    issued_at_ms: Annotated[float, Field(gt=0.0)]
+
+
+_MODELS: Final[dict[str, type[_RequestModel]]] = {
+    "/v1/search": SearchModel,
+    "/v1/lookup": LookupModel,
+    "/v1/mutate": MutationModel,
+}
+
+
+def read_request(
+    path: str, body: bytes, now_ms: float, deadline_max_ms: float | None = None
+) -> Request | Failure:
+    """Check a body and return the request; ``now_ms`` is its arrival."""
+    model_type = _MODELS.get(path)
+    if model_type is None:
+        return NOT_FOUND.because(f"no such path: {path}")
+    try:
+        model = model_type.model_validate_json(body)
+    except ValidationError as error:
+        return INVALID_REQUEST.because(_describe(error))
+    allowed_ms = DEADLINE_DEFAULT_MS if deadline_max_ms is None else deadline_max_ms
+    wanted_ms = allowed_ms if model.deadline_ms is None else model.deadline_ms
+    return _to_core(model, now_ms, now_ms + min(wanted_ms, allowed_ms))
+
+
+def _describe(error: ValidationError) -> str:
+    parts = []
+    for item in error.errors():
+        place = ".".join(str(part) for part in item["loc"]) or "body"
+        parts.append(f"{place}: {item['msg']}")
+    return "; ".join(parts)
+
+
+def _fingerprint(*parts: str) -> str:
+    return sha256("\0".join(parts).encode()).hexdigest()[:16]
+
+
+@singledispatch
+def _to_core(model: _RequestModel, now_ms: float, deadline_ms: float) -> Request:
+    raise TypeError(f"not a request body: {type(model).__name__}")
+
+
+@_to_core.register
+def _(model: SearchModel, now_ms: float, deadline_ms: float) -> Request:
+    return SearchRequest(
+        request_id=model.request_id,
+        class_name=model.class_name,
+        group=model.group,
+        arrived_ms=now_ms,
+        deadline_ms=deadline_ms,
+        fingerprint=_fingerprint("search", model.group, model.query),
+        query=model.query,
+        n_hits_max=model.n_hits_max,
+    )
+
+
+@_to_core.register
+def _(model: LookupModel, now_ms: float, deadline_ms: float) -> Request:
+    return LookupRequest(
+        request_id=model.request_id,
+        class_name=model.class_name,
+        group=model.group,
+        arrived_ms=now_ms,
+        deadline_ms=deadline_ms,
+        fingerprint=_fingerprint("lookup", model.group, model.key),
+        key=model.key,
+    )
+
+
+@_to_core.register
+def _(model: MutationModel, now_ms: float, deadline_ms: float) -> Request:
+    return MutationRequest(
+        request_id=model.request_id,
+        class_name=model.class_name,
+        group=model.group,
+        arrived_ms=now_ms,
+        deadline_ms=deadline_ms,
+        fingerprint=_fingerprint("mutation", model.group, model.key, model.payload),
+        key=model.key,
+        payload=model.payload,
+        idempotency_key=model.idempotency_key,
+        issued_at_ms=model.issued_at_ms,
+    )
--- /dev/null
+++ b/chestnuthall/adapters/documents/__init__.py
@@ -0,0 +1,39 @@
+"""Texts that operators and the platform store, checked by models."""
+
+from chestnuthall.adapters.documents._configuration import (
+    ConfigurationModel,
+    encode_configuration,
+    read_configuration,
+)
+from chestnuthall.adapters.documents._environment import (
+    EnvironmentModel,
+    digest_of,
+    read_environment,
+)
+from chestnuthall.adapters.documents._instances import (
+    InstanceModel,
+    encode_instance,
+    read_instance,
+)
+from chestnuthall.adapters.documents._ledger import JsonPartitionCodec
+from chestnuthall.adapters.documents._partition_map import (
+    PartitionMapModel,
+    encode_partition_map,
+    read_partition_map,
+)
+
+__all__ = [
+    "ConfigurationModel",
+    "EnvironmentModel",
+    "InstanceModel",
+    "JsonPartitionCodec",
+    "PartitionMapModel",
+    "digest_of",
+    "encode_configuration",
+    "encode_instance",
+    "encode_partition_map",
+    "read_configuration",
+    "read_environment",
+    "read_instance",
+    "read_partition_map",
+]
--- /dev/null
+++ b/chestnuthall/adapters/documents/_configuration.py
@@ -0,0 +1,49 @@
+"""The stored object that makes an environment document a revision."""
+
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from chestnuthall.adapters.documents._environment import digest_of, read_environment
+from chestnuthall.core.model import Configuration
+from chestnuthall.core.results import CONFIGURATION_REJECTED, Failure
+
+
+class ConfigurationModel(BaseModel):
+    """Value of an ``environments`` object."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    environment: str
+    revision: Annotated[int, Field(ge=1)]
+    digest: str
+    text: str
+    author: str = ""
+    reason: str = ""
+    accepted_wall_ms: float = 0.0
+
+
+def encode_configuration(model: ConfigurationModel) -> str:
+    """Return the text that is stored."""
+    return model.model_dump_json()
+
+
+def read_configuration(text: str) -> Configuration | Failure:
+    """Check a stored configuration, its digest included."""
+    try:
+        model = ConfigurationModel.model_validate_json(text)
+    except ValidationError as error:
+        return CONFIGURATION_REJECTED.because(str(error))
+    if digest_of(model.text) != model.digest:
+        return CONFIGURATION_REJECTED.because("the digest does not match the text")
+    document = read_environment(model.text)
+    if isinstance(document, Failure):
+        return document
+    return Configuration(
+        environment=model.environment,
+        revision=model.revision,
+        digest=model.digest,
+        text=model.text,
+        document=document,
+        stored_text=text,
+    )
--- /dev/null
+++ b/chestnuthall/adapters/documents/_instances.py
@@ -0,0 +1,33 @@
+"""Entries of the platform's list of instances."""
+
+from typing import Literal
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from chestnuthall.core.results import INVALID_REQUEST, Failure
+
+
+class InstanceModel(BaseModel):
+    """Value of an ``instances`` object; unknown fields are the platform's."""
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    name: str
+    role: Literal["entry", "upstream"]
+    zone: str
+    address: str
+    peer_address: str = ""
+    state: Literal["live", "leaving"] = "live"
+
+
+def encode_instance(model: InstanceModel) -> str:
+    """Return the text that is stored."""
+    return model.model_dump_json()
+
+
+def read_instance(text: str) -> InstanceModel | Failure:
+    """Check one entry of the list."""
+    try:
+        return InstanceModel.model_validate_json(text)
+    except ValidationError as error:
+        return INVALID_REQUEST.because(str(error))
--- /dev/null
+++ b/chestnuthall/adapters/http/_client.py
@@ -0,0 +1,146 @@
+"""One client connection, with one request at a time."""
+
+import asyncio
+
+import h11
+
+from chestnuthall.adapters.http._messages import HttpRequest, HttpResponse
+from chestnuthall.core.results import CONNECTION_LOST, NO_REPLICA, Failure
+
+N_BODY_BYTES_MAX = 16 * 1024 * 1024
+
+
+class ClientConnection(asyncio.Protocol):
+    """An HTTP/1.1 connection that keeps alive between requests."""
+
+    def __init__(self) -> None:
+        self._h11 = h11.Connection(h11.CLIENT)
+        self._transport: asyncio.Transport | None = None
+        self._response: asyncio.Future[HttpResponse | Failure] | None = None
+        self._head: h11.Response | None = None
+        self._body: list[bytes] = []
+        self._n_body_bytes = 0
+        self._host = b""
+        self.is_open = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Note the transport; called by the event loop."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        peer = transport.get_extra_info("peername")
+        self._host = f"{peer[0]}:{peer[1]}".encode()
+        self.is_open = True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the running request; called by the event loop."""
+        self.is_open = False
+        self._resolve(CONNECTION_LOST.because("the connection was closed"))
+
+    def eof_received(self) -> bool:
+        """Let h11 see the end of the stream; called by the event loop."""
+        self.data_received(b"")
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        """Feed bytes to h11; called by the event loop."""
+        try:
+            self._h11.receive_data(data)
+            self._read_events()
+        except h11.RemoteProtocolError as error:
+            self._resolve(CONNECTION_LOST.because(f"invalid response: {error}"))
+            self.close()
+
+    def _read_events(self) -> None:
+        while True:
+            event = self._h11.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.ConnectionClosed):
+                self.close()
+                return
+            self._read_event(event)
+
+    def _read_event(self, event: object) -> None:
+        if isinstance(event, h11.Response):
+            self._head = event
+        elif isinstance(event, h11.Data):
+            self._body.append(bytes(event.data))
+            self._n_body_bytes += len(event.data)
+            if self._n_body_bytes > N_BODY_BYTES_MAX:
+                raise h11.RemoteProtocolError("the body is too large")
+        elif isinstance(event, h11.EndOfMessage):
+            self._finish_response()
+
+    def _finish_response(self) -> None:
+        assert self._head is not None
+        response = HttpResponse(
+            self._head.status_code, dict(self._head.headers), b"".join(self._body)
+        )
+        self._head = None
+        self._body = []
+        self._n_body_bytes = 0
+        if self._h11.our_state is h11.MUST_CLOSE or (
+            self._h11.their_state is h11.MUST_CLOSE
+        ):
+            self.close()
+        else:
+            self._h11.start_next_cycle()
+        self._resolve(response)
+
+    def _resolve(self, result: HttpResponse | Failure) -> None:
+        response, self._response = self._response, None
+        if response is not None and not response.done():
+            response.set_result(result)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether a request can be sent now."""
+        return (
+            self.is_open
+            and self._response is None
+            and self._transport is not None
+            and not self._transport.is_closing()
+        )
+
+    def start(self, request: HttpRequest) -> "asyncio.Future[HttpResponse | Failure]":
+        """Write a request and return the future of its response."""
+        assert self._transport is not None
+        self._response = asyncio.get_running_loop().create_future()
+        headers = [(b"host", self._host), *request.headers.items()]
+        if request.body:
+            headers.append((b"content-length", b"%d" % len(request.body)))
+        head = h11.Request(
+            method=request.method, target=request.target, headers=headers
+        )
+        data = self._h11.send(head) or b""
+        if request.body:
+            data += self._h11.send(h11.Data(data=request.body)) or b""
+        data += self._h11.send(h11.EndOfMessage()) or b""
+        self._transport.write(data)
+        return self._response
+
+    async def request(self, request: HttpRequest) -> HttpResponse | Failure:
+        """Send a request and wait for its whole response."""
+        return await self.start(request)
+
+    def close(self) -> None:
+        """Close the connection; a running request fails."""
+        self.is_open = False
+        if self._transport is not None:
+            self._transport.close()
+
+
+async def connect(address: str, timeout_ms: float) -> ClientConnection | Failure:
+    """Open a connection to ``host:port``; nothing is written to it."""
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(max(0.0, timeout_ms) / 1000.0):
+            _, connection = await loop.create_connection(
+                ClientConnection, host, int(port)
+            )
+    except TimeoutError:
+        return NO_REPLICA.because(f"no connection to {address} in time")
+    except OSError as error:
+        return NO_REPLICA.because(f"cannot connect to {address}: {error.strerror}")
+    return connection
--- /dev/null
+++ b/chestnuthall/adapters/http/_pool.py
@@ -0,0 +1,118 @@
+"""Keep-alive connections to one address, up to a budget."""
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass
+
+from chestnuthall.adapters.http._client import ClientConnection, connect
+from chestnuthall.core.results import NO_REPLICA, Failure
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PoolSettings:
+    """Bounds of a pool."""
+
+    n_connections_max: int = 4
+    connect_timeout_ms: float = 1_000.0
+
+
+class ConnectionPool:
+    """Connections to one address; never more than the budget are open."""
+
+    def __init__(self, address: str, settings: PoolSettings) -> None:
+        self.address = address
+        self.n_connections_max = settings.n_connections_max
+        self._connect_timeout_ms = settings.connect_timeout_ms
+        self._idle: list[ClientConnection] = []
+        self._n_open = 0
+        self._waiters: deque[asyncio.Future[ClientConnection | None]] = deque()
+
+    @property
+    def n_open(self) -> int:
+        """Connections that are open or being opened."""
+        return self._n_open
+
+    async def acquire(self, timeout_ms: float) -> ClientConnection | Failure:
+        """Return an idle connection, a new one, or wait for one."""
+        connection = self._pop_idle()
+        if connection is not None:
+            return connection
+        if self._n_open < self.n_connections_max:
+            return await self._open(timeout_ms)
+        return await self._wait(timeout_ms)
+
+    def _pop_idle(self) -> ClientConnection | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_idle:
+                return connection
+            self._n_open -= 1
+        return None
+
+    async def _open(self, timeout_ms: float) -> ClientConnection | Failure:
+        self._n_open += 1
+        connection: ClientConnection | Failure | None = None
+        try:
+            connection = await connect(
+                self.address, min(timeout_ms, self._connect_timeout_ms)
+            )
+        finally:
+            if not isinstance(connection, ClientConnection):
+                self._forget()
+        return connection
+
+    async def _wait(self, timeout_ms: float) -> ClientConnection | Failure:
+        waiter: asyncio.Future[ClientConnection | None]
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        try:
+            async with asyncio.timeout(max(0.0, timeout_ms) / 1000.0):
+                connection = await waiter
+        except TimeoutError:
+            return NO_REPLICA.because(f"no free connection to {self.address} in time")
+        except asyncio.CancelledError:
+            if waiter.done() and not waiter.cancelled():
+                self._return_unused(waiter.result())
+            raise
+        if connection is not None:
+            return connection
+        return await self.acquire(timeout_ms)
+
+    def _return_unused(self, connection: ClientConnection | None) -> None:
+        if connection is None:
+            self._wake_one(None)
+        else:
+            self.release(connection)
+
+    def release(self, connection: ClientConnection) -> None:
+        """Give back a connection after its response, or after its failure."""
+        if not connection.is_idle:
+            connection.close()
+            self._forget()
+            return
+        if self._n_open > self.n_connections_max:
+            connection.close()
+            self._forget()
+            return
+        if not self._wake_one(connection):
+            self._idle.append(connection)
+
+    def _forget(self) -> None:
+        self._n_open -= 1
+        if self._n_open < self.n_connections_max:
+            self._wake_one(None)
+
+    def _wake_one(self, connection: ClientConnection | None) -> bool:
+        while self._waiters:
+            waiter = self._waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(connection)
+                return True
+        return False
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for connection in self._idle:
+            connection.close()
+        self._n_open -= len(self._idle)
+        self._idle.clear()
--- /dev/null
+++ b/chestnuthall/adapters/http/_server.py
@@ -0,0 +1,253 @@
+"""An HTTP/1.1 server with limits on headers, bodies and connections."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import h11
+
+from chestnuthall.adapters.http._messages import HttpRequest, HttpResponse
+
+_log = logging.getLogger(__name__)
+
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+ErrorResponder = Callable[[int, str], HttpResponse]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServerLimits:
+    """Bounds that protect a server from its clients."""
+
+    n_header_bytes_max: int = 16 * 1024
+    n_body_bytes_max: int = 1024 * 1024
+    n_connections_max: int = 1024
+    n_pipelined_max: int = 16
+    idle_timeout_ms: float = 75_000.0
+
+
+def _plain_error(status: int, reason: str) -> HttpResponse:
+    return HttpResponse(status, {b"content-type": b"text/plain"}, reason.encode())
+
+
+class HttpServer:
+    """Listens on one address and hands whole requests to a handler."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: ServerLimits | None = None,
+        error_responder: ErrorResponder = _plain_error,
+    ) -> None:
+        self.handler = handler
+        self.limits = limits or ServerLimits()
+        self.error_responder = error_responder
+        self.is_closing = False
+        self._connections: set[_ServerConnection] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen; return the port, which the system chooses for port 0."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _ServerConnection(self), host, port, backlog=1024
+        )
+        port_bound: int = self._server.sockets[0].getsockname()[1]
+        return port_bound
+
+    @property
+    def n_connections(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
+    def add(self, connection: "_ServerConnection") -> bool:
+        """Note a new connection; return whether it may stay."""
+        if len(self._connections) >= self.limits.n_connections_max:
+            return False
+        self._connections.add(connection)
+        return True
+
+    def discard(self, connection: "_ServerConnection") -> None:
+        """Forget a closed connection."""
+        self._connections.discard(connection)
+
+    def announce_close(self) -> None:
+        """End each connection with its next response; close the idle ones."""
+        self.is_closing = True
+        for connection in tuple(self._connections):
+            connection.close_if_idle()
+
+    async def stop_listening(self) -> None:
+        """Accept no further connections."""
+        self.announce_close()
+        if self._server is not None:
+            self._server.close()
+
+    async def close(self) -> None:
+        """Stop listening and close all connections."""
+        await self.stop_listening()
+        for connection in tuple(self._connections):
+            connection.close()
+
+
+class _ServerConnection(asyncio.Protocol):
+    """One connection; responses are sent in the order of the requests."""
+
+    def __init__(self, server: HttpServer) -> None:
+        self._server = server
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.limits.n_header_bytes_max
+        )
+        self._transport: asyncio.Transport | None = None
+        self._head: h11.Request | None = None
+        self._body: list[bytes] = []
+        self._n_body_bytes = 0
+        self._task: asyncio.Task[None] | None = None
+        self._idle_timer: asyncio.TimerHandle | None = None
+        self._can_write = asyncio.Event()
+        self._can_write.set()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Note the transport; called by the event loop."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        if not self._server.add(self):
+            transport.abort()
+            return
+        self._start_idle_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the running request; called by the event loop."""
+        self._server.discard(self)
+        self._stop_idle_timer()
+        self._can_write.set()
+        if self._task is not None:
+            self._task.cancel()
+
+    def pause_writing(self) -> None:
+        """Hold back responses; called by the event loop."""
+        self._can_write.clear()
+
+    def resume_writing(self) -> None:
+        """Go on with responses; called by the event loop."""
+        self._can_write.set()
+
+    def _start_idle_timer(self) -> None:
+        self._stop_idle_timer()
+        loop = asyncio.get_running_loop()
+        delay_s = self._server.limits.idle_timeout_ms / 1000.0
+        self._idle_timer = loop.call_later(delay_s, self.close)
+
+    def _stop_idle_timer(self) -> None:
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+            self._idle_timer = None
+
+    def data_received(self, data: bytes) -> None:
+        """Feed bytes to h11; called by the event loop."""
+        try:
+            self._h11.receive_data(data)
+            self._read_events()
+        except h11.RemoteProtocolError as error:
+            self._reject(error.error_status_hint, str(error))
+
+    def eof_received(self) -> bool:
+        """Close when idle; a running request still gets its response."""
+        self._h11.receive_data(b"")
+        if self._task is None:
+            self.close()
+        return True
+
+    def _read_events(self) -> None:
+        while self._task is None:
+            event = self._h11.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.ConnectionClosed):
+                self.close()
+                return
+            self._read_event(event)
+
+    def _read_event(self, event: object) -> None:
+        if isinstance(event, h11.Request):
+            self._stop_idle_timer()
+            self._head = event
+            self._body = []
+            self._n_body_bytes = 0
+        elif isinstance(event, h11.Data):
+            self._body.append(bytes(event.data))
+            self._n_body_bytes += len(event.data)
+            if self._n_body_bytes > self._server.limits.n_body_bytes_max:
+                raise h11.RemoteProtocolError("the body is too large", 413)
+        elif isinstance(event, h11.EndOfMessage):
+            self._begin_request()
+
+    def _begin_request(self) -> None:
+        assert self._head is not None
+        request = HttpRequest(
+            self._head.method.decode("ascii"),
+            self._head.target.decode("ascii", "replace"),
+            dict(self._head.headers),
+            b"".join(self._body),
+        )
+        self._task = asyncio.get_running_loop().create_task(self._serve(request))
+
+    async def _serve(self, request: HttpRequest) -> None:
+        try:
+            response = await self._server.handler(request)
+        except Exception:
+            _log.exception("request handler failed")
+            response = self._server.error_responder(500, "internal error")
+        await self._can_write.wait()
+        self._task = None
+        self._send(response)
+        self._next_cycle()
+
+    def _send(self, response: HttpResponse) -> None:
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        headers = [
+            *response.headers.items(),
+            (b"content-length", b"%d" % len(response.body)),
+        ]
+        if self._server.is_closing:
+            headers.append((b"connection", b"close"))
+        head = h11.Response(status_code=response.status, headers=headers)
+        data = self._h11.send(head) or b""
+        if response.body:
+            data += self._h11.send(h11.Data(data=response.body)) or b""
+        data += self._h11.send(h11.EndOfMessage()) or b""
+        transport.write(data)
+
+    def _next_cycle(self) -> None:
+        if self._h11.our_state is not h11.DONE or (
+            self._h11.their_state is not h11.DONE
+        ):
+            self.close()
+            return
+        self._h11.start_next_cycle()
+        self._start_idle_timer()
+        try:
+            self._read_events()
+        except h11.RemoteProtocolError as error:
+            self._reject(error.error_status_hint, str(error))
+
+    def _reject(self, status: int, reason: str) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+        if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            self._send(self._server.error_responder(status, reason))
+        self.close()
+
+    def close_if_idle(self) -> None:
+        """Close a connection that has no request."""
+        if self._task is None and self._h11.their_state is h11.IDLE:
+            self.close()
+
+    def close(self) -> None:
+        """Close after what was written has been sent."""
+        self._stop_idle_timer()
+        if self._transport is not None:
+            self._transport.close()
--- /dev/null
+++ b/chestnuthall/adapters/upstreams/_caller.py
@@ -0,0 +1,172 @@
+"""Shard caller port on pooled HTTP/1.1 connections."""
+
+import asyncio
+from collections.abc import Coroutine
+
+from chestnuthall.adapters.documents import read_partition_map
+from chestnuthall.adapters.http import (
+    ClientConnection,
+    ConnectionPool,
+    HttpRequest,
+    HttpResponse,
+    PoolSettings,
+)
+from chestnuthall.adapters.upstreams._wire import CALL_ID, encode_call, read_answer
+from chestnuthall.core.model import (
+    PartitionMap,
+    Replica,
+    ShardAnswer,
+    ShardCall,
+    is_idempotent,
+)
+from chestnuthall.core.results import (
+    CALL_MISMATCH,
+    CALL_TIMED_OUT,
+    DEADLINE_PASSED,
+    UPSTREAM_ERROR,
+    Failure,
+)
+from chestnuthall.ports import Clock
+
+N_CONNECTIONS_DEFAULT = 3
+# How long the connection of a cancelled call may wait for the rest of its
+# answer. Opening another one costs the upstream up to 6 ms.
+DRAIN_TIMEOUT_MS = 1_000.0
+CANCEL_TIMEOUT_MS = 100.0
+
+
+class HttpShardCaller:
+    """Calls replicas over keep-alive connections within a budget for each."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._pools: dict[str, ConnectionPool] = {}
+        self._group_of_address: dict[str, str] = {}
+        self._budgets: dict[str, int] = {}
+        self._background: set[asyncio.Task[None]] = set()
+
+    def set_connection_budget(self, group: str, n_connections: int) -> None:
+        """Set how many connections may be open to each replica of a group."""
+        self._budgets[group] = n_connections
+        for address, pool in self._pools.items():
+            if self._group_of_address.get(address) == group:
+                pool.n_connections_max = n_connections
+
+    def _pool(self, address: str, group: str) -> ConnectionPool:
+        pool = self._pools.get(address)
+        if pool is None:
+            n_connections = self._budgets.get(group, N_CONNECTIONS_DEFAULT)
+            pool = ConnectionPool(
+                address, PoolSettings(n_connections_max=n_connections)
+            )
+            self._pools[address] = pool
+            self._group_of_address[address] = group
+        return pool
+
+    async def call(self, call: ShardCall) -> ShardAnswer | Failure:
+        """Run one call and return the whole answer that echoes its id."""
+        pool = self._pool(call.replica.address, call.request.group)
+        connection = await pool.acquire(call.deadline_ms - self._clock.now_ms())
+        if isinstance(connection, Failure):
+            return connection
+        remaining_ms = call.deadline_ms - self._clock.now_ms()
+        if remaining_ms <= 0.0:
+            # The process may have been paused while it waited.
+            pool.release(connection)
+            return DEADLINE_PASSED.because("the deadline passed before the first byte")
+        response = connection.start(encode_call(call, remaining_ms))
+        return await self._finish(call, pool, connection, response, remaining_ms)
+
+    async def _finish(
+        self,
+        call: ShardCall,
+        pool: ConnectionPool,
+        connection: ClientConnection,
+        response: "asyncio.Future[HttpResponse | Failure]",
+        remaining_ms: float,
+    ) -> ShardAnswer | Failure:
+        try:
+            async with asyncio.timeout(remaining_ms / 1000.0):
+                result = await asyncio.shield(response)
+        except TimeoutError:
+            self._abandon(call, pool, connection, response)
+            return CALL_TIMED_OUT.because("the deadline passed")
+        except asyncio.CancelledError:
+            self._abandon(call, pool, connection, response)
+            raise
+        answer = result if isinstance(result, Failure) else read_answer(call, result)
+        if isinstance(answer, Failure) and answer.kind is CALL_MISMATCH:
+            # Whatever else is on the connection may belong to other calls too.
+            connection.close()
+        pool.release(connection)
+        return answer
+
+    def _abandon(
+        self,
+        call: ShardCall,
+        pool: ConnectionPool,
+        connection: ClientConnection,
+        response: "asyncio.Future[HttpResponse | Failure]",
+    ) -> None:
+        """Keep the connection out of use until its late answer has been read."""
+        self._spawn(self._drain(pool, connection, response))
+        if is_idempotent(call.request):
+            self._spawn(self._send_cancel(call, pool))
+
+    async def _drain(
+        self,
+        pool: ConnectionPool,
+        connection: ClientConnection,
+        response: "asyncio.Future[HttpResponse | Failure]",
+    ) -> None:
+        try:
+            async with asyncio.timeout(DRAIN_TIMEOUT_MS / 1000.0):
+                await response
+        except TimeoutError:
+            connection.close()
+        finally:
+            pool.release(connection)
+
+    async def _send_cancel(self, call: ShardCall, pool: ConnectionPool) -> None:
+        request = HttpRequest(
+            "POST", "/v1/cancel", {CALL_ID: call.call_id.encode()}, b""
+        )
+        await self._exchange(pool, request, CANCEL_TIMEOUT_MS)
+
+    async def _exchange(
+        self, pool: ConnectionPool, request: HttpRequest, timeout_ms: float
+    ) -> HttpResponse | Failure:
+        connection = await pool.acquire(timeout_ms)
+        if isinstance(connection, Failure):
+            return connection
+        try:
+            async with asyncio.timeout(timeout_ms / 1000.0):
+                return await connection.request(request)
+        except TimeoutError:
+            return CALL_TIMED_OUT.because("the replica did not answer in time")
+        finally:
+            pool.release(connection)
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def fetch_partition_map(
+        self, replica: Replica, timeout_ms: float
+    ) -> PartitionMap | Failure:
+        """Return the newest partition map that a replica knows."""
+        group = self._group_of_address.get(replica.address, "")
+        pool = self._pool(replica.address, group)
+        request = HttpRequest("GET", "/v1/partition-map")
+        response = await self._exchange(pool, request, timeout_ms)
+        if isinstance(response, Failure):
+            return response
+        if response.status != 200:
+            return UPSTREAM_ERROR.because(f"status {response.status}")
+        return read_partition_map(response.body)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for pool in self._pools.values():
+            pool.close()
--- /dev/null
+++ b/chestnuthall/adapters/upstreams/_wire.py
@@ -0,0 +1,138 @@
+"""Encoding of shard calls and decoding of shard answers."""
+
+import json
+from functools import singledispatch
+from typing import Annotated, Final
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from chestnuthall.adapters.http import HttpRequest, HttpResponse
+from chestnuthall.core.model import (
+    Hit,
+    LookupRequest,
+    MutationRequest,
+    Request,
+    SearchRequest,
+    ShardAnswer,
+    ShardCall,
+)
+from chestnuthall.core.results import (
+    CALL_CANCELLED,
+    CALL_MISMATCH,
+    CALL_TIMED_OUT,
+    SHED_BY_UPSTREAM,
+    SNAPSHOT_GONE,
+    UPSTREAM_ERROR,
+    Failure,
+)
+
+CALL_ID: Final = b"x-call-id"
+DEADLINE_MS: Final = b"x-deadline-ms"
+SNAPSHOT_ID: Final = b"x-snapshot-id"
+SHARD_ID: Final = b"x-shard-id"
+HELD_SNAPSHOTS: Final = b"x-held-snapshots"
+DRAINING: Final = b"x-draining"
+NOT_STARTED: Final = b"x-not-started"
+
+
+class _AnswerModel(BaseModel):
+    """Body of a shard answer; a hit is its key, score and record."""
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    hits: list[tuple[str, float, str]]
+    n_documents_searched: Annotated[int, Field(ge=0)]
+
+
+@singledispatch
+def _path_of(request: Request) -> str:
+    raise TypeError(f"not a request: {type(request).__name__}")
+
+
+@_path_of.register
+def _(request: SearchRequest) -> str:
+    return "/v1/shard/search"
+
+
+@_path_of.register
+def _(request: LookupRequest) -> str:
+    return "/v1/shard/lookup"
+
+
+@_path_of.register
+def _(request: MutationRequest) -> str:
+    return "/v1/shard/mutate"
+
+
+@singledispatch
+def _body_of(request: Request) -> bytes:
+    raise TypeError(f"not a request: {type(request).__name__}")
+
+
+@_body_of.register
+def _(request: SearchRequest) -> bytes:
+    body = {"query": request.query, "n_hits_max": request.n_hits_max}
+    return json.dumps(body, separators=(",", ":")).encode()
+
+
+@_body_of.register
+def _(request: LookupRequest) -> bytes:
+    return json.dumps({"key": request.key}, separators=(",", ":")).encode()
+
+
+@_body_of.register
+def _(request: MutationRequest) -> bytes:
+    body = {
+        "key": request.key,
+        "payload": request.payload,
+        "idempotency_key": request.idempotency_key,
+    }
+    return json.dumps(body, separators=(",", ":")).encode()
+
+
+def encode_call(call: ShardCall, remaining_ms: float) -> HttpRequest:
+    """Return the HTTP request of a shard call."""
+    headers = {
+        b"content-type": b"application/json",
+        CALL_ID: call.call_id.encode(),
+        SHARD_ID: call.shard_id.encode(),
+        SNAPSHOT_ID: b"%d" % call.snapshot_id,
+        DEADLINE_MS: b"%.1f" % remaining_ms,
+    }
+    return HttpRequest("POST", _path_of(call.request), headers, _body_of(call.request))
+
+
+def read_answer(call: ShardCall, response: HttpResponse) -> ShardAnswer | Failure:
+    """Return the answer of a call, or why the response is none."""
+    headers = response.headers
+    if headers.get(CALL_ID, b"").decode("latin-1") != call.call_id:
+        return CALL_MISMATCH.because("the response echoes another call id")
+    if response.status != 200:
+        return _failure_of_status(response)
+    try:
+        model = _AnswerModel.model_validate_json(response.body)
+        snapshot_id = int(headers.get(SNAPSHOT_ID, b""))
+        held = tuple(int(item) for item in headers.get(HELD_SNAPSHOTS, b"").split())
+    except (ValidationError, ValueError):
+        return UPSTREAM_ERROR.because("the response is not a shard answer")
+    return ShardAnswer(
+        call_id=call.call_id,
+        shard_id=headers.get(SHARD_ID, b"").decode("latin-1"),
+        snapshot_id=snapshot_id,
+        hits=tuple(Hit(*item) for item in model.hits),
+        n_documents_searched=model.n_documents_searched,
+        held_snapshots=held,
+        is_draining=headers.get(DRAINING) == b"1",
+    )
+
+
+def _failure_of_status(response: HttpResponse) -> Failure:
+    if response.status == 409:
+        return SNAPSHOT_GONE.because("the replica does not hold the snapshot")
+    if response.status == 503 and response.headers.get(NOT_STARTED) == b"1":
+        return SHED_BY_UPSTREAM.because("the replica refused before starting")
+    if response.status == 499:
+        return CALL_CANCELLED.because("the replica cancelled the call")
+    if response.status == 504:
+        return CALL_TIMED_OUT.because("the deadline passed at the replica")
+    return UPSTREAM_ERROR.because(f"the replica answered with {response.status}")
--- /dev/null
+++ b/chestnuthall/daemon/__init__.py
@@ -0,0 +1,6 @@
+"""The daemon ``chestnuthalld``: one entry instance."""
+
+from chestnuthall.daemon._instance import EntryInstance
+from chestnuthall.daemon._main import main
+
+__all__ = ["EntryInstance", "main"]
--- /dev/null
+++ b/chestnuthall/daemon/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the daemon as ``python -m chestnuthall.daemon``."""
+
+from chestnuthall.daemon import main
+
+main()
--- /dev/null
+++ b/chestnuthall/daemon/_main.py
@@ -0,0 +1,56 @@
+"""Entry point of the daemon."""
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+from typing import Annotated, NoReturn
+
+from cyclopts import App, Parameter
+
+from chestnuthall.adapters.logs import set_up_logs
+from chestnuthall.adapters.settings import InstanceSettings, read_settings
+from chestnuthall.core.results import Failure
+from chestnuthall.daemon._instance import EntryInstance
+
+EXIT_BAD_SETTINGS = 2
+
+app = App(name="chestnuthalld", help="Run one entry instance of chestnuthall.")
+
+
+@app.default
+def serve(settings_file: Annotated[Path, Parameter(help="Settings file.")]) -> None:
+    """Run one entry instance until SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    settings_file
+        Settings of the instance, JSON with comments.
+    """
+    try:
+        text = settings_file.read_text()
+    except OSError as error:
+        _fail(f"cannot read {settings_file}: {error.strerror}")
+    settings = read_settings(text)
+    if isinstance(settings, Failure):
+        _fail(f"{settings_file}: {settings.reason}")
+    set_up_logs(settings.log_level, settings.name)
+    asyncio.run(_run(settings))
+
+
+def _fail(message: str) -> NoReturn:
+    print(message, file=sys.stderr)
+    raise SystemExit(EXIT_BAD_SETTINGS)
+
+
+async def _run(settings: InstanceSettings) -> None:
+    instance = EntryInstance(settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, instance.lifecycle.announce_leave)
+    await instance.run()
+
+
+def main() -> None:
+    """Run the command line of the daemon."""
+    app()
--- /dev/null
+++ b/chestnuthall/daemon/tests/test_whole_path.py
@@ -0,0 +1,61 @@
+"""Guards the whole path over separate processes on loopback."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from chestnuthall.standins.fleet import FleetPlan, GroupPlan, LocalFleet
+
+DOCUMENT = Path(__file__).parents[3] / "examples" / "environment.jsonc"
+HOLD = {
+    "class": "planner",
+    "group": "booking-ledger",
+    "key": "line-7",
+    "idempotency_key": "test-hold-key-1",
+    "issued_at_ms": 4_000_000_000_000.0,
+}
+
+
+@pytest.mark.processes
+def test_search_lookup_and_bad_input():
+    """A request must pass from caller to shards and back, and errors be clear."""
+
+    async def scenario():
+        plan = FleetPlan(
+            groups=(
+                GroupPlan(name="planner-desk", n_shards=3, n_replicas=1),
+                GroupPlan(name="booking-ledger", n_shards=1, n_replicas=1),
+            ),
+            document_text=DOCUMENT.read_text(),
+            n_instances=1,
+        )
+        async with LocalFleet(plan) as fleet:
+            client = fleet.instances[0].client
+            search = {
+                "request_id": "t1",
+                "class": "planner",
+                "group": "planner-desk",
+                "query": "x",
+            }
+            return [
+                await client.send("POST", "/v1/search", search),
+                await client.send("POST", "/v1/search", {**search, "class": "nobody"}),
+                await client.send("POST", "/v1/search", {"request_id": "t2"}),
+                await client.send("POST", "/v1/mutate", {**HOLD, "request_id": "t3"}),
+                await client.send("GET", "/nowhere"),
+                await client.send("POST", "/v1/search", search),
+            ]
+
+    replies = asyncio.run(scenario())
+    names = [reply.body["result"] for reply in replies]
+    assert names == [
+        "OK",
+        "UNKNOWN_CLASS",
+        "INVALID_REQUEST",
+        "INVALID_REQUEST",
+        "NOT_FOUND",
+        "OK",
+    ]
+    assert replies[0].body["coverage"]["ratio"] == 1.0
+    assert "class: Field required" in replies[2].body["reason"]
--- /dev/null
+++ b/chestnuthall/services/_directory.py
@@ -0,0 +1,163 @@
+"""Partition maps and the routers of the upstream groups."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from random import Random
+
+from chestnuthall.core.model import PartitionMap, Replica, UpstreamGroup
+from chestnuthall.core.results import Failure
+from chestnuthall.core.routing import Router, RouterSettings, SnapshotCatalog
+from chestnuthall.ports import Clock, ObjectStore, ShardCaller
+
+_log = logging.getLogger(__name__)
+
+PARTITION_MAP_KIND = "partition-maps"
+WATCH_TIMEOUT_MS = 30_000.0
+STORE_TIMEOUT_MS = 2_000.0
+RETRY_DELAY_MS = 1_000.0
+MAP_FETCH_TIMEOUT_MS = 500.0
+
+PartitionMapReader = Callable[[str], PartitionMap | Failure]
+
+
+class Directory:
+    """Knows, for each group, the published snapshots and the replicas.
+
+    Maps come from the object store and, while that is down, from upstreams.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        caller: ShardCaller,
+        clock: Clock,
+        read_map: PartitionMapReader,
+        zone: str,
+        random: Random,
+    ) -> None:
+        self._store = store
+        self._caller = caller
+        self._clock = clock
+        self._read_map = read_map
+        self._zone = zone
+        self._random = random
+        self._catalogs: dict[str, SnapshotCatalog] = {}
+        self._routers: dict[str, Router] = {}
+
+    def add_group(self, group: UpstreamGroup) -> None:
+        """Start to keep replica statistics for a group."""
+        if group.name in self._routers:
+            return
+        settings = RouterSettings(zone=self._zone, n_slots=group.n_slots)
+        self._routers[group.name] = Router(settings, self._random)
+        self._catalogs.setdefault(group.name, SnapshotCatalog(group.name))
+
+    def router(self, group_name: str) -> Router:
+        """Return the router of a group that was added."""
+        return self._routers[group_name]
+
+    def has_maps(self) -> bool:
+        """Return whether every group that was added has a map."""
+        return all(self._catalogs[name].newest_id is not None for name in self._routers)
+
+    def add_map(self, partition_map: PartitionMap) -> None:
+        """Note a published partition map, whatever its source."""
+        catalog = self._catalogs.setdefault(
+            partition_map.group, SnapshotCatalog(partition_map.group)
+        )
+        if catalog.add(partition_map):
+            _log.info(
+                "partition map learned",
+                extra={
+                    "group": partition_map.group,
+                    "snapshot_id": partition_map.snapshot_id,
+                },
+            )
+
+    def pin(
+        self, group_name: str, excluded: tuple[int, ...] = ()
+    ) -> PartitionMap | None:
+        """Return the map that a query pins, without the excluded snapshots."""
+        catalog = self._catalogs.get(group_name)
+        router = self._routers.get(group_name)
+        if catalog is None or router is None:
+            return None
+        now_ms = self._clock.now_ms()
+        return catalog.choose(
+            lambda replica, snapshot_id: router.holds(replica, snapshot_id, now_ms),
+            excluded,
+        )
+
+    async def pin_another(
+        self, group_name: str, gone: tuple[int, ...]
+    ) -> PartitionMap | None:
+        """Return a map of a snapshot that is not gone, asking upstreams if needed."""
+        known = self.pin(group_name, gone)
+        if known is not None and known.snapshot_id > max(gone):
+            return known
+        await self._ask_upstreams(group_name)
+        return self.pin(group_name, gone)
+
+    async def _ask_upstreams(self, group_name: str) -> None:
+        catalog = self._catalogs[group_name]
+        replicas = self._some_replicas(catalog)
+        results = await asyncio.gather(
+            *(
+                self._caller.fetch_partition_map(replica, MAP_FETCH_TIMEOUT_MS)
+                for replica in replicas
+            )
+        )
+        for result in results:
+            if isinstance(result, PartitionMap) and result.group == group_name:
+                self.add_map(result)
+
+    def _some_replicas(self, catalog: SnapshotCatalog) -> list[Replica]:
+        """Return one replica for each of up to three shards of the newest map."""
+        for partition_map in catalog.maps():
+            shards = list(partition_map.shards)
+            self._random.shuffle(shards)
+            return [
+                self._random.choice(shard.replicas)
+                for shard in shards[:3]
+                if shard.replicas
+            ]
+        return []
+
+    async def run(self) -> None:
+        """Follow the published maps until cancelled."""
+        version = 0
+        while True:
+            if version == 0:
+                version = await self._load()
+            if version == 0:
+                await self._clock.sleep_ms(RETRY_DELAY_MS)
+                continue
+            version = await self._follow(version)
+
+    async def _load(self) -> int:
+        listed = await self._store.list_kind(PARTITION_MAP_KIND, STORE_TIMEOUT_MS)
+        if isinstance(listed, Failure):
+            _log.warning(
+                "cannot list partition maps", extra={"result_code": listed.code}
+            )
+            return 0
+        for stored in listed:
+            self._add_text(stored.value)
+        return max((stored.version for stored in listed), default=0)
+
+    async def _follow(self, version: int) -> int:
+        batch = await self._store.watch(PARTITION_MAP_KIND, version, WATCH_TIMEOUT_MS)
+        if isinstance(batch, Failure):
+            await self._clock.sleep_ms(RETRY_DELAY_MS)
+            return version
+        for stored in batch.changed:
+            self._add_text(stored.value)
+        return batch.version
+
+    def _add_text(self, text: str) -> None:
+        partition_map = self._read_map(text)
+        if isinstance(partition_map, Failure):
+            _log.error("invalid partition map", extra={"reason": partition_map.reason})
+            return
+        self.add_map(partition_map)
--- /dev/null
+++ b/chestnuthall/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small emulators of the platform and of upstreams, for demos and tests."""
--- /dev/null
+++ b/chestnuthall/standins/upstream/__main__.py
@@ -0,0 +1,26 @@
+"""Runs the upstream emulator as a process."""
+
+import asyncio
+
+from cyclopts import run
+
+from chestnuthall.standins._process import serve_until_signal
+from chestnuthall.standins.upstream import UpstreamBehaviour, UpstreamServer
+
+
+def main(
+    *,
+    name: str,
+    zone: str,
+    host: str = "127.0.0.1",
+    port: int = 0,
+    n_slots: int = 3,
+    service_ms: float = 5.0,
+) -> None:
+    """Serve one replica until SIGTERM; snapshots are set over HTTP."""
+    behaviour = UpstreamBehaviour(n_slots=n_slots, service_ms=service_ms)
+    server = UpstreamServer(name, zone, behaviour)
+    asyncio.run(serve_until_signal(server.start(host, port), server.close))
+
+
+run(main)
--- /dev/null
+++ b/chestnuthall/standins/upstream/_behaviour.py
@@ -0,0 +1,28 @@
+"""Behaviour and faults of the upstream emulator."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class UpstreamBehaviour:
+    """Set over HTTP by ``PUT /behaviour``.
+
+    A ``slow_factor`` above 1 slows every call down. The ``n_*_answers`` count
+    down with each answer that is spoiled. A query that contains
+    ``crash_text`` ends the process.
+    """
+
+    n_slots: int = 3
+    n_queued_max: int = 12
+    service_ms: float = 5.0
+    slow_factor: float = 1.0
+    cold_start_ms: float = 0.0
+    cold_factor: float = 4.0
+    is_draining: bool = False
+    is_shedding: bool = False
+    n_crossed_answers: int = 0
+    n_truncated_answers: int = 0
+    n_duplicate_answers: int = 0
+    n_lost_answers: int = 0
+    crash_text: str = ""
+    health_lag_ms: float = 5_000.0
--- /dev/null
+++ b/chestnuthall/standins/upstream/_server.py
@@ -0,0 +1,223 @@
+"""HTTP interface of the upstream emulator."""
+
+import asyncio
+import json
+import os
+from dataclasses import asdict, replace
+
+from chestnuthall.adapters.http import HttpRequest, HttpResponse, HttpServer
+from chestnuthall.standins.upstream._behaviour import UpstreamBehaviour
+from chestnuthall.standins.upstream._index import IndexSnapshot, make_record
+
+WITHHELD_S = 3_600.0
+
+
+class UpstreamServer:
+    """One replica: slots with a queue in front, snapshots, drain and faults."""
+
+    def __init__(self, name: str, zone: str, behaviour: UpstreamBehaviour) -> None:
+        self.name = name
+        self.zone = zone
+        self.behaviour = behaviour
+        self.snapshots: dict[int, IndexSnapshot] = {}
+        self.partition_map_text = ""
+        self.mutations: list[str] = []
+        self.n_calls = 0
+        self.n_cancelled = 0
+        self._n_running = 0
+        self._n_queued = 0
+        self._slot_freed = asyncio.Condition()
+        self._running: dict[str, asyncio.Task[HttpResponse]] = {}
+        self._started_s = 0.0
+        self._server = HttpServer(self.handle)
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen; return the port."""
+        self._started_s = asyncio.get_running_loop().time()
+        return await self._server.start(host, port)
+
+    async def close(self) -> None:
+        """Stop listening and close all connections."""
+        await self._server.close()
+
+    def add_snapshot(self, snapshot: IndexSnapshot) -> None:
+        """Hold one more snapshot."""
+        self.snapshots[snapshot.snapshot_id] = snapshot
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Serve one request."""
+        path = request.path
+        if path.startswith("/v1/shard/"):
+            return await self._serve_call(request)
+        if path == "/v1/cancel":
+            return self._serve_cancel(request)
+        if path == "/v1/partition-map":
+            return HttpResponse(200, {}, self.partition_map_text.encode())
+        if path == "/v1/health":
+            return self._plain(200, {"draining": self.behaviour.is_draining})
+        if path == "/v1/load":
+            return self._plain(200, {"running": self._n_running})
+        return self._serve_control(request)
+
+    def _serve_control(self, request: HttpRequest) -> HttpResponse:
+        if request.path == "/behaviour":
+            if request.method == "PUT":
+                changes = json.loads(request.body)
+                self.behaviour = replace(self.behaviour, **changes)
+            return self._plain(200, asdict(self.behaviour))
+        if request.path == "/snapshots" and request.method == "PUT":
+            return self._set_snapshots(json.loads(request.body))
+        if request.path == "/record":
+            body = {
+                "mutations": self.mutations,
+                "n_calls": self.n_calls,
+                "n_cancelled": self.n_cancelled,
+            }
+            return self._plain(200, body)
+        return self._plain(404, {"error": "no such path"})
+
+    def _set_snapshots(self, body: dict[str, object]) -> HttpResponse:
+        """Replace all snapshots, and the partition map if one is given."""
+        listed = body["snapshots"]
+        assert isinstance(listed, list)
+        self.snapshots = {
+            item["snapshot_id"]: IndexSnapshot(
+                item["group"],
+                item["snapshot_id"],
+                item["shard_id"],
+                tuple(item["keys"]),
+            )
+            for item in listed
+        }
+        self.partition_map_text = str(body.get("partition_map", ""))
+        return self._plain(200, {"snapshots": sorted(self.snapshots)})
+
+    def _plain(self, status: int, body: object) -> HttpResponse:
+        headers = {b"content-type": b"application/json"}
+        return HttpResponse(status, headers, json.dumps(body).encode())
+
+    def _serve_cancel(self, request: HttpRequest) -> HttpResponse:
+        call_id = request.headers.get(b"x-call-id", b"").decode()
+        task = self._running.get(call_id)
+        if task is not None:
+            self.n_cancelled += 1
+            task.cancel()
+        return self._plain(200, {"cancelled": task is not None})
+
+    async def _serve_call(self, request: HttpRequest) -> HttpResponse:
+        call_id = request.headers.get(b"x-call-id", b"").decode()
+        headers = self._echo_headers(request)
+        refusal = self._refuse_early(request, headers)
+        if refusal is not None:
+            return refusal
+        deadline_s = float(request.headers.get(b"x-deadline-ms", b"10000")) / 1000.0
+        task = asyncio.ensure_future(self._run_in_slot(request, headers))
+        self._running[call_id] = task
+        try:
+            async with asyncio.timeout(deadline_s):
+                return await asyncio.shield(task)
+        except TimeoutError:
+            task.cancel()
+            return HttpResponse(504, headers)
+        except asyncio.CancelledError:
+            if task.cancelled():
+                return HttpResponse(499, headers)
+            raise
+        finally:
+            self._running.pop(call_id, None)
+
+    def _echo_headers(self, request: HttpRequest) -> dict[bytes, bytes]:
+        held = b" ".join(b"%d" % item for item in sorted(self.snapshots))
+        headers = {
+            b"content-type": b"application/json",
+            b"x-call-id": request.headers.get(b"x-call-id", b""),
+            b"x-shard-id": request.headers.get(b"x-shard-id", b""),
+            b"x-snapshot-id": request.headers.get(b"x-snapshot-id", b""),
+            b"x-held-snapshots": held,
+        }
+        if self.behaviour.is_draining:
+            headers[b"x-draining"] = b"1"
+        return headers
+
+    def _refuse_early(
+        self, request: HttpRequest, headers: dict[bytes, bytes]
+    ) -> HttpResponse | None:
+        snapshot_id = int(request.headers.get(b"x-snapshot-id", b"0"))
+        snapshot = self.snapshots.get(snapshot_id)
+        shard_id = request.headers.get(b"x-shard-id", b"").decode()
+        if snapshot is None or snapshot.shard_id != shard_id:
+            return HttpResponse(409, headers)
+        is_full = self._n_queued >= self.behaviour.n_queued_max
+        if self.behaviour.is_shedding or is_full:
+            return HttpResponse(503, {**headers, b"x-not-started": b"1"})
+        return None
+
+    async def _run_in_slot(
+        self, request: HttpRequest, headers: dict[bytes, bytes]
+    ) -> HttpResponse:
+        self._n_queued += 1
+        try:
+            async with self._slot_freed:
+                await self._slot_freed.wait_for(
+                    lambda: self._n_running < self.behaviour.n_slots
+                )
+                self._n_running += 1
+        finally:
+            self._n_queued -= 1
+        try:
+            return await self._run(request, headers)
+        finally:
+            self._n_running -= 1
+            async with self._slot_freed:
+                self._slot_freed.notify()
+
+    async def _run(
+        self, request: HttpRequest, headers: dict[bytes, bytes]
+    ) -> HttpResponse:
+        self.n_calls += 1
+        body = json.loads(request.body)
+        if self.behaviour.crash_text and self.behaviour.crash_text in str(body):
+            os._exit(3)
+        if request.path == "/v1/shard/mutate":
+            self.mutations.append(body["idempotency_key"])
+        await asyncio.sleep(self._service_ms() / 1000.0)
+        snapshot = self.snapshots[int(headers[b"x-snapshot-id"])]
+        result = {
+            "hits": _hits_of(request.path, snapshot, body),
+            "n_documents_searched": len(snapshot.keys),
+        }
+        return await self._spoil(
+            HttpResponse(200, headers, json.dumps(result).encode())
+        )
+
+    def _service_ms(self) -> float:
+        behaviour = self.behaviour
+        age_ms = (asyncio.get_running_loop().time() - self._started_s) * 1000.0
+        is_cold = age_ms < behaviour.cold_start_ms
+        factor = behaviour.cold_factor if is_cold else 1.0
+        return behaviour.service_ms * behaviour.slow_factor * factor
+
+    async def _spoil(self, response: HttpResponse) -> HttpResponse:
+        behaviour = self.behaviour
+        if behaviour.n_lost_answers > 0:
+            behaviour.n_lost_answers -= 1
+            await asyncio.sleep(WITHHELD_S)
+        if behaviour.n_crossed_answers > 0:
+            behaviour.n_crossed_answers -= 1
+            headers = {**response.headers, b"x-call-id": b"another-call"}
+            return HttpResponse(200, headers, response.body)
+        if behaviour.n_truncated_answers > 0:
+            behaviour.n_truncated_answers -= 1
+            return HttpResponse(200, response.headers, response.body[:-5])
+        return response
+
+
+def _hits_of(
+    path: str, snapshot: IndexSnapshot, body: dict[str, str]
+) -> list[tuple[str, float, str]]:
+    if path == "/v1/shard/search":
+        return snapshot.search(body["query"], int(body["n_hits_max"]))
+    if path == "/v1/shard/lookup":
+        return snapshot.lookup(body["key"])
+    record = make_record(snapshot.group, snapshot.snapshot_id, body["key"])
+    return [(body["key"], 1.0, record)]
