Let services add their news to the exchange between instances

Cause: fleet use, drain notices and quarantines travel with each probe, and the membership must not know what they mean. Change: DigestPart, with which a service fills and absorbs digests; spread_now for urgent news. Conclusion: membership stays independent of the services that use it.

--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -9,6 +9,7 @@
 from chestnuthall.services._directory import Directory, PartitionMapReader
 from chestnuthall.services._lifecycle import Lifecycle
 from chestnuthall.services._membership import (
+    DigestPart,
     Identity,
     InstanceListReader,
     Membership,
@@ -21,6 +22,7 @@
     "ClaimLedger",
     "ConfigurationKeeper",
     "ConfigurationReader",
+    "DigestPart",
     "Directory",
     "Identity",
     "InstanceListReader",
--- a/chestnuthall/services/_membership.py
+++ b/chestnuthall/services/_membership.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from random import Random
+from typing import Protocol
 
 from chestnuthall.core.results import Failure
 from chestnuthall.ports import (
@@ -28,6 +29,18 @@
 InstanceListReader = Callable[[str], MemberUpdate | None]
 
 
+class DigestPart(Protocol):
+    """A service that has news to exchange with each probe."""
+
+    def fill(self, digest: PeerDigest) -> PeerDigest:
+        """Return the digest with this service's news added."""
+        ...
+
+    def absorb(self, digest: PeerDigest) -> None:
+        """Take in the news of a peer."""
+        ...
+
+
 @dataclass(frozen=True, slots=True)
 class Identity:
     """Name, peer address and availability zone of this instance."""
@@ -49,7 +62,9 @@
         configuration: ConfigurationKeeper,
         read_instance: InstanceListReader,
         random: Random,
+        parts: Sequence[DigestPart] = (),
     ) -> None:
+        self._parts = tuple(parts)
         self._identity = identity
         self._store = store
         self._peers = peers
@@ -71,7 +86,7 @@
     def digest(self) -> PeerDigest:
         """Return what this instance tells a peer."""
         in_force = self._configuration.in_force
-        return PeerDigest(
+        digest = PeerDigest(
             sender=self._identity.name,
             sender_address=self._identity.peer_address,
             incarnation=1,
@@ -79,6 +94,9 @@
             configuration_digest="" if in_force is None else in_force.digest,
             members=self.members(),
         )
+        for part in self._parts:
+            digest = part.fill(digest)
+        return digest
 
     async def receive(self, digest: PeerDigest) -> PeerDigest:
         """Take in the digest of a peer and return the own one."""
@@ -105,6 +123,8 @@
         )
 
     async def _take_in(self, digest: PeerDigest) -> None:
+        for part in self._parts:
+            part.absorb(digest)
         if digest.configuration_revision <= self._configuration.revision:
             return
         fetched = await self._peers.fetch_configuration(
@@ -139,11 +159,19 @@
             await self._clock.sleep_ms(EXCHANGE_INTERVAL_MS)
             if not self._members:
                 continue
-            peer = self._random.choice(list(self._members.values()))
-            answer = await self._peers.exchange(
-                peer.address, self.digest(), EXCHANGE_TIMEOUT_MS
-            )
-            if isinstance(answer, Failure):
-                _log.warning("peer did not answer", extra={"peer": peer.name})
-                continue
-            await self._take_in(answer)
+            await self._exchange_with(self._random.choice(list(self._members.values())))
+
+    async def _exchange_with(self, peer: MemberUpdate) -> None:
+        answer = await self._peers.exchange(
+            peer.address, self.digest(), EXCHANGE_TIMEOUT_MS
+        )
+        if isinstance(answer, Failure):
+            _log.warning("peer did not answer", extra={"peer": peer.name})
+            return
+        await self._take_in(answer)
+
+    async def spread_now(self, n_peers: int) -> None:
+        """Exchange digests at once with some peers; for urgent news."""
+        peers = list(self._members.values())
+        chosen = self._random.sample(peers, min(n_peers, len(peers)))
+        await asyncio.gather(*(self._exchange_with(peer) for peer in chosen))
