--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements in virtual time, at the sizes of the two deployments."""
--- a/chestnuthall/core/fanout/_machine.py
+++ b/chestnuthall/core/fanout/_machine.py
@@ -52,6 +52,9 @@
 N_ATTEMPTS_MAX = 4
 N_REPLANS_MAX = 2
 RETRY_DELAY_MS = 2.0
+# An event loop may fire a timer early by its clock's resolution. Without this
+# distance the same timer would be set again for the same instant.
+TIMER_DISTANCE_MIN_MS = 0.05
 
 # Failures that prove that the replica did not begin the call.
 NOT_STARTED_KINDS: frozenset[FailureKind] = frozenset(
@@ -220,7 +223,8 @@
             return self.complete(now_ms)
         if now_ms >= self.request.deadline_ms or self._may_stop_early(now_ms):
             return self.complete(now_ms)
-        return [SetTimer(self._next_due_ms())]
+        earliest_ms = now_ms + TIMER_DISTANCE_MIN_MS
+        return [SetTimer(max(earliest_ms, self._next_due_ms()))]
 
     def _may_stop_early(self, now_ms: float) -> bool:
         caller_class = self.context.caller_class
--- a/chestnuthall/core/fanout/tests/test_machine.py
+++ b/chestnuthall/core/fanout/tests/test_machine.py
@@ -14,6 +14,7 @@
     FanOutContext,
     MapReplaced,
     Replan,
+    SetTimer,
     TimerFired,
 )
 from chestnuthall.core.model import (
@@ -228,3 +229,17 @@
     completion = completion_of(fan_out.handle(TimerFired(100.0)))
     assert completion.failure is None
     assert completion.coverage.n_shards_covered == 2
+
+
+@pytest.mark.parametrize("early_ms", [0.0, 1e-9, 0.01])
+def test_timer_moves_on_when_it_fires_early(early_ms):
+    """A timer that fires early by rounding must not be set for the same instant."""
+    fan_out = make_fan_out()
+    now_ms = DEADLINE_MS - early_ms - 1e-9
+    fan_out.handle(Begin(0.0))
+    (timer,) = [
+        item
+        for item in fan_out.handle(TimerFired(now_ms))
+        if isinstance(item, SetTimer)
+    ]
+    assert timer.at_ms > now_ms + 0.01
--- a/chestnuthall/standins/objectapi/__main__.py
+++ b/chestnuthall/standins/objectapi/__main__.py
@@ -19,4 +19,5 @@
     asyncio.run(serve_until_signal(server.start(host, port), server.close))
 
 
-run(main)
+if __name__ == "__main__":
+    run(main)
