Hold the HTTP adapters and the shard caller to their contracts under faults

Cause: a response that is sent twice, a slow body, a flood of pipelined bytes, a HEAD request with a body and an Expect header had no defined behaviour. Ruled out: pausing reads during each request, which would hide a caller that leaves. Conclusion: the next call on a pool gets its own whole answer after every fault.

--- a/chestnuthall/adapters/http/_client.py
+++ b/chestnuthall/adapters/http/_client.py
@@ -45,6 +45,11 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed bytes to h11; called by the event loop."""
+        if data and self._response is None:
+            # Bytes that no request asked for, such as a response sent twice,
+            # would be taken for the answer to the next request.
+            self.close()
+            return
         try:
             self._h11.receive_data(data)
             self._read_events()
--- a/chestnuthall/adapters/http/_server.py
+++ b/chestnuthall/adapters/http/_server.py
@@ -15,15 +15,22 @@
 ErrorResponder = Callable[[int, str], HttpResponse]
 
 
+OutputFilter = Callable[[HttpResponse, bytes], tuple[bytes, bool]]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServerLimits:
-    """Bounds that protect a server from its clients."""
+    """Bounds that protect a server from its clients.
+
+    ``idle_timeout_ms`` also bounds the time that a whole request may take to
+    arrive. ``accept_delay_ms`` is the cost of a new connection in emulators.
+    """
 
     n_header_bytes_max: int = 16 * 1024
     n_body_bytes_max: int = 1024 * 1024
     n_connections_max: int = 1024
-    n_pipelined_max: int = 16
     idle_timeout_ms: float = 75_000.0
+    accept_delay_ms: float = 0.0
 
 
 def _plain_error(status: int, reason: str) -> HttpResponse:
@@ -31,18 +38,26 @@
 
 
 class HttpServer:
-    """Listens on one address and hands whole requests to a handler."""
+    """Listens on one address and hands whole requests to a handler.
+
+    An ``output_filter`` takes each response with its bytes and returns the
+    bytes to write and whether to close after them; emulators spoil answers
+    with it.
+    """
 
     def __init__(
         self,
         handler: Handler,
         limits: ServerLimits | None = None,
         error_responder: ErrorResponder = _plain_error,
+        output_filter: OutputFilter | None = None,
     ) -> None:
         self.handler = handler
+        self.output_filter = output_filter
         self.limits = limits or ServerLimits()
         self.error_responder = error_responder
         self.is_closing = False
+        self.n_connections_peak = 0
         self._connections: set[_ServerConnection] = set()
         self._server: asyncio.Server | None = None
 
@@ -65,6 +80,7 @@
         if len(self._connections) >= self.limits.n_connections_max:
             return False
         self._connections.add(connection)
+        self.n_connections_peak = max(self.n_connections_peak, self.n_connections)
         return True
 
     def discard(self, connection: "_ServerConnection") -> None:
@@ -102,6 +118,7 @@
         self._head: h11.Request | None = None
         self._body: list[bytes] = []
         self._n_body_bytes = 0
+        self._n_bytes_ahead = 0
         self._task: asyncio.Task[None] | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
         self._can_write = asyncio.Event()
@@ -115,6 +132,16 @@
             transport.abort()
             return
         self._start_idle_timer()
+        delay_ms = self._server.limits.accept_delay_ms
+        if delay_ms > 0.0:
+            transport.pause_reading()
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_ms / 1000.0, self._resume_reading)
+
+    def _resume_reading(self) -> None:
+        transport = self._transport
+        if transport is not None and not transport.is_closing():
+            transport.resume_reading()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the running request; called by the event loop."""
@@ -145,12 +172,21 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed bytes to h11; called by the event loop."""
+        if self._task is not None:
+            self._hold_back(len(data))
         try:
             self._h11.receive_data(data)
             self._read_events()
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint, str(error))
 
+    def _hold_back(self, n_bytes: int) -> None:
+        """Stop reading from a client that sends on during its request."""
+        self._n_bytes_ahead += n_bytes
+        if self._n_bytes_ahead > self._server.limits.n_body_bytes_max:
+            assert self._transport is not None
+            self._transport.pause_reading()
+
     def eof_received(self) -> bool:
         """Close when idle; a running request still gets its response."""
         self._h11.receive_data(b"")
@@ -170,10 +206,11 @@
 
     def _read_event(self, event: object) -> None:
         if isinstance(event, h11.Request):
-            self._stop_idle_timer()
             self._head = event
             self._body = []
             self._n_body_bytes = 0
+            if self._h11.they_are_waiting_for_100_continue:
+                self._send_continue()
         elif isinstance(event, h11.Data):
             self._body.append(bytes(event.data))
             self._n_body_bytes += len(event.data)
@@ -182,8 +219,14 @@
         elif isinstance(event, h11.EndOfMessage):
             self._begin_request()
 
+    def _send_continue(self) -> None:
+        assert self._transport is not None
+        go_on = h11.InformationalResponse(status_code=100, headers=[])
+        self._transport.write(self._h11.send(go_on) or b"")
+
     def _begin_request(self) -> None:
         assert self._head is not None
+        self._stop_idle_timer()
         request = HttpRequest(
             self._head.method.decode("ascii"),
             self._head.target.decode("ascii", "replace"),
@@ -215,10 +258,20 @@
             headers.append((b"connection", b"close"))
         head = h11.Response(status_code=response.status, headers=headers)
         data = self._h11.send(head) or b""
-        if response.body:
+        is_head = self._head is not None and self._head.method == b"HEAD"
+        if response.body and not is_head:
             data += self._h11.send(h11.Data(data=response.body)) or b""
         data += self._h11.send(h11.EndOfMessage()) or b""
-        transport.write(data)
+        self._write(response, data)
+
+    def _write(self, response: HttpResponse, data: bytes) -> None:
+        assert self._transport is not None
+        must_close = False
+        if self._server.output_filter is not None:
+            data, must_close = self._server.output_filter(response, data)
+        self._transport.write(data)
+        if must_close:
+            self._transport.close()
 
     def _next_cycle(self) -> None:
         if self._h11.our_state is not h11.DONE or (
@@ -228,6 +281,9 @@
             return
         self._h11.start_next_cycle()
         self._start_idle_timer()
+        if self._n_bytes_ahead:
+            self._n_bytes_ahead = 0
+            self._resume_reading()
         try:
             self._read_events()
         except h11.RemoteProtocolError as error:
--- /dev/null
+++ b/chestnuthall/adapters/http/tests/test_server.py
@@ -0,0 +1,143 @@
+"""Guards the server against clients that break the protocol or its limits."""
+
+import asyncio
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from chestnuthall.adapters.http import HttpRequest, HttpResponse, HttpServer
+from chestnuthall.adapters.http._server import ServerLimits, _ServerConnection
+
+LIMITS = ServerLimits(n_header_bytes_max=2048, n_body_bytes_max=100)
+GOOD = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nhi"
+CLOSE = b"GET /x HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+
+
+class RecordingTransport(asyncio.Transport):
+    """Keeps what is written; nothing is sent."""
+
+    def __init__(self):
+        super().__init__()
+        self.written = b""
+        self.closed = False
+
+    def write(self, data):
+        self.written += data
+
+    def close(self):
+        self.closed = True
+
+    abort = close
+
+    def is_closing(self):
+        return self.closed
+
+    def pause_reading(self):
+        pass
+
+    resume_reading = pause_reading
+
+
+async def echo(request: HttpRequest) -> HttpResponse:
+    await asyncio.sleep(0)
+    return HttpResponse(200, {}, request.method.encode() + request.body)
+
+
+def serve(chunks, limits=LIMITS):
+    """Feed chunks to one connection and return its transport."""
+
+    async def scenario():
+        connection = _ServerConnection(HttpServer(echo, limits))
+        transport = RecordingTransport()
+        connection.connection_made(transport)
+        for chunk in chunks:
+            if not transport.closed:
+                connection.data_received(chunk)
+            await asyncio.sleep(0)
+        for _ in range(20):
+            await asyncio.sleep(0)
+        connection.connection_lost(None)
+        return transport
+
+    return asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("chunks", "statuses", "closed"),
+    [
+        pytest.param([GOOD], [b"200"], False, id="one"),
+        pytest.param([GOOD[:30], GOOD[30:]], [b"200"], False, id="split"),
+        pytest.param([GOOD + GOOD + CLOSE], [b"200"] * 3, True, id="pipelined"),
+        pytest.param([b"\x00\x01nonsense\r\n\r\n"], [b"400"], True, id="not-http"),
+        pytest.param(
+            [b"GET /" + b"a" * 4096], [b"431"], True, id="endless-request-line"
+        ),
+        pytest.param(
+            [b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 101\r\n\r\n" + b"a" * 101],
+            [b"413"],
+            True,
+            id="body-too-large",
+        ),
+        pytest.param(
+            [b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n"],
+            [b"400"],
+            True,
+            id="bad-chunk",
+        ),
+        pytest.param(
+            [b"HEAD /x HTTP/1.1\r\nhost: a\r\n\r\n", GOOD],
+            [b"200", b"200"],
+            False,
+            id="head-has-no-body",
+        ),
+        pytest.param(
+            [
+                b"POST /x HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\n"
+                b"content-length: 2\r\n\r\n",
+                b"hi",
+            ],
+            [b"100", b"200"],
+            False,
+            id="expect-continue",
+        ),
+        pytest.param([GOOD, b"\x00\r\n\r\n"], [b"200", b"400"], True, id="then-bad"),
+    ],
+)
+def test_statuses(chunks, statuses, closed):
+    transport = serve(chunks)
+    lines = transport.written.split(b"HTTP/1.1 ")[1:]
+    assert [line[:3] for line in lines] == statuses
+    assert transport.closed == closed
+
+
+@settings(max_examples=60, deadline=None, derandomize=True, database=None)
+@given(
+    st.lists(
+        st.one_of(
+            st.binary(min_size=1, max_size=60),
+            st.sampled_from([GOOD, CLOSE, GOOD[:25]]),
+        ),
+        max_size=6,
+    )
+)
+def test_any_bytes_leave_the_server_standing(chunks):
+    """No input may raise out of the connection; each response is well formed."""
+    transport = serve(chunks)
+    for line in transport.written.split(b"HTTP/1.1 ")[1:]:
+        assert line[:3] in (b"200", b"400", b"413", b"431", b"501", b"505")
+
+
+def test_slow_request_is_closed():
+    """A client that sends a body byte by byte must not hold its connection."""
+
+    async def scenario():
+        limits = ServerLimits(idle_timeout_ms=20.0)
+        connection = _ServerConnection(HttpServer(echo, limits))
+        transport = RecordingTransport()
+        connection.connection_made(transport)
+        connection.data_received(GOOD[:-1])
+        await asyncio.sleep(0.06)
+        return transport.closed
+
+    assert asyncio.run(scenario())
--- /dev/null
+++ b/chestnuthall/adapters/upstreams/tests/test_contract.py
@@ -0,0 +1,191 @@
+"""Contract of the shard caller port, on real sockets with the upstream stand-in."""
+
+import asyncio
+
+import pytest
+
+from chestnuthall.adapters.clock import LoopClock
+from chestnuthall.adapters.upstreams import HttpShardCaller
+from chestnuthall.core.model import (
+    MutationRequest,
+    PartitionMap,
+    Replica,
+    SearchRequest,
+    ShardAnswer,
+    ShardCall,
+)
+from chestnuthall.core.results import (
+    CALL_MISMATCH,
+    CALL_TIMED_OUT,
+    CONNECTION_LOST,
+    DEADLINE_PASSED,
+    NO_REPLICA,
+    SHED_BY_UPSTREAM,
+    SNAPSHOT_GONE,
+    Failure,
+)
+from chestnuthall.standins.upstream import (
+    IndexSnapshot,
+    UpstreamBehaviour,
+    UpstreamServer,
+)
+
+KEYS = ("a1", "a2", "a3", "a4")
+
+
+def make_call(number, address, now_ms, *, timeout_ms=400.0, snapshot_id=1, kind=None):
+    shared = {
+        "request_id": f"q{number}",
+        "class_name": "c",
+        "group": "g",
+        "arrived_ms": now_ms,
+        "deadline_ms": now_ms + timeout_ms,
+        "fingerprint": "f",
+    }
+    request = SearchRequest(**shared, query="x", n_hits_max=2)
+    if kind == "mutation":
+        request = MutationRequest(
+            **shared,
+            key="a1",
+            payload="p",
+            idempotency_key=f"key-{number:04d}",
+            issued_at_ms=0.0,
+        )
+    return ShardCall(
+        call_id=f"q{number}.1",
+        replica=Replica("r", address, "z"),
+        shard_id="s0",
+        snapshot_id=snapshot_id,
+        deadline_ms=request.deadline_ms,
+        request=request,
+    )
+
+
+async def with_upstream(use, **behaviour):
+    server = UpstreamServer(
+        "r", "z", UpstreamBehaviour(**{"service_ms": 5.0, **behaviour})
+    )
+    server.add_snapshot(IndexSnapshot("g", 1, "s0", KEYS))
+    port = await server.start("127.0.0.1", 0)
+    caller = HttpShardCaller(LoopClock())
+    caller.set_connection_budget("g", 2)
+    try:
+        return await use(caller, server, f"127.0.0.1:{port}")
+    finally:
+        caller.close()
+        await server.close()
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "changes", "expected"),
+    [
+        pytest.param({}, {}, 4, id="whole"),
+        pytest.param({"n_short_answers": 1}, {}, 2, id="stopped-early"),
+        pytest.param({"n_duplicate_answers": 1}, {}, 4, id="sent-twice"),
+        pytest.param({"n_crossed_answers": 1}, {}, CALL_MISMATCH, id="crossed"),
+        pytest.param({"n_truncated_answers": 1}, {}, CONNECTION_LOST, id="truncated"),
+        pytest.param({"n_lost_answers": 1}, {}, CALL_TIMED_OUT, id="never-answered"),
+        pytest.param({"is_shedding": True}, {}, SHED_BY_UPSTREAM, id="shed"),
+        pytest.param({}, {"snapshot_id": 7}, SNAPSHOT_GONE, id="snapshot-gone"),
+        pytest.param({}, {"timeout_ms": -1.0}, NO_REPLICA, id="too-late-to-connect"),
+        pytest.param({"slow_factor": 500.0}, {}, CALL_TIMED_OUT, id="straggler"),
+    ],
+)
+def test_result_of_each_fault(behaviour, changes, expected):
+    """The next call on the same pool must get its own whole answer."""
+
+    async def use(caller, server, address):
+        clock = LoopClock()
+        first = await caller.call(make_call(1, address, clock.now_ms(), **changes))
+        server.behaviour = UpstreamBehaviour(service_ms=1.0)
+        second = await caller.call(make_call(2, address, clock.now_ms()))
+        return first, second
+
+    first, second = asyncio.run(with_upstream(use, **behaviour))
+    found = first.kind if isinstance(first, Failure) else first.n_documents_searched
+    assert found == expected
+    assert isinstance(second, ShardAnswer)
+    assert second.call_id == "q2.1"
+    assert [hit.record[-2:] for hit in second.hits] == ["@1", "@1"]
+
+
+def test_refused_connection_was_not_run():
+    async def scenario():
+        caller = HttpShardCaller(LoopClock())
+        call = make_call(1, "127.0.0.1:1", LoopClock().now_ms())
+        return await caller.call(call)
+
+    assert asyncio.run(scenario()).kind is NO_REPLICA
+
+
+def test_paused_process_writes_nothing_after_the_deadline():
+    """A process that resumes late must not dispatch what its caller gave up."""
+
+    async def use(caller, server, address):
+        clock = LoopClock()
+        await caller.call(make_call(1, address, clock.now_ms()))
+        late = make_call(2, address, clock.now_ms() - 1000.0, kind="mutation")
+        result = await caller.call(late)
+        return result, server.mutations
+
+    result, mutations = asyncio.run(with_upstream(use))
+    assert result.kind is DEADLINE_PASSED
+    assert mutations == []
+
+
+@pytest.mark.parametrize(
+    ("kind", "n_cancelled"),
+    [
+        pytest.param("search", 1, id="search"),
+        pytest.param("mutation", 0, id="mutation"),
+    ],
+)
+def test_cancelled_call(kind, n_cancelled):
+    """A loser is cancelled upstream; a mutation never is, once it was written."""
+
+    async def use(caller, server, address):
+        clock = LoopClock()
+        task = asyncio.ensure_future(
+            caller.call(make_call(1, address, clock.now_ms(), kind=kind))
+        )
+        await asyncio.sleep(0.03)
+        task.cancel()
+        await asyncio.sleep(0.05)
+        server.behaviour = UpstreamBehaviour(service_ms=1.0)
+        second = await caller.call(make_call(2, address, clock.now_ms()))
+        return server.n_cancelled, second
+
+    n_seen, second = asyncio.run(with_upstream(use, service_ms=100.0))
+    assert n_seen == n_cancelled
+    assert isinstance(second, ShardAnswer)
+
+
+def test_connection_budget_holds_under_load():
+    """The upstream's connection cap must hold while many calls wait."""
+
+    async def use(caller, server, address):
+        clock = LoopClock()
+        results = await asyncio.gather(
+            *(
+                caller.call(make_call(n, address, clock.now_ms(), timeout_ms=5000.0))
+                for n in range(30)
+            )
+        )
+        return results, server
+
+    results, server = asyncio.run(with_upstream(use, n_queued_max=64))
+    assert all(isinstance(item, ShardAnswer) for item in results)
+    assert server._server.n_connections_peak <= 2
+
+
+def test_partition_map_is_read_from_a_replica():
+    async def use(caller, server, address):
+        server.partition_map_text = (
+            '{"group":"g","snapshot_id":3,"shards":[{"shard_id":"s0","start":"",'
+            '"end":"","n_documents":4,"replicas":[]}]}'
+        )
+        return await caller.fetch_partition_map(Replica("r", address, "z"), 500.0)
+
+    found = asyncio.run(with_upstream(use))
+    assert isinstance(found, PartitionMap)
+    assert found.snapshot_id == 3
--- a/chestnuthall/standins/fleet/_fleet.py
+++ b/chestnuthall/standins/fleet/_fleet.py
@@ -30,7 +30,8 @@
     n_shards: int
     n_replicas: int
     n_slots: int = 3
-    n_connections_max: int = 30
+    n_connections_max: int = 64
+    connect_cost_ms: float = 0.0
     service_ms: float = 5.0
     n_keys_per_shard: int = 50
 
@@ -172,6 +173,8 @@
         arguments = ["--name", name, "--zone", zone, "--port", str(port)]
         arguments += ["--n-slots", str(plan.n_slots)]
         arguments += ["--service-ms", str(plan.service_ms)]
+        arguments += ["--n-connections-max", str(plan.n_connections_max)]
+        arguments += ["--connect-cost-ms", str(plan.connect_cost_ms)]
         process = await self._launch(name, "chestnuthall.standins.upstream", arguments)
         address = f"{HOST}:{port}"
         await JsonClient(address).wait_status("/v1/health", 200)
--- a/chestnuthall/standins/upstream/_behaviour.py
+++ b/chestnuthall/standins/upstream/_behaviour.py
@@ -8,8 +8,12 @@
     """Set over HTTP by ``PUT /behaviour``.
 
     A ``slow_factor`` above 1 slows every call down. The ``n_*_answers`` count
-    down with each answer that is spoiled. A query that contains
-    ``crash_text`` ends the process.
+    down with each answer that is spoiled: crossed ones echo another call id,
+    truncated ones end within the body, duplicate ones are sent twice, lost
+    ones never arrive although the call has run, and short ones report that
+    only half of the documents were searched. A query that contains
+    ``crash_text`` ends the process. The health and load endpoints show the
+    state of ``health_lag_ms`` ago.
     """
 
     n_slots: int = 3
@@ -24,5 +28,6 @@
     n_truncated_answers: int = 0
     n_duplicate_answers: int = 0
     n_lost_answers: int = 0
+    n_short_answers: int = 0
     crash_text: str = ""
     health_lag_ms: float = 5_000.0
--- a/chestnuthall/standins/upstream/_server.py
+++ b/chestnuthall/standins/upstream/_server.py
@@ -5,9 +5,16 @@
 import os
 from dataclasses import asdict, replace
 
-from chestnuthall.adapters.http import HttpRequest, HttpResponse, HttpServer
+from chestnuthall.adapters.http import (
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    ServerLimits,
+)
 from chestnuthall.standins.upstream._behaviour import UpstreamBehaviour
 from chestnuthall.standins.upstream._index import IndexSnapshot, make_record
+from chestnuthall.standins.upstream._reports import LaggingReports
+from chestnuthall.standins.upstream._spoiling import filter_output, spoil, take
 
 WITHHELD_S = 3_600.0
 
@@ -15,7 +22,13 @@
 class UpstreamServer:
     """One replica: slots with a queue in front, snapshots, drain and faults."""
 
-    def __init__(self, name: str, zone: str, behaviour: UpstreamBehaviour) -> None:
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        behaviour: UpstreamBehaviour,
+        limits: ServerLimits | None = None,
+    ) -> None:
         self.name = name
         self.zone = zone
         self.behaviour = behaviour
@@ -29,7 +42,10 @@
         self._slot_freed = asyncio.Condition()
         self._running: dict[str, asyncio.Task[HttpResponse]] = {}
         self._started_s = 0.0
-        self._server = HttpServer(self.handle)
+        self._reports = LaggingReports()
+        self._server = HttpServer(
+            self.handle, limits=limits, output_filter=filter_output
+        )
 
     async def start(self, host: str, port: int) -> int:
         """Listen; return the port."""
@@ -53,12 +69,26 @@
             return self._serve_cancel(request)
         if path == "/v1/partition-map":
             return HttpResponse(200, {}, self.partition_map_text.encode())
-        if path == "/v1/health":
-            return self._plain(200, {"draining": self.behaviour.is_draining})
-        if path == "/v1/load":
-            return self._plain(200, {"running": self._n_running})
+        if path in ("/v1/health", "/v1/load"):
+            return self._plain(200, self._report(path))
         return self._serve_control(request)
 
+    def _report(self, path: str) -> dict[str, int]:
+        now_ms = asyncio.get_running_loop().time() * 1000.0
+        behaviour = self.behaviour
+        self._reports.note(
+            now_ms,
+            {
+                "draining": int(behaviour.is_draining),
+                "running": self._n_running,
+                "queued": self._n_queued,
+            },
+        )
+        shown = self._reports.shown(now_ms, behaviour.health_lag_ms)
+        if path == "/v1/health":
+            return {"draining": shown["draining"]}
+        return {"running": shown["running"], "queued": shown["queued"]}
+
     def _serve_control(self, request: HttpRequest) -> HttpResponse:
         if request.path == "/behaviour":
             if request.method == "PUT":
@@ -72,6 +102,8 @@
                 "mutations": self.mutations,
                 "n_calls": self.n_calls,
                 "n_cancelled": self.n_cancelled,
+                "n_connections": self._server.n_connections,
+                "n_connections_peak": self._server.n_connections_peak,
             }
             return self._plain(200, body)
         return self._plain(404, {"error": "no such path"})
@@ -186,9 +218,10 @@
             "hits": _hits_of(request.path, snapshot, body),
             "n_documents_searched": len(snapshot.keys),
         }
-        return await self._spoil(
-            HttpResponse(200, headers, json.dumps(result).encode())
-        )
+        if take(self.behaviour, "n_lost_answers"):
+            await asyncio.sleep(WITHHELD_S)
+        response = HttpResponse(200, headers, json.dumps(result).encode())
+        return spoil(self.behaviour, response)
 
     def _service_ms(self) -> float:
         behaviour = self.behaviour
@@ -197,20 +230,6 @@
         factor = behaviour.cold_factor if is_cold else 1.0
         return behaviour.service_ms * behaviour.slow_factor * factor
 
-    async def _spoil(self, response: HttpResponse) -> HttpResponse:
-        behaviour = self.behaviour
-        if behaviour.n_lost_answers > 0:
-            behaviour.n_lost_answers -= 1
-            await asyncio.sleep(WITHHELD_S)
-        if behaviour.n_crossed_answers > 0:
-            behaviour.n_crossed_answers -= 1
-            headers = {**response.headers, b"x-call-id": b"another-call"}
-            return HttpResponse(200, headers, response.body)
-        if behaviour.n_truncated_answers > 0:
-            behaviour.n_truncated_answers -= 1
-            return HttpResponse(200, response.headers, response.body[:-5])
-        return response
-
 
 def _hits_of(
     path: str, snapshot: IndexSnapshot, body: dict[str, str]
