Run every fault against real processes under load and count what must not happen

Cause: kills, pauses, spoiled answers, index swaps, store outages and rolling restarts have to be shown on processes, with every answer checked.

--- a/Makefile
+++ b/Makefile
@@ -28,5 +28,8 @@
 
 test: lint check-types unit
 
+faults: setup
+	$(PYTHON) -m benchmarks.faults
+
 bench: setup
 	$(PYTHON) -m benchmarks
--- /dev/null
+++ b/chestnuthall/standins/load/_driver.py
@@ -0,0 +1,170 @@
+"""Open-loop load from one process on the instances of a local fleet."""
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from chestnuthall.standins.fleet import JsonClient, Reply
+from chestnuthall.standins.load._checker import AnswerChecker
+
+ClientChooser = Callable[[], tuple[str, JsonClient]]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LoadPlan:
+    """What is sent; rates are requests a second."""
+
+    search_group: str
+    mutation_group: str
+    lookup_keys: tuple[str, ...]
+    search_rate_per_s: float = 60.0
+    lookup_rate_per_s: float = 20.0
+    mutation_rate_per_s: float = 10.0
+    class_name: str = "planner"
+    n_hits_max: int = 5
+    timeout_s: float = 6.0
+
+
+@dataclass(slots=True)
+class LoadReport:
+    """What became of the requests.
+
+    ``mutation_runs`` maps an idempotency key to what its replies said about a
+    run; ``disconnected`` counts, by instance, requests without any reply.
+    """
+
+    codes: Counter[str] = field(default_factory=Counter)
+    violations: Counter[str] = field(default_factory=Counter)
+    disconnected: Counter[str] = field(default_factory=Counter)
+    mutation_runs: dict[str, list[str]] = field(default_factory=dict)
+    latencies_ms: list[float] = field(default_factory=list)
+    examples: list[str] = field(default_factory=list)
+
+    @property
+    def n_requests(self) -> int:
+        """Requests that got a reply or lost their connection."""
+        return sum(self.codes.values())
+
+
+class LoadDriver:
+    """Sends searches, lookups and mutations, and checks every answer.
+
+    Each mutation is sent twice with the same key, to instances chosen anew,
+    as a caller does that does not know whether the first one arrived.
+    """
+
+    def __init__(
+        self,
+        plan: LoadPlan,
+        checker: AnswerChecker,
+        choose: ClientChooser,
+        seed: int,
+    ) -> None:
+        self._plan = plan
+        self._checker = checker
+        self._choose = choose
+        self._random = Random(f"{seed}/load")
+        self._seed = seed
+        self._n_sent = 0
+        self._stopped = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.report = LoadReport()
+
+    async def run(self) -> LoadReport:
+        """Send until stopped, then wait for the last replies."""
+        plan = self._plan
+        await asyncio.gather(
+            self._send_at(plan.search_rate_per_s, self._search),
+            self._send_at(plan.lookup_rate_per_s, self._lookup),
+            self._send_at(plan.mutation_rate_per_s, self._mutate),
+        )
+        while self._tasks:
+            await asyncio.gather(*self._tasks)
+        return self.report
+
+    def stop(self) -> None:
+        """Send nothing more."""
+        self._stopped.set()
+
+    async def _send_at(self, rate_per_s: float, send: Callable[[str], Any]) -> None:
+        while rate_per_s > 0.0:
+            try:
+                async with asyncio.timeout(self._random.expovariate(rate_per_s)):
+                    await self._stopped.wait()
+                return
+            except TimeoutError:
+                self._n_sent += 1
+                self._spawn(send(f"load-{self._seed}-{self._n_sent}"))
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _post(self, target: str, body: dict[str, Any]) -> Reply:
+        name, client = self._choose()
+        started_s = time.perf_counter()
+        reply = await client.send("POST", target, body, self._plan.timeout_s)
+        self.report.latencies_ms.append((time.perf_counter() - started_s) * 1000.0)
+        self.report.codes[str(reply.body.get("result", reply.status))] += 1
+        if reply.status == 0:
+            self.report.disconnected[name] += 1
+        return reply
+
+    def _note(self, request_id: str, violations: list[Any], reply: Reply) -> None:
+        for violation in violations:
+            self.report.violations[violation.value] += 1
+            if len(self.report.examples) < 5:
+                self.report.examples.append(f"{request_id}: {reply.body}")
+
+    def _shared(self, request_id: str, group: str) -> dict[str, Any]:
+        return {
+            "request_id": request_id,
+            "class": self._plan.class_name,
+            "group": group,
+        }
+
+    async def _search(self, request_id: str) -> None:
+        plan = self._plan
+        body = {
+            **self._shared(request_id, plan.search_group),
+            "query": request_id,
+            "n_hits_max": plan.n_hits_max,
+        }
+        reply = await self._post("/v1/search", body)
+        if reply.status == 200:
+            violations = self._checker.check_search(
+                request_id, plan.n_hits_max, reply.body
+            )
+            self._note(request_id, violations, reply)
+
+    async def _lookup(self, request_id: str) -> None:
+        key = self._random.choice(self._plan.lookup_keys)
+        body = {**self._shared(request_id, self._plan.search_group), "key": key}
+        reply = await self._post("/v1/lookup", body)
+        if reply.status == 200:
+            self._note(request_id, self._checker.check_lookup(key, reply.body), reply)
+
+    async def _mutate(self, request_id: str) -> None:
+        body = {
+            **self._shared(request_id, self._plan.mutation_group),
+            "key": "line-7",
+            "payload": request_id,
+            "idempotency_key": f"key-{request_id}",
+            "issued_at_ms": time.time() * 1000.0,
+        }
+        replies = await asyncio.gather(
+            self._post("/v1/mutate", body), self._post_later("/v1/mutate", body)
+        )
+        self.report.mutation_runs[f"key-{request_id}"] = [
+            "yes" if reply.status == 200 else str(reply.body.get("run", "unknown"))
+            for reply in replies
+        ]
+
+    async def _post_later(self, target: str, body: dict[str, Any]) -> Reply:
+        await asyncio.sleep(self._random.choice((0.0, 0.01, 0.5)))
+        return await self._post(target, body)
