Bound each request by its class's deadline and close on surplus bytes

A request without a deadline of its own had 10 s instead of its class's 2 s, so callers gave up first; and a response sent twice in one segment raised out of the client connection. Ruled out: the balancer of the test (lost answers were spread over all instances) and the graceful stop (they began before it).

--- a/chestnuthall/adapters/http/_client.py
+++ b/chestnuthall/adapters/http/_client.py
@@ -66,6 +66,8 @@
                 self.close()
                 return
             self._read_event(event)
+            if not self.is_open:
+                return
 
     def _read_event(self, event: object) -> None:
         if isinstance(event, h11.Response):
@@ -90,6 +92,10 @@
             self._h11.their_state is h11.MUST_CLOSE
         ):
             self.close()
+        elif self._h11.trailing_data[0]:
+            # More bytes than one response: whatever they are, no request of
+            # this connection asked for them.
+            self.close()
         else:
             self._h11.start_next_cycle()
         self._resolve(response)
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 from typing import TypeAlias
 
@@ -168,6 +168,8 @@
         plan = self._plan(request)
         if isinstance(plan, Failure):
             return self._refuse(progress, plan)
+        request = _within_class_deadline(request, plan.caller_class)
+        progress.request = request
         failure = await self._claim(progress)
         if failure is not None:
             return self._refuse(progress, failure)
@@ -297,6 +299,14 @@
         )
 
 
+def _within_class_deadline(request: Request, caller_class: CallerClass) -> Request:
+    """Return the request with its deadline bounded by that of its class."""
+    latest_ms = request.arrived_ms + caller_class.deadline_ms
+    if request.deadline_ms <= latest_ms:
+        return request
+    return replace(request, deadline_ms=latest_ms)
+
+
 def _code_of(outcome: Outcome) -> ResultCode:
     if isinstance(outcome, Answer):
         return outcome.result_code
