--- /dev/null
+++ b/benchmarks/memory.py
@@ -0,0 +1,15 @@
+"""Prints memory per item of state: ``python -m benchmarks.memory``."""
+
+import json
+
+from benchmarks._memory import measure_memory
+
+
+def main() -> None:
+    """Measure and print one JSON object."""
+    figures = measure_memory()
+    print(json.dumps({key: round(value) for key, value in figures.items()}, indent=2))
+
+
+if __name__ == "__main__":
+    main()
