Name file, line, path, rule and remedy for each error in a document

Cause: an environment document or settings file with an error was refused with pydantic's own text, without a position, and rules over several fields (soft deadline against deadline, reserved ratios, thresholds) were not checked.

Ruled out: cross-field checks as pydantic model validators. They do not run for a model with a wrong field, so an operator would see the errors one at a time, and they name the model rather than the field.

Change: adapters/commentedjson blanks comments and trailing commas by spaces, parses, maps JSON pointers to positions, and reports field errors, unknown fields with the nearest name, names given twice, and cross-field rules together. An objective without latency_ms now defaults to at most the class's deadline.

Conclusion: all errors of a file are shown at once, each on one line.

--- /dev/null
+++ b/chestnuthall/adapters/commentedjson/_problems.py
@@ -0,0 +1,27 @@
+"""One error in a file that an operator wrote."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Problem:
+    """A broken rule with its position; lines and columns count from 1.
+
+    Examples
+    --------
+    >>> print(Problem("env.jsonc", 3, 14, "classes.a.share", "is -1",
+    ...               "write a number greater than 0"))
+    env.jsonc:3:14: classes.a.share: is -1; write a number greater than 0
+    """
+
+    file_name: str
+    line: int
+    column: int
+    path: str
+    rule: str
+    right: str
+
+    def __str__(self) -> str:
+        """Return the problem as one line."""
+        place = f"{self.file_name}:{self.line}:{self.column}"
+        return f"{place}: {self.path or 'document'}: {self.rule}; {self.right}"
--- a/chestnuthall/adapters/documents/__init__.py
+++ b/chestnuthall/adapters/documents/__init__.py
@@ -7,6 +7,7 @@
 )
 from chestnuthall.adapters.documents._environment import (
     EnvironmentModel,
+    check_environment,
     digest_of,
     read_environment,
 )
@@ -28,6 +29,7 @@
     "InstanceModel",
     "JsonPartitionCodec",
     "PartitionMapModel",
+    "check_environment",
     "digest_of",
     "encode_configuration",
     "encode_instance",
--- a/chestnuthall/adapters/documents/_environment.py
+++ b/chestnuthall/adapters/documents/_environment.py
@@ -3,9 +3,14 @@
 from hashlib import sha256
 from typing import Annotated, Literal
 
-import jsonc
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field
 
+from chestnuthall.adapters.commentedjson import (
+    Problem,
+    check_text,
+    describe_problems,
+)
+from chestnuthall.adapters.documents._rules import CROSS_CHECKS
 from chestnuthall.core.model import (
     CallerClass,
     EnvironmentDocument,
@@ -21,30 +26,44 @@
 
 
 class _Model(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    model_config = ConfigDict(
+        extra="forbid", frozen=True, use_attribute_docstrings=True
+    )
 
 
 class ObjectiveModel(_Model):
     """Service-level objective of a class."""
 
-    latency_ms: PositiveMs = 1000.0
+    latency_ms: PositiveMs | None = None
+    """A request is good if it is answered within this time. When left out, 1000
+    or the deadline, whichever is less."""
     good_ratio: Annotated[float, Field(gt=0.0, lt=1.0)] = 0.99
+    """Part of the requests that must be good. The rest is the error budget."""
 
-    def to_core(self) -> Objective:
+    def to_core(self, deadline_ms: float) -> Objective:
         """Return the objective as the decisions see it."""
-        return Objective(self.latency_ms, self.good_ratio)
+        latency_ms = self.latency_ms or min(1000.0, deadline_ms)
+        return Objective(latency_ms, self.good_ratio)
 
 
 class CallerClassModel(_Model):
     """A class of callers."""
 
     share: Annotated[float, Field(gt=0.0)]
+    """Weight of the class relative to the other classes."""
     urgency: Annotated[int, Field(ge=0, le=9)] = 0
+    """Among the classes within their share, the higher urgency goes first."""
     coverage_floor_ratio: Ratio = 0.0
+    """No answer of this class covers less of the index than this part."""
     deadline_ms: PositiveMs
+    """Longest time that a request of this class may take."""
     soft_deadline_ms: PositiveMs | None = None
+    """From this time on, an answer at or above the coverage floor is returned
+    without waiting for stragglers. Needs a coverage floor above 0."""
     n_queued_max: Annotated[int, Field(ge=1, le=100_000)] = 256
+    """Longest queue of the class, per instance and upstream group."""
     objective: ObjectiveModel = ObjectiveModel()
+    """Service-level objective of the class."""
 
     def to_core(self, name: str) -> CallerClass:
         """Return the class as the decisions see it."""
@@ -56,17 +75,22 @@
             deadline_ms=self.deadline_ms,
             soft_deadline_ms=self.soft_deadline_ms,
             n_queued_max=self.n_queued_max,
-            objective=self.objective.to_core(),
+            objective=self.objective.to_core(self.deadline_ms),
         )
 
 
 class UpstreamGroupModel(_Model):
-    """A group of upstreams; ``n_slots`` and connections are per replica."""
+    """A group of upstreams that serve one index."""
 
     n_slots: Annotated[int, Field(ge=1, le=10_000)]
+    """Shard calls that one replica runs at once."""
     n_connections_max: Annotated[int, Field(ge=1, le=100_000)]
+    """Connections that one replica accepts, from all instances together."""
     connect_cost_ms: Annotated[float, Field(ge=0.0)] = 1.0
+    """Time to open a connection to a replica."""
     reserved_ratios: dict[Literal["search", "lookup", "mutation"], Ratio] = {}
+    """Per kind of request, the part of the group's limit that other kinds may
+    use only while it is idle."""
 
     def to_core(self, name: str) -> UpstreamGroup:
         """Return the group as the decisions see it."""
@@ -80,11 +104,14 @@
 
 
 class ExtraLoadModel(_Model):
-    """Budget for hedges and retries."""
+    """Budget for hedges and retries, per class of callers."""
 
     max_ratio: Ratio = 0.03
+    """Hedges and retries as a part of all shard calls, while there is room."""
     full_below_ratio: Ratio = 0.70
+    """Utilisation below which the whole budget may be used."""
     none_above_ratio: Ratio = 0.95
+    """Utilisation above which nothing of the budget may be used."""
 
     def to_core(self) -> ExtraLoadPolicy:
         """Return the budget as the decisions see it."""
@@ -98,9 +125,14 @@
 class EnvironmentModel(_Model):
     """The whole document of one environment."""
 
+    schema_address: Annotated[str | None, Field(alias="$schema")] = None
+    """Address of the JSON Schema, for editors. The system does not read it."""
     classes: Annotated[dict[Name, CallerClassModel], Field(min_length=1)]
+    """Classes of callers by name."""
     groups: Annotated[dict[Name, UpstreamGroupModel], Field(min_length=1)]
+    """Upstream groups by name."""
     extra_load: ExtraLoadModel = ExtraLoadModel()
+    """Budget for hedges and retries."""
 
     def to_core(self) -> EnvironmentDocument:
         """Return the document as the decisions see it."""
@@ -116,9 +148,19 @@
     return sha256(text.encode()).hexdigest()
 
 
-def read_environment(text: str) -> EnvironmentDocument | Failure:
+def check_environment(
+    text: str, file_name: str = "document"
+) -> EnvironmentDocument | tuple[Problem, ...]:
+    """Return the document for the decisions, or all its problems."""
+    model = check_text(text, EnvironmentModel, file_name, CROSS_CHECKS)
+    return model if isinstance(model, tuple) else model.to_core()
+
+
+def read_environment(
+    text: str, file_name: str = "document"
+) -> EnvironmentDocument | Failure:
     """Check an environment document and return it for the decisions."""
-    try:
-        return EnvironmentModel.model_validate(jsonc.loads(text)).to_core()
-    except (ValueError, ValidationError) as error:
-        return CONFIGURATION_REJECTED.because(str(error))
+    checked = check_environment(text, file_name)
+    if isinstance(checked, tuple):
+        return CONFIGURATION_REJECTED.because(describe_problems(checked))
+    return checked
--- a/chestnuthall/adapters/settings/_models.py
+++ b/chestnuthall/adapters/settings/_models.py
@@ -1,54 +1,93 @@
-"""Models of the settings file."""
+"""Models of the settings file of an instance."""
 
-from typing import Annotated
+from collections.abc import Iterator
+from typing import Annotated, Any
 
-import jsonc
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field
 
+from chestnuthall.adapters.commentedjson import (
+    BrokenRule,
+    check_text,
+    describe_problems,
+)
 from chestnuthall.core.results import CONFIGURATION_REJECTED, Failure
 
 Address = Annotated[str, Field(pattern=r"^[0-9a-f.:\[\]]+:[0-9]{1,5}$")]
+Name = Annotated[str, Field(pattern=r"^[a-z][a-z0-9-]{0,62}$")]
 
 
 class _Model(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    model_config = ConfigDict(
+        extra="forbid", frozen=True, use_attribute_docstrings=True
+    )
 
 
 class StatsdSettings(_Model):
     """Where metrics go."""
 
     host: str = "127.0.0.1"
+    """Numeric address of the statsd server."""
     port: Annotated[int, Field(ge=1, le=65_535)] = 8125
+    """UDP port of the statsd server."""
     prefix: str = "chestnuthall"
+    """Put before the name of each metric."""
 
 
 class LimitSettings(_Model):
     """Bounds that protect the instance from its callers."""
 
     n_header_bytes_max: Annotated[int, Field(ge=1024)] = 16 * 1024
+    """Longest head of a request."""
     n_body_bytes_max: Annotated[int, Field(ge=1024)] = 1024 * 1024
+    """Longest body of a request."""
     n_connections_max: Annotated[int, Field(ge=1)] = 1024
+    """Connections of callers that are open at once."""
     idle_timeout_ms: Annotated[float, Field(gt=0.0)] = 75_000.0
+    """A connection without a request is closed after this time."""
 
 
 class InstanceSettings(_Model):
     """Everything that differs between the instances of an environment."""
 
-    name: Annotated[str, Field(pattern=r"^[a-z][a-z0-9-]{0,62}$")]
-    environment: Annotated[str, Field(pattern=r"^[a-z][a-z0-9-]{0,62}$")]
+    schema_address: Annotated[str | None, Field(alias="$schema")] = None
+    """Address of the JSON Schema, for editors. The system does not read it."""
+    name: Name
+    """Name of the instance, as in the platform's list."""
+    environment: Name
+    """Environment whose document the instance follows."""
     zone: Annotated[str, Field(min_length=1)]
+    """Availability zone of the instance."""
     caller_address: Address
+    """Numeric address and port for callers and operators."""
     peer_address: Address
+    """Numeric address and port for the other instances."""
     store_address: Address
+    """Numeric address and port of the platform's object API."""
     leave_notice_ms: Annotated[float, Field(ge=0.0)] = 3_000.0
+    """A leaving instance serves on for this time before it stops listening."""
     statsd: StatsdSettings | None = None
+    """Where metrics go. When left out, none are sent."""
     limits: LimitSettings = LimitSettings()
+    """Bounds that protect the instance from its callers."""
     log_level: Annotated[str, Field(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
+    """Least severity that is logged."""
+
+
+def check_addresses(value: Any) -> Iterator[BrokenRule]:
+    """Yield addresses that two listeners of the instance would share."""
+    if not isinstance(value, dict) or not value.get("caller_address"):
+        return
+    if value["caller_address"] == value.get("peer_address"):
+        yield BrokenRule(
+            ("peer_address",),
+            "it equals caller_address",
+            "give the two listeners different ports",
+        )
 
 
-def read_settings(text: str) -> InstanceSettings | Failure:
+def read_settings(text: str, file_name: str = "settings") -> InstanceSettings | Failure:
     """Check a settings file."""
-    try:
-        return InstanceSettings.model_validate(jsonc.loads(text))
-    except (ValueError, ValidationError) as error:
-        return CONFIGURATION_REJECTED.because(str(error))
+    checked = check_text(text, InstanceSettings, file_name, (check_addresses,))
+    if isinstance(checked, tuple):
+        return CONFIGURATION_REJECTED.because(describe_problems(checked))
+    return checked
--- a/chestnuthall/daemon/_main.py
+++ b/chestnuthall/daemon/_main.py
@@ -31,9 +31,9 @@
         text = settings_file.read_text()
     except OSError as error:
         _fail(f"cannot read {settings_file}: {error.strerror}")
-    settings = read_settings(text)
+    settings = read_settings(text, str(settings_file))
     if isinstance(settings, Failure):
-        _fail(f"{settings_file}: {settings.reason}")
+        _fail(settings.reason)
     set_up_logs(settings.log_level, settings.name)
     asyncio.run(_run(settings))
 
