Accept, settle, announce and promote revisions by conditional update

Cause: revisions existed only as a value that an instance applies. Nothing decided who wins a race of two operators, what a promotion may carry, or when an accepted revision may be announced.

Ruled out: writing the history entry in the same step as the revision; the store has no transaction over two objects. Ruled out also: announcing on a write whose answer was lost, since an instance never goes back.

Change: core/configuration gets records and bounded history, the rule that settles a lost answer from a read-back, field-by-field differences, and the promotion rule with trial evidence. services/_revisions carries them out: the replaced revision is recorded in the history before the write, so the history has no gap and a write that was accepted and then replaced is recognised. services/_publication lists the instances before the write and announces only after a known acceptance; services/_fleet_view asks the instances.

Conclusion: the loser of a race gets the winner's name and the differing fields; promotion carries trial's bytes.

--- a/chestnuthall/adapters/documents/__init__.py
+++ b/chestnuthall/adapters/documents/__init__.py
@@ -22,12 +22,14 @@
     encode_partition_map,
     read_partition_map,
 )
+from chestnuthall.adapters.documents._revisions import JsonRevisionCodec
 
 __all__ = [
     "ConfigurationModel",
     "EnvironmentModel",
     "InstanceModel",
     "JsonPartitionCodec",
+    "JsonRevisionCodec",
     "PartitionMapModel",
     "check_environment",
     "digest_of",
--- a/chestnuthall/adapters/documents/_configuration.py
+++ b/chestnuthall/adapters/documents/_configuration.py
@@ -21,6 +21,11 @@
     author: str = ""
     reason: str = ""
     accepted_wall_ms: float = 0.0
+    write_token: str = ""
+    source_environment: str = ""
+    source_revision: Annotated[int, Field(ge=0)] = 0
+    override_reason: str = ""
+    evidence: str = ""
 
 
 def encode_configuration(model: ConfigurationModel) -> str:
--- /dev/null
+++ b/chestnuthall/core/configuration/_promotion.py
@@ -0,0 +1,181 @@
+"""Evidence from trial, and whether it allows a promotion to production."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from chestnuthall.core.configuration._records import Draft, RevisionRecord
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class InstanceEvidence:
+    """What one live instance of trial reports.
+
+    ``n_refused_by_code`` counts refusals since the revision came into force.
+    """
+
+    name: str
+    digest: str
+    revision: int
+    since_wall_ms: float = 0.0
+    n_requests: int = 0
+    n_refused_by_code: tuple[tuple[str, int], ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TrialEvidence:
+    """What trial shows about the revision that is in force there.
+
+    ``fast_burn_classes`` are the classes whose error budget burns fast.
+    """
+
+    record: RevisionRecord
+    gathered_wall_ms: float
+    instances: tuple[InstanceEvidence, ...] = ()
+    silent_names: tuple[str, ...] = ()
+    fast_burn_classes: tuple[str, ...] = ()
+
+    @property
+    def proving(self) -> tuple[InstanceEvidence, ...]:
+        """The instances that have exactly this document in force."""
+        return tuple(
+            item for item in self.instances if item.digest == self.record.digest
+        )
+
+    @property
+    def n_requests(self) -> int:
+        """Requests that were served under the document."""
+        return sum(item.n_requests for item in self.proving)
+
+    @property
+    def n_refused(self) -> int:
+        """Refusals under the document."""
+        return sum(n for item in self.proving for _, n in item.n_refused_by_code)
+
+    @property
+    def in_force_ms(self) -> float:
+        """Time for which every proving instance has had the document in force."""
+        since = [item.since_wall_ms for item in self.proving]
+        return max(0.0, self.gathered_wall_ms - max(since)) if since else 0.0
+
+    def summary(self) -> str:
+        """Return the evidence in one line, as the history records it."""
+        return (
+            f"in force on {len(self.proving)} of"
+            f" {len(self.instances) + len(self.silent_names)} instances"
+            f" for {self.in_force_ms / 1000.0:.0f} s,"
+            f" {self.n_requests} requests, {self.n_refused} refused,"
+            f" fast burn: {', '.join(self.fast_burn_classes) or 'none'}"
+        )
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PromotionPolicy:
+    """What trial has to show before a promotion needs no override."""
+
+    in_force_min_ms: float = 60_000.0
+    n_requests_min: int = 1
+
+
+class PromotionDecision(Enum):
+    """What to do about a wanted promotion."""
+
+    PROMOTE = "promote"
+    PROMOTE_OVERRIDDEN = "promote_overridden"
+    ALREADY_IN_FORCE = "already_in_force"
+    REFUSE_NO_TRIAL = "refuse_no_trial"
+    REFUSE_OTHER_DIGEST = "refuse_other_digest"
+    REFUSE_NO_EVIDENCE = "refuse_no_evidence"
+
+
+@dataclass(frozen=True, slots=True)
+class PromotionVerdict:
+    """A decision with what is lacking, one sentence per lack."""
+
+    decision: PromotionDecision
+    lacks: tuple[str, ...] = ()
+
+    @property
+    def is_allowed(self) -> bool:
+        """Whether the promotion goes ahead."""
+        return self.decision in (
+            PromotionDecision.PROMOTE,
+            PromotionDecision.PROMOTE_OVERRIDDEN,
+        )
+
+
+def decide_promotion(
+    evidence: TrialEvidence | None,
+    production: RevisionRecord | None,
+    policy: PromotionPolicy,
+    *,
+    wanted_digest: str = "",
+    override_reason: str = "",
+) -> PromotionVerdict:
+    """Decide whether what is in force in trial becomes production's document.
+
+    A wanted digest is that of the file that the operator holds; it must be
+    the very document that trial has. Only a lack of evidence can be overridden.
+    """
+    if evidence is None:
+        lack = "trial has no document in force"
+        return PromotionVerdict(PromotionDecision.REFUSE_NO_TRIAL, (lack,))
+    digest = evidence.record.digest
+    if wanted_digest and wanted_digest != digest:
+        lack = f"trial has digest {digest[:12]}, the file has {wanted_digest[:12]}"
+        return PromotionVerdict(PromotionDecision.REFUSE_OTHER_DIGEST, (lack,))
+    if production is not None and production.digest == digest:
+        return PromotionVerdict(PromotionDecision.ALREADY_IN_FORCE)
+    lacks = _lacks(evidence, policy)
+    if not lacks:
+        return PromotionVerdict(PromotionDecision.PROMOTE)
+    if override_reason.strip():
+        return PromotionVerdict(PromotionDecision.PROMOTE_OVERRIDDEN, lacks)
+    return PromotionVerdict(PromotionDecision.REFUSE_NO_EVIDENCE, lacks)
+
+
+def _lacks(evidence: TrialEvidence, policy: PromotionPolicy) -> tuple[str, ...]:
+    lacks = []
+    others = [item.name for item in evidence.instances if item not in evidence.proving]
+    if not evidence.proving:
+        lacks.append("no instance of trial has the document in force")
+    elif others:
+        lacks.append(f"not in force on {', '.join(others)}")
+    if evidence.silent_names:
+        lacks.append(f"no status from {', '.join(evidence.silent_names)}")
+    if evidence.proving and evidence.in_force_ms < policy.in_force_min_ms:
+        lacks.append(
+            f"in force for {evidence.in_force_ms / 1000.0:.0f} s;"
+            f" {policy.in_force_min_ms / 1000.0:.0f} s are needed"
+        )
+    if evidence.n_requests < policy.n_requests_min:
+        lacks.append(
+            f"{evidence.n_requests} requests were served under it;"
+            f" {policy.n_requests_min} are needed"
+        )
+    for class_name in evidence.fast_burn_classes:
+        lacks.append(f"the error budget of class {class_name} burns fast")
+    return tuple(lacks)
+
+
+def promotion_draft(
+    evidence: TrialEvidence,
+    production_name: str,
+    author: str,
+    reason: str,
+    write_token: str,
+    override_reason: str = "",
+) -> Draft:
+    """Return the draft of production's next revision: trial's bytes unchanged."""
+    source = evidence.record
+    return Draft(
+        environment=production_name,
+        digest=source.digest,
+        text=source.text,
+        author=author,
+        reason=reason,
+        write_token=write_token,
+        source_environment=source.environment,
+        source_revision=source.revision,
+        override_reason=override_reason,
+        evidence=evidence.summary(),
+    )
--- /dev/null
+++ b/chestnuthall/core/configuration/_settlement.py
@@ -0,0 +1,44 @@
+"""Whether a write of a revision took effect."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from chestnuthall.core.configuration._records import History, RevisionRecord
+
+
+class Settlement(Enum):
+    """What a reading of the store says about one's own write."""
+
+    ACCEPTED = "accepted"
+    ACCEPTED_AND_REPLACED = "accepted_and_replaced"
+    LOST = "lost"
+    WRITE_AGAIN = "write_again"
+
+
+@dataclass(frozen=True, slots=True)
+class InForce:
+    """The record in the store, with the version of its object."""
+
+    record: RevisionRecord
+    version: int
+
+
+def decide_settlement(
+    write_token: str, base: InForce | None, found: InForce | None, history: History
+) -> Settlement:
+    """Decide from a read-back after a write that was conditional on ``base``.
+
+    If the object has not changed, the write may still arrive; writing again
+    on the same condition lets only one of the two take effect. Whoever
+    replaces a revision first records it in the history, so a write that was
+    accepted and then replaced is found there.
+    """
+    if found is not None and found.record.write_token == write_token:
+        return Settlement.ACCEPTED
+    if history.has_token(write_token):
+        return Settlement.ACCEPTED_AND_REPLACED
+    base_version = 0 if base is None else base.version
+    found_version = 0 if found is None else found.version
+    if found_version == base_version:
+        return Settlement.WRITE_AGAIN
+    return Settlement.LOST
--- a/chestnuthall/ports/__init__.py
+++ b/chestnuthall/ports/__init__.py
@@ -8,6 +8,13 @@
 )
 from chestnuthall.ports._metrics import Metrics
 from chestnuthall.ports._objects import ObjectStore, StoredObject, WatchBatch
+from chestnuthall.ports._operators import (
+    InstanceAdmin,
+    InstanceStatus,
+    ListedInstance,
+    QuarantineEntry,
+    RevisionCodec,
+)
 from chestnuthall.ports._peers import (
     ClassUse,
     DrainNotice,
@@ -25,6 +32,9 @@
     "Clock",
     "ConfigurationReceiver",
     "DrainNotice",
+    "InstanceAdmin",
+    "InstanceStatus",
+    "ListedInstance",
     "MemberUpdate",
     "Metrics",
     "ObjectStore",
@@ -32,9 +42,11 @@
     "PeerDigest",
     "PeerService",
     "PeerTransport",
+    "QuarantineEntry",
     "QuarantineNotice",
     "RequestHandler",
     "RequestTracker",
+    "RevisionCodec",
     "ShardCaller",
     "StoredObject",
     "WatchBatch",
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -7,6 +7,7 @@
     ConfigurationReader,
 )
 from chestnuthall.services._directory import Directory, PartitionMapReader
+from chestnuthall.services._fleet_view import FleetView, Seen
 from chestnuthall.services._lifecycle import Lifecycle
 from chestnuthall.services._membership import (
     DigestPart,
@@ -14,9 +15,12 @@
     InstanceListReader,
     Membership,
 )
+from chestnuthall.services._publication import Publication
 from chestnuthall.services._query import Outcome, QueryService
+from chestnuthall.services._revisions import Accepted, RaceLost, RevisionBook
 
 __all__ = [
+    "Accepted",
     "Admission",
     "Admitted",
     "ClaimLedger",
@@ -24,6 +28,7 @@
     "ConfigurationReader",
     "DigestPart",
     "Directory",
+    "FleetView",
     "Identity",
     "InstanceListReader",
     "Lifecycle",
@@ -32,5 +37,9 @@
     "Outcome",
     "PartitionCodec",
     "PartitionMapReader",
+    "Publication",
     "QueryService",
+    "RaceLost",
+    "RevisionBook",
+    "Seen",
 ]
--- /dev/null
+++ b/chestnuthall/services/_publication.py
@@ -0,0 +1,109 @@
+"""Puts documents in force and promotes them."""
+
+from collections.abc import Callable
+
+from chestnuthall.core.configuration import (
+    Draft,
+    InForce,
+    PromotionPolicy,
+    PromotionVerdict,
+    TrialEvidence,
+    decide_promotion,
+    promotion_draft,
+)
+from chestnuthall.core.results import OBJECT_CONFLICT, Failure
+from chestnuthall.ports import ListedInstance
+from chestnuthall.services._fleet_view import FleetView
+from chestnuthall.services._revisions import Accepted, RaceLost, RevisionBook
+
+TokenMaker = Callable[[], str]
+
+
+class Publication:
+    """Carries out the rules of revisions and promotion for operators."""
+
+    def __init__(
+        self, book: RevisionBook, fleet: FleetView, make_token: TokenMaker
+    ) -> None:
+        self._book = book
+        self._fleet = fleet
+        self._make_token = make_token
+
+    async def publish(
+        self, draft: Draft, base: InForce | None, expected_revision: int | None = None
+    ) -> Accepted | RaceLost | Failure:
+        """Make a draft the next revision and announce it to the instances.
+
+        The instances are listed before the write, so that a store outage
+        right after the acceptance does not delay the announcement. Nothing is
+        announced unless the write is known to have been accepted.
+        """
+        if _is_other_revision(base, expected_revision):
+            if base is None:
+                reason = f"{draft.environment} has no document in force"
+                return OBJECT_CONFLICT.because(reason)
+            return self._book.race_lost(base.record, draft.text)
+        listed = await self._fleet.entries()
+        outcome = await self._book.accept(draft, base)
+        if isinstance(outcome, Accepted) and outcome.replaced_by is None:
+            await self._announce(listed, outcome)
+        return outcome
+
+    async def _announce(
+        self, listed: tuple[ListedInstance, ...] | Failure, accepted: Accepted
+    ) -> None:
+        if not isinstance(listed, Failure):
+            await self._fleet.announce(listed, accepted.stored_text)
+
+    def draft(
+        self, environment: str, text: str, digest: str, author: str, reason: str
+    ) -> Draft:
+        """Return a draft with a token of its own."""
+        return Draft(
+            environment=environment,
+            digest=digest,
+            text=text,
+            author=author,
+            reason=reason,
+            write_token=self._make_token(),
+        )
+
+    async def promote(
+        self,
+        evidence: TrialEvidence | None,
+        production_name: str,
+        policy: PromotionPolicy,
+        author: str,
+        reason: str,
+        *,
+        wanted_digest: str = "",
+        override_reason: str = "",
+    ) -> Accepted | RaceLost | PromotionVerdict | Failure:
+        """Put trial's document in force in production if the rules allow it."""
+        production = await self._book.in_force(production_name)
+        if isinstance(production, Failure):
+            return production
+        verdict = decide_promotion(
+            evidence,
+            None if production is None else production.record,
+            policy,
+            wanted_digest=wanted_digest,
+            override_reason=override_reason,
+        )
+        if evidence is None or not verdict.is_allowed:
+            return verdict
+        draft = promotion_draft(
+            evidence,
+            production_name,
+            author,
+            reason,
+            self._make_token(),
+            override_reason if verdict.lacks else "",
+        )
+        return await self.publish(draft, production)
+
+
+def _is_other_revision(base: InForce | None, expected: int | None) -> bool:
+    if expected is None:
+        return False
+    return (0 if base is None else base.record.revision) != expected
--- /dev/null
+++ b/chestnuthall/services/_revisions.py
@@ -0,0 +1,238 @@
+"""Reads and writes the revisions of environments and their history."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from chestnuthall.core.configuration import (
+    Difference,
+    Draft,
+    History,
+    InForce,
+    RevisionRecord,
+    Settlement,
+    add_to_history,
+    decide_settlement,
+    differences,
+    next_record,
+)
+from chestnuthall.core.model import EnvironmentDocument
+from chestnuthall.core.results import (
+    OBJECT_CONFLICT,
+    OBJECT_NOT_FOUND,
+    STORE_WRITE_UNKNOWN,
+    Failure,
+)
+from chestnuthall.ports import Clock, ObjectStore, RevisionCodec, StoredObject
+
+ENVIRONMENT_KIND = "environments"
+HISTORY_KIND = "environment-history"
+STORE_TIMEOUT_MS = 2_000.0
+# Time for which a write whose answer was lost is read back and tried again.
+SETTLE_TIMEOUT_MS = 20_000.0
+RETRY_DELAY_MS = 250.0
+N_HISTORY_TRIES_MAX = 8
+
+DocumentReader = Callable[[str], EnvironmentDocument | Failure]
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The write took effect; ``replaced_by`` is a later revision, if any."""
+
+    record: RevisionRecord
+    stored_text: str
+    replaced_by: RevisionRecord | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RaceLost:
+    """Another operator's write came first.
+
+    ``differences`` are those from the winner's document to one's own.
+    """
+
+    winner: RevisionRecord
+    differences: tuple[Difference, ...]
+
+
+class RevisionBook:
+    """Accepts drafts by conditional update, and keeps the history."""
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        clock: Clock,
+        codec: RevisionCodec,
+        read_document: DocumentReader,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._codec = codec
+        self._read_document = read_document
+
+    async def in_force(self, environment: str) -> InForce | Failure | None:
+        """Return what the store has in force; None if there is no document."""
+        stored = await self._store.get(ENVIRONMENT_KIND, environment, STORE_TIMEOUT_MS)
+        if isinstance(stored, Failure):
+            return None if stored.kind is OBJECT_NOT_FOUND else stored
+        record = self._codec.decode_record(stored.value)
+        if isinstance(record, Failure):
+            return record
+        return InForce(record, stored.version)
+
+    async def history(self, environment: str) -> History | Failure:
+        """Return the history, with the revision in force added to it.
+
+        A writer may end between its write and its entry in the history.
+        """
+        in_force = await self.in_force(environment)
+        if isinstance(in_force, Failure):
+            return in_force
+        read = await self._read_history(environment)
+        if isinstance(read, Failure):
+            return read
+        history = read[0]
+        return history if in_force is None else add_to_history(history, in_force.record)
+
+    async def _read_history(self, environment: str) -> tuple[History, int] | Failure:
+        stored = await self._store.get(HISTORY_KIND, environment, STORE_TIMEOUT_MS)
+        if isinstance(stored, Failure):
+            return (History(), 0) if stored.kind is OBJECT_NOT_FOUND else stored
+        history = self._codec.decode_history(stored.value)
+        return history if isinstance(history, Failure) else (history, stored.version)
+
+    async def _record(self, record: RevisionRecord) -> History | Failure:
+        """Add a record to the history; adding it twice changes nothing."""
+        failure = STORE_WRITE_UNKNOWN.because("the history changed too often")
+        for _ in range(N_HISTORY_TRIES_MAX):
+            read = await self._read_history(record.environment)
+            if isinstance(read, Failure):
+                return read
+            history, version = read
+            changed = add_to_history(history, record)
+            if changed is history:
+                return history
+            written = await self._write(
+                HISTORY_KIND,
+                record.environment,
+                self._codec.encode_history(changed),
+                version,
+            )
+            if isinstance(written, StoredObject):
+                return changed
+            failure = written
+            if written.kind not in (OBJECT_CONFLICT, STORE_WRITE_UNKNOWN):
+                break
+            await self._clock.sleep_ms(RETRY_DELAY_MS)
+        return failure
+
+    async def accept(
+        self, draft: Draft, base: InForce | None
+    ) -> Accepted | RaceLost | Failure:
+        """Make a draft the next revision after ``base``, the one that was read.
+
+        The replaced revision is recorded in the history before the write.
+        Therefore the history has no gap, even if this process ends at once
+        after the write, and a replaced write can be recognised.
+        """
+        if base is None:
+            read = await self._read_history(draft.environment)
+            history: History | Failure = read if isinstance(read, Failure) else read[0]
+        else:
+            history = await self._record(base.record)
+        if isinstance(history, Failure):
+            return history
+        last_revision = max(
+            history.last_revision, 0 if base is None else base.record.revision
+        )
+        record = next_record(draft, last_revision, self._clock.wall_ms())
+        outcome = await self._write_and_settle(record, base)
+        if isinstance(outcome, Accepted):
+            # The next writer adds the entry if this write fails.
+            await self._record(record)
+        return outcome
+
+    async def _write_and_settle(
+        self, record: RevisionRecord, base: InForce | None
+    ) -> Accepted | RaceLost | Failure:
+        text = self._codec.encode_record(record)
+        version = 0 if base is None else base.version
+        ends_at_ms = self._clock.now_ms() + SETTLE_TIMEOUT_MS
+        is_unsettled = False
+        while True:
+            written = await self._write(
+                ENVIRONMENT_KIND, record.environment, text, version
+            )
+            if isinstance(written, StoredObject):
+                return Accepted(record, text)
+            if written.kind is STORE_WRITE_UNKNOWN:
+                is_unsettled = True
+            elif written.kind is not OBJECT_CONFLICT and not is_unsettled:
+                return written
+            outcome = await self._settle(record, text, base, ends_at_ms)
+            if outcome is not None:
+                return outcome
+            await self._clock.sleep_ms(RETRY_DELAY_MS)
+
+    async def _settle(
+        self,
+        record: RevisionRecord,
+        text: str,
+        base: InForce | None,
+        ends_at_ms: float,
+    ) -> Accepted | RaceLost | Failure | None:
+        """Read back until the outcome is known; None means to write again."""
+        while True:
+            reading = await self._read_back(record, base)
+            if not isinstance(reading, Failure):
+                break
+            if self._clock.now_ms() >= ends_at_ms:
+                reason = f"the write may have taken effect: {reading.reason}"
+                return STORE_WRITE_UNKNOWN.because(reason)
+            await self._clock.sleep_ms(RETRY_DELAY_MS)
+        settlement, found = reading
+        if settlement is Settlement.ACCEPTED:
+            return Accepted(record, text)
+        if settlement is Settlement.ACCEPTED_AND_REPLACED:
+            return Accepted(record, text, None if found is None else found.record)
+        if settlement is Settlement.LOST:
+            return self._lost(record, found)
+        if self._clock.now_ms() >= ends_at_ms:
+            return STORE_WRITE_UNKNOWN.because("the store did not take the write")
+        return None
+
+    async def _read_back(
+        self, record: RevisionRecord, base: InForce | None
+    ) -> tuple[Settlement, InForce | None] | Failure:
+        found = await self.in_force(record.environment)
+        if isinstance(found, Failure):
+            return found
+        read = await self._read_history(record.environment)
+        if isinstance(read, Failure):
+            return read
+        settlement = decide_settlement(record.write_token, base, found, read[0])
+        return settlement, found
+
+    def _lost(
+        self, record: RevisionRecord, found: InForce | None
+    ) -> RaceLost | Failure:
+        if found is None:
+            return OBJECT_CONFLICT.because("the document was deleted meanwhile")
+        return self.race_lost(found.record, record.text)
+
+    def race_lost(self, winner: RevisionRecord, own_text: str) -> RaceLost | Failure:
+        """Return what a race was lost to, and how the two documents differ."""
+        theirs = self._read_document(winner.text)
+        own = self._read_document(own_text)
+        if isinstance(theirs, Failure):
+            return theirs
+        if isinstance(own, Failure):
+            return own
+        return RaceLost(winner, differences(theirs, own))
+
+    async def _write(
+        self, kind: str, name: str, text: str, version: int
+    ) -> StoredObject | Failure:
+        if version == 0:
+            return await self._store.create(kind, name, text, STORE_TIMEOUT_MS)
+        return await self._store.update(kind, name, text, version, STORE_TIMEOUT_MS)
