Count outcomes for service-level burn and store each count once

Cause: nothing recorded whether requests met the objective of their class, and instances keep no state, so that a replaced instance would take its counts with it.

Ruled out: one stored object for all instances (at 1,900 instances, about 17 conditional updates a second on one object collide); pruning slots by age (an instance whose clock is ahead would erase the others' counts); immutable counts on the request path (each request would copy up to 152 slots per class).

Change: core/burn has causes, bounded counts in three resolutions, a ledger in which each writer's changes are numbered, and rates over 5 min, 1 h, 6 h and 3 d with fast and slow alarms. services/_burn records outcomes (one call in services/_query) and adds them by conditional update to burn/<environment>.<n>. An instance flushes every max(15 s, 60 ms x instances) with one read and one write: by arithmetic 1.2 calls a second at 9 instances, 33 at 1,900. Status shows results since the revision came into force; drain and quarantine routes are added for the operators' tool.

Conclusion: a write whose answer is lost is counted once; where the writer's mark was forgotten meanwhile, the change is given up rather than counted twice.

--- a/chestnuthall/adapters/documents/__init__.py
+++ b/chestnuthall/adapters/documents/__init__.py
@@ -1,5 +1,6 @@
 """Texts that operators and the platform store, checked by models."""
 
+from chestnuthall.adapters.documents._burn import JsonBurnCodec
 from chestnuthall.adapters.documents._configuration import (
     ConfigurationModel,
     encode_configuration,
@@ -28,6 +29,7 @@
     "ConfigurationModel",
     "EnvironmentModel",
     "InstanceModel",
+    "JsonBurnCodec",
     "JsonPartitionCodec",
     "JsonRevisionCodec",
     "PartitionMapModel",
--- /dev/null
+++ b/chestnuthall/adapters/documents/_burn.py
@@ -0,0 +1,78 @@
+"""Text form of the stored burn counts."""
+
+import json
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from chestnuthall.core.burn import (
+    CAUSES,
+    BurnCounts,
+    BurnLedger,
+    SlotKey,
+    Tally,
+    WriterMark,
+)
+from chestnuthall.core.results import INTERNAL_ERROR, Failure
+
+# Class name, then slot length in milliseconds, then slot index; the counts are
+# requests and then bad ones by cause, without the zeros at the end.
+_Classes = dict[str, dict[int, dict[int, tuple[int, ...]]]]
+
+
+class _BurnModel(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    n_writes: int
+    n_writes_forgotten: int
+    writers: dict[str, tuple[int, int]]
+    classes: _Classes
+
+
+class JsonBurnCodec:
+    """Encodes burn counts as compact JSON."""
+
+    def encode(self, ledger: BurnLedger) -> str:
+        """Return the text that is stored."""
+        classes: _Classes = {}
+        for key, tally in ledger.counts.tallies.items():
+            slots = classes.setdefault(key.class_name, {}).setdefault(key.slot_ms, {})
+            slots[key.index] = _trimmed((tally.n_requests, *tally.n_bad))
+        writers = {
+            name: (mark.sequence, mark.n_writes)
+            for name, mark in ledger.writers.items()
+        }
+        body = {
+            "n_writes": ledger.n_writes,
+            "n_writes_forgotten": ledger.n_writes_forgotten,
+            "writers": writers,
+            "classes": classes,
+        }
+        return json.dumps(body, separators=(",", ":"))
+
+    def decode(self, text: str) -> BurnLedger | Failure:
+        """Return the counts that a text stands for."""
+        try:
+            model = _BurnModel.model_validate_json(text)
+        except ValidationError as error:
+            return INTERNAL_ERROR.because(f"stored burn counts are damaged: {error}")
+        tallies = {
+            SlotKey(name, slot_ms, index): _tally(numbers)
+            for name, by_length in model.classes.items()
+            for slot_ms, slots in by_length.items()
+            for index, numbers in slots.items()
+        }
+        writers = {name: WriterMark(*mark) for name, mark in model.writers.items()}
+        return BurnLedger(
+            BurnCounts(tallies), writers, model.n_writes, model.n_writes_forgotten
+        )
+
+
+def _trimmed(numbers: tuple[int, ...]) -> tuple[int, ...]:
+    n_kept = max((i + 1 for i, number in enumerate(numbers) if number), default=1)
+    return numbers[:n_kept]
+
+
+def _tally(numbers: tuple[int, ...]) -> Tally:
+    n_bad = numbers[1 : 1 + len(CAUSES)]
+    padding = (0,) * (len(CAUSES) - len(n_bad))
+    return Tally(numbers[0] if numbers else 0, n_bad + padding)
--- /dev/null
+++ b/chestnuthall/adapters/instances/_client.py
@@ -0,0 +1,171 @@
+"""Instance administration port on the operators' HTTP interface."""
+
+import asyncio
+import json
+from typing import TypeVar
+from urllib.parse import quote
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from chestnuthall.adapters.http import HttpRequest, HttpResponse, connect
+from chestnuthall.core.results import (
+    CALL_TIMED_OUT,
+    UPSTREAM_ERROR,
+    Failure,
+    failure_kind_of,
+)
+from chestnuthall.ports import InstanceStatus, QuarantineEntry
+
+Model = TypeVar("Model", bound=BaseModel)
+
+
+class _Model(BaseModel):
+    # A newer instance may say more than this tool knows.
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+
+class _StatusModel(_Model):
+    instance: str
+    zone: str
+    environment: str
+    ready: bool
+    leaving: bool
+    n_in_flight: int
+    configuration_revision: int
+    configuration_digest: str
+    configuration_since_wall_ms: float = 0.0
+    n_by_result: dict[str, int] = {}
+
+    def to_port(self) -> InstanceStatus:
+        return InstanceStatus(
+            name=self.instance,
+            zone=self.zone,
+            environment=self.environment,
+            is_ready=self.ready,
+            is_leaving=self.leaving,
+            n_in_flight=self.n_in_flight,
+            revision=self.configuration_revision,
+            digest=self.configuration_digest,
+            since_wall_ms=self.configuration_since_wall_ms,
+            n_by_result=tuple(sorted(self.n_by_result.items())),
+        )
+
+
+class _AnnouncedModel(_Model):
+    configuration_revision: int
+
+
+class _QuarantineModel(_Model):
+    fingerprint: str
+    replica_names: tuple[str, ...]
+    expires_in_ms: float
+    is_refused: bool
+
+
+class _QuarantinesModel(_Model):
+    quarantines: tuple[_QuarantineModel, ...]
+
+
+class _LiftedModel(_Model):
+    lifted: bool
+
+
+class _DrainedModel(_Model):
+    drained: bool
+
+
+class _FailureModel(_Model):
+    result_code: int
+    reason: str = ""
+
+
+class HttpInstanceAdmin:
+    """Asks instances by their address, with one connection per request."""
+
+    async def status(self, address: str, timeout_ms: float) -> InstanceStatus | Failure:
+        """Return the status of an instance."""
+        request = HttpRequest("GET", "/v1/admin/status")
+        read = await self._ask(address, request, _StatusModel, timeout_ms)
+        return read if isinstance(read, Failure) else read.to_port()
+
+    async def announce(
+        self, address: str, stored_text: str, timeout_ms: float
+    ) -> int | Failure:
+        """Offer an accepted configuration; return the revision then in force."""
+        request = _post("/v1/admin/configuration", stored_text)
+        read = await self._ask(address, request, _AnnouncedModel, timeout_ms)
+        return read if isinstance(read, Failure) else read.configuration_revision
+
+    async def drain(
+        self, address: str, upstream_name: str, timeout_ms: float
+    ) -> Failure | None:
+        """Drain an upstream, or the instance itself for an empty name."""
+        request = _post("/v1/admin/drain", json.dumps({"upstream": upstream_name}))
+        read = await self._ask(address, request, _DrainedModel, timeout_ms)
+        return read if isinstance(read, Failure) else None
+
+    async def quarantines(
+        self, address: str, timeout_ms: float
+    ) -> tuple[QuarantineEntry, ...] | Failure:
+        """Return the fingerprints that an instance suspects or refuses."""
+        request = HttpRequest("GET", "/v1/admin/quarantines")
+        read = await self._ask(address, request, _QuarantinesModel, timeout_ms)
+        if isinstance(read, Failure):
+            return read
+        return tuple(
+            QuarantineEntry(
+                x.fingerprint, x.replica_names, x.expires_in_ms, x.is_refused
+            )
+            for x in read.quarantines
+        )
+
+    async def lift_quarantine(
+        self, address: str, fingerprint: str, timeout_ms: float
+    ) -> bool | Failure:
+        """Forget a fingerprint; return whether the instance knew it."""
+        target = f"/v1/admin/quarantines?fingerprint={quote(fingerprint, safe='')}"
+        request = HttpRequest("DELETE", target)
+        read = await self._ask(address, request, _LiftedModel, timeout_ms)
+        return read if isinstance(read, Failure) else read.lifted
+
+    async def _ask(
+        self, address: str, request: HttpRequest, model: type[Model], timeout_ms: float
+    ) -> Model | Failure:
+        response = await _exchange(address, request, timeout_ms)
+        if isinstance(response, Failure):
+            return response
+        if response.status != 200:
+            return _failure_of(response)
+        try:
+            return model.model_validate_json(response.body)
+        except ValidationError:
+            return UPSTREAM_ERROR.because(f"{address} sent an invalid body")
+
+
+def _post(target: str, text: str) -> HttpRequest:
+    headers = {b"content-type": b"application/json"}
+    return HttpRequest("POST", target, headers, text.encode())
+
+
+def _failure_of(response: HttpResponse) -> Failure:
+    try:
+        model = _FailureModel.model_validate_json(response.body)
+    except ValidationError:
+        return UPSTREAM_ERROR.because(f"status {response.status}")
+    kind = failure_kind_of(model.result_code) or UPSTREAM_ERROR
+    return kind.because(model.reason)
+
+
+async def _exchange(
+    address: str, request: HttpRequest, timeout_ms: float
+) -> HttpResponse | Failure:
+    connection = await connect(address, timeout_ms)
+    if isinstance(connection, Failure):
+        return connection
+    try:
+        async with asyncio.timeout(timeout_ms / 1000.0):
+            return await connection.request(request)
+    except TimeoutError:
+        return CALL_TIMED_OUT.because(f"{address} did not answer in time")
+    finally:
+        connection.close()
--- /dev/null
+++ b/chestnuthall/core/burn/_counts.py
@@ -0,0 +1,103 @@
+"""Counts of requests per class, slot of time and cause, bounded in size."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Final
+
+from chestnuthall.core.burn._causes import Cause
+
+CAUSES: Final = tuple(Cause)
+# Classes beyond this number are counted together, so that the size is bounded.
+N_CLASSES_MAX: Final = 64
+OTHER_CLASSES: Final = "(other)"
+
+
+@dataclass(frozen=True, slots=True)
+class Resolution:
+    """Length of a slot, and how many slots are kept."""
+
+    slot_ms: int
+    n_slots: int
+
+
+# One more slot than the longest window of the resolution needs, because a
+# window begins inside a slot: 5 minutes, 6 hours and 3 days.
+RESOLUTIONS: Final = (
+    Resolution(60_000, 6),
+    Resolution(300_000, 73),
+    Resolution(3_600_000, 73),
+)
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class SlotKey:
+    """A class in one slot of time; ``index`` counts slots since the epoch."""
+
+    class_name: str
+    slot_ms: int
+    index: int
+
+
+@dataclass(frozen=True, slots=True)
+class Tally:
+    """Requests of a slot; ``n_bad`` is in the order of ``CAUSES``."""
+
+    n_requests: int = 0
+    n_bad: tuple[int, ...] = (0,) * len(CAUSES)
+
+    def plus(self, other: "Tally") -> "Tally":
+        """Return the sum of two tallies."""
+        n_bad = tuple(a + b for a, b in zip(self.n_bad, other.n_bad, strict=True))
+        return Tally(self.n_requests + other.n_requests, n_bad)
+
+    @property
+    def n_bad_total(self) -> int:
+        """Requests that were not good, whatever the cause."""
+        return sum(self.n_bad)
+
+
+@dataclass(frozen=True, slots=True)
+class BurnCounts:
+    """Tallies per class and slot of each resolution."""
+
+    tallies: dict[SlotKey, Tally] = field(default_factory=dict)
+
+    def plus(self, other: "BurnCounts") -> "BurnCounts":
+        """Return the sum of two counts, with old slots left out."""
+        tallies = dict(self.tallies)
+        for key, tally in other.tallies.items():
+            kept = self._within_class_bound(key, tallies)
+            tallies[kept] = tallies.get(kept, Tally()).plus(tally)
+        return BurnCounts(_without_old_slots(tallies))
+
+    def _within_class_bound(
+        self, key: SlotKey, tallies: dict[SlotKey, Tally]
+    ) -> SlotKey:
+        names = {item.class_name for item in tallies}
+        if key.class_name in names or len(names) < N_CLASSES_MAX:
+            return key
+        return SlotKey(OTHER_CLASSES, key.slot_ms, key.index)
+
+    def class_names(self) -> tuple[str, ...]:
+        """Return the classes that have counts."""
+        return tuple(sorted({key.class_name for key in self.tallies}))
+
+
+def _without_old_slots(tallies: dict[SlotKey, Tally]) -> dict[SlotKey, Tally]:
+    """Keep the newest slots of each resolution.
+
+    Slots are dropped by number, not by age, so that an instance with a wrong
+    clock cannot erase what the others counted.
+    """
+    kept: dict[SlotKey, Tally] = {}
+    for resolution in RESOLUTIONS:
+        indices = _newest(tallies, resolution)
+        for key, tally in tallies.items():
+            if key.slot_ms == resolution.slot_ms and key.index in indices:
+                kept[key] = tally
+    return kept
+
+
+def _newest(keys: Iterable[SlotKey], resolution: Resolution) -> set[int]:
+    indices = {key.index for key in keys if key.slot_ms == resolution.slot_ms}
+    return set(sorted(indices)[-resolution.n_slots :])
--- /dev/null
+++ b/chestnuthall/core/burn/tests/test_burn.py
@@ -0,0 +1,159 @@
+"""Guards the counts that burn rates are computed from, and the alarms."""
+
+import pytest
+
+from chestnuthall.core.burn import (
+    RESOLUTIONS,
+    BurnAccumulator,
+    BurnCounts,
+    BurnDelta,
+    BurnLedger,
+    Cause,
+    DeltaDecision,
+    add_delta,
+    burn_report,
+    cause_of,
+    counts_for_burn,
+    decide_delta,
+    note_attempt,
+)
+from chestnuthall.core.burn._ledger import N_WRITERS_MAX
+from chestnuthall.core.model import (
+    Account,
+    AdmissionAccount,
+    AdmissionRule,
+    CallerClass,
+    EnvironmentDocument,
+    FanOutAccount,
+    Objective,
+)
+from chestnuthall.core.results import ResultCode
+
+NOW_MS = 1_700_000_000_000.0
+HOUR_MS = 3_600_000.0
+
+
+def account(code, total_ms=100.0, queued_ms=0.0):
+    return Account(
+        request_id="r",
+        instance="entry-0",
+        zone="a",
+        class_name="clerk",
+        kind="search",
+        group="desk",
+        arrived_wall_ms=0.0,
+        admitted_wall_ms=queued_ms,
+        finished_wall_ms=total_ms,
+        deadline_in_ms=1000.0,
+        admission=AdmissionAccount(AdmissionRule.IMMEDIATE, queued_ms, 0),
+        fan_out=FanOutAccount(),
+        coverage_ratio=1.0,
+        snapshot_id=1,
+        configuration_revision=1,
+        result_code=int(code),
+    )
+
+
+CAUSES = [
+    (ResultCode.OK, 200.0, 0.0, None),
+    (ResultCode.OK_PARTIAL, 200.0, 0.0, None),
+    (ResultCode.OK, 201.0, 100.5, Cause.QUEUE),
+    (ResultCode.OK, 201.0, 100.0, Cause.STRAGGLER),
+    (ResultCode.QUEUE_FULL, 1.0, 0.0, Cause.SHED),
+    (ResultCode.DEADLINE_PASSED, 1.0, 0.0, Cause.QUEUE),
+    (ResultCode.COVERAGE_BELOW_FLOOR, 1.0, 0.0, Cause.COVERAGE),
+    (ResultCode.CLAIM_UNSETTLED, 1.0, 0.0, Cause.STORE),
+    (ResultCode.INTERNAL_ERROR, 1.0, 0.0, Cause.OTHER),
+]
+
+
+@pytest.mark.parametrize(("code", "total_ms", "queued_ms", "cause"), CAUSES)
+def test_cause(code, total_ms, queued_ms, cause):
+    """Guards against budget charged to the wrong part of the system."""
+    found = cause_of(account(code, total_ms, queued_ms), Objective(200.0, 0.99))
+    assert found is cause
+    assert counts_for_burn(code)
+
+
+@pytest.mark.parametrize(
+    "code", [ResultCode.INVALID_REQUEST, ResultCode.QUARANTINED, ResultCode.KEY_EXPIRED]
+)
+def test_fault_of_the_request_uses_no_budget(code):
+    assert not counts_for_burn(code)
+
+
+def counts_at(wall_ms, n_good, n_bad):
+    pending = BurnAccumulator()
+    for cause in [None] * n_good + [Cause.QUEUE] * n_bad:
+        pending.add("clerk", cause, wall_ms)
+    return pending.take()
+
+
+# (case, age of the requests, good, bad, rates of 5m 1h 6h 3d, fast, slow)
+RATES = [
+    ("all good", 0.0, 100, 0, [0.0, 0.0, 0.0, 0.0], False, False),
+    ("fast", 0.0, 80, 20, [20.0, 20.0, 20.0, 20.0], True, True),
+    ("slow only", 0.0, 95, 5, [5.0, 5.0, 5.0, 5.0], False, True),
+    ("over for an hour", 1.2 * HOUR_MS, 80, 20, [0.0, 0.0, 20.0, 20.0], False, True),
+    ("over for a day", 24 * HOUR_MS, 80, 20, [0.0, 0.0, 0.0, 20.0], False, False),
+    ("too old", 74 * HOUR_MS, 80, 20, [0.0, 0.0, 0.0, 0.0], False, False),
+    ("a clock ahead", -2 * HOUR_MS, 80, 20, [0.0, 0.0, 0.0, 0.0], False, False),
+    ("too few for an alarm", 0.0, 10, 9, [47.368] * 4, False, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("age_ms", "n_good", "n_bad", "rates", "is_fast", "is_slow"),
+    [case[1:] for case in RATES],
+    ids=[case[0] for case in RATES],
+)
+def test_rates_and_alarms(age_ms, n_good, n_bad, rates, is_fast, is_slow):
+    """Guards against an alarm that is missed, or that outlives its cause."""
+    document = EnvironmentDocument(
+        classes=(
+            CallerClass(
+                name="clerk",
+                share=1.0,
+                urgency=0,
+                coverage_floor_ratio=0.0,
+                deadline_ms=1000.0,
+                objective=Objective(200.0, 0.99),
+            ),
+        ),
+        groups=(),
+    )
+    counts = counts_at(NOW_MS - age_ms, n_good, n_bad)
+    burn = burn_report("trial", 1, document, counts, NOW_MS).classes[0]
+    assert [item.rate for item in burn.windows] == pytest.approx(rates, abs=0.001)
+    assert (burn.is_fast, burn.is_slow) == (is_fast, is_slow)
+
+
+def test_counts_are_bounded_and_a_wrong_clock_erases_little():
+    """Guards against objects that outgrow the store, and against lost counts."""
+    pending = BurnAccumulator()
+    for minute in range(5 * 24 * 60):
+        pending.add("clerk", None, NOW_MS + minute * 60_000.0)
+    counts = BurnCounts().plus(pending.take())
+    n_slots_max = sum(item.n_slots for item in RESOLUTIONS)
+    assert len(counts.tallies) == n_slots_max
+    counts = counts.plus(counts_at(NOW_MS + 1e11, 1, 0))
+    assert len(counts.tallies) == n_slots_max
+    for number in range(200):
+        pending.add(f"class-{number}", None, NOW_MS)
+    assert len(counts.plus(pending.take()).class_names()) <= 65
+
+
+def test_change_is_added_once_or_given_up():
+    """Guards against a change counted twice after its mark was forgotten."""
+    delta = BurnDelta("me", 1, counts_at(NOW_MS, 1, 0))
+    assert decide_delta(BurnLedger(), delta) is DeltaDecision.ADD
+    tried = note_attempt(BurnLedger(), delta)
+    ledger = add_delta(BurnLedger(), tried)
+    assert decide_delta(ledger, tried) is DeltaDecision.COUNTED_ALREADY
+    later = BurnDelta("me", 2, delta.counts)
+    assert decide_delta(ledger, later) is DeltaDecision.ADD
+    for number in range(N_WRITERS_MAX):
+        ledger = add_delta(ledger, BurnDelta(f"w{number}", 1, BurnCounts()))
+    assert "me" not in ledger.writers
+    assert decide_delta(ledger, tried) is DeltaDecision.CANNOT_TELL
+    assert decide_delta(ledger, later) is DeltaDecision.ADD
--- a/chestnuthall/daemon/_instance.py
+++ b/chestnuthall/daemon/_instance.py
@@ -3,10 +3,16 @@
 import asyncio
 import logging
 from random import Random
+from secrets import token_hex
 
-from chestnuthall.adapters.callers import CallerFrontend, respond_to_http_error
+from chestnuthall.adapters.callers import (
+    AdminRoutes,
+    CallerFrontend,
+    respond_to_http_error,
+)
 from chestnuthall.adapters.clock import LoopClock
 from chestnuthall.adapters.documents import (
+    JsonBurnCodec,
     JsonPartitionCodec,
     read_configuration,
     read_instance,
@@ -24,6 +30,7 @@
 from chestnuthall.core.results import Failure
 from chestnuthall.ports import MemberUpdate, Metrics
 from chestnuthall.services import (
+    BurnRecorder,
     ClaimLedger,
     ConfigurationKeeper,
     Directory,
@@ -78,15 +85,30 @@
             _read_entry_instance,
             random,
         )
+        metrics = _metrics(settings)
+        quarantine = QuarantineRegister(QuarantineSettings())
+        self.burn = BurnRecorder(
+            # Each run of the process numbers its changes from 1.
+            writer=f"{settings.name}.{token_hex(4)}",
+            environment=settings.environment,
+            store=store,
+            clock=clock,
+            metrics=metrics,
+            codec=JsonBurnCodec(),
+            configuration=self.configuration,
+            count_instances=lambda: self.membership.n_instances,
+            random=random,
+        )
         self.query = QueryService(
             identity=identity,
             clock=clock,
-            metrics=_metrics(settings),
+            metrics=metrics,
             caller=self.caller,
             directory=self.directory,
             configuration=self.configuration,
             ledger=ClaimLedger(store, clock, JsonPartitionCodec(), LedgerSettings()),
-            quarantine=QuarantineRegister(QuarantineSettings()),
+            quarantine=quarantine,
+            record_outcome=self.burn.record,
         )
         self.configuration.on_change(self._divide_connections)
         self.frontend = CallerFrontend(
@@ -96,6 +118,12 @@
             clock=clock,
             is_ready=self.is_ready,
             read_status=self.read_status,
+            admin_routes=AdminRoutes(
+                quarantine=quarantine,
+                clock=clock,
+                drain_upstream=self.directory.drain,
+                announce_leave=self.lifecycle.announce_leave,
+            ).table,
         )
         self.http_server = HttpServer(
             self.frontend.handle, _server_limits(settings), respond_to_http_error
@@ -118,6 +146,8 @@
             "n_in_flight": self.lifecycle.n_in_flight,
             "configuration_revision": self.configuration.revision,
             "configuration_digest": "" if in_force is None else in_force.digest,
+            "configuration_since_wall_ms": self.burn.since_wall_ms,
+            "n_by_result": self.burn.n_by_result,
             "peers": [member.name for member in self.membership.members()],
         }
 
@@ -139,6 +169,7 @@
             loop.create_task(self.configuration.run()),
             loop.create_task(self.directory.run()),
             loop.create_task(self.membership.run()),
+            loop.create_task(self.burn.run()),
         ]
         _log.info("instance started", extra={"zone": self.settings.zone})
 
@@ -148,6 +179,7 @@
         await self.lifecycle.wait_leave()
         _log.info("instance is leaving")
         await self.lifecycle.drain(self.http_server.stop_listening)
+        await self.burn.flush()
         await self.close()
         _log.info("instance stopped")
 
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -1,6 +1,7 @@
 """Use cases of an entry instance, which join the decisions to the ports."""
 
 from chestnuthall.services._admission import Admission, Admitted, NotAdmitted
+from chestnuthall.services._burn import BurnCodec, BurnRecorder, read_burn
 from chestnuthall.services._claims import ClaimLedger, PartitionCodec
 from chestnuthall.services._configuration import (
     ConfigurationKeeper,
@@ -23,6 +24,8 @@
     "Accepted",
     "Admission",
     "Admitted",
+    "BurnCodec",
+    "BurnRecorder",
     "ClaimLedger",
     "ConfigurationKeeper",
     "ConfigurationReader",
@@ -42,4 +45,5 @@
     "RaceLost",
     "RevisionBook",
     "Seen",
+    "read_burn",
 ]
--- a/chestnuthall/services/_directory.py
+++ b/chestnuthall/services/_directory.py
@@ -57,6 +57,19 @@
         """Return the router of a group that was added."""
         return self._routers[group_name]
 
+    def drain(self, replica_name: str) -> bool:
+        """Send no new calls to a replica for a while; return whether it is known."""
+        known = [
+            catalog.group
+            for catalog in self._catalogs.values()
+            if _names_replica(catalog, replica_name)
+        ]
+        for group_name in known:
+            if group_name in self._routers:
+                router = self._routers[group_name]
+                router.drain(replica_name, self._clock.now_ms())
+        return bool(known)
+
     def has_maps(self) -> bool:
         """Return whether every group that was added has a map."""
         return all(self._catalogs[name].newest_id is not None for name in self._routers)
@@ -161,3 +174,12 @@
             _log.error("invalid partition map", extra={"reason": partition_map.reason})
             return
         self.add_map(partition_map)
+
+
+def _names_replica(catalog: SnapshotCatalog, replica_name: str) -> bool:
+    return any(
+        replica.name == replica_name
+        for partition_map in catalog.maps()
+        for shard in partition_map.shards
+        for replica in shard.replicas
+    )
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import TypeAlias
@@ -107,7 +108,9 @@
         configuration: ConfigurationKeeper,
         ledger: ClaimLedger,
         quarantine: QuarantineRegister,
+        record_outcome: Callable[[Outcome], None] | None = None,
     ) -> None:
+        self._record_outcome = record_outcome
         self._identity = identity
         self._clock = clock
         self._metrics = metrics
@@ -161,6 +164,8 @@
         self._metrics.count(f"requests.{kind_of(request)}.{code.name.lower()}")
         duration_ms = self._clock.now_ms() - request.arrived_ms
         self._metrics.timing(f"request_ms.{kind_of(request)}", duration_ms)
+        if self._record_outcome is not None:
+            self._record_outcome(outcome)
         return outcome
 
     async def _serve(self, progress: _Progress) -> Outcome:
