Explain one account, and the order of two, in plain sentences

Cause: an account states facts, but a caller or operator still had to work out which rule decided an order and whether the document allows it.

Ruled out: judging by each query's admission rule alone. The later account lists what went ahead and by which rule, and the standings at the first admission decide whether the order was right.

No request id or query is named.

--- a/chestnuthall/adapters/documents/__init__.py
+++ b/chestnuthall/adapters/documents/__init__.py
@@ -1,5 +1,6 @@
 """Texts that operators and the platform store, checked by models."""
 
+from chestnuthall.adapters.documents._accounts import read_account
 from chestnuthall.adapters.documents._burn import JsonBurnCodec
 from chestnuthall.adapters.documents._configuration import (
     ConfigurationModel,
@@ -38,6 +39,7 @@
     "encode_configuration",
     "encode_instance",
     "encode_partition_map",
+    "read_account",
     "read_configuration",
     "read_environment",
     "read_instance",
--- /dev/null
+++ b/chestnuthall/core/accounts/_order.py
@@ -0,0 +1,94 @@
+"""Which of two queries the document puts first."""
+
+from dataclasses import dataclass
+
+from chestnuthall.core.model import (
+    Account,
+    AdmissionRule,
+    ClassStanding,
+    EnvironmentDocument,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class ExpectedOrder:
+    """What the document says; ``a_first`` is None where nothing decides."""
+
+    a_first: bool | None
+    rule: AdmissionRule
+    because: str
+
+
+def deadline_wall_ms(account: Account) -> float:
+    """Return the deadline of a request on the wall clock of its instance."""
+    return account.arrived_wall_ms + account.deadline_in_ms
+
+
+def standing_in(account: Account, class_name: str) -> ClassStanding | None:
+    """Return the standing of a class when the account's query was decided."""
+    found = (x for x in account.admission.standings if x.class_name == class_name)
+    return next(found, None)
+
+
+def expected_order(
+    a: Account, b: Account, at_decision: Account, document: EnvironmentDocument
+) -> ExpectedOrder:
+    """Return the order by the document, with the standings at a decision."""
+    if a.class_name == b.class_name:
+        return _by_deadline(a, b, "within a class, the earlier deadline goes first")
+    standing_a = standing_in(at_decision, a.class_name)
+    standing_b = standing_in(at_decision, b.class_name)
+    if standing_a is None or standing_b is None:
+        because = "the account does not show the standing of both classes"
+        return ExpectedOrder(None, at_decision.admission.rule, because)
+    if standing_a.is_within_share and standing_b.is_within_share:
+        return _by_urgency(a, b, document)
+    if standing_a.is_within_share != standing_b.is_within_share:
+        within = a if standing_a.is_within_share else b
+        because = (
+            f"class {within.class_name} was within its share and the other was not"
+        )
+        rule = AdmissionRule.URGENCY_WITHIN_SHARE
+        return ExpectedOrder(within is a, rule, because)
+    return _by_service(standing_a, standing_b)
+
+
+def _by_deadline(a: Account, b: Account, because: str) -> ExpectedOrder:
+    rule = AdmissionRule.DEADLINE_WITHIN_SHARE
+    difference_ms = deadline_wall_ms(a) - deadline_wall_ms(b)
+    if difference_ms == 0.0:
+        return ExpectedOrder(None, rule, "the two deadlines are equal")
+    return ExpectedOrder(difference_ms < 0.0, rule, because)
+
+
+def _by_urgency(a: Account, b: Account, document: EnvironmentDocument) -> ExpectedOrder:
+    class_a = document.class_named(a.class_name)
+    class_b = document.class_named(b.class_name)
+    rule = AdmissionRule.URGENCY_WITHIN_SHARE
+    if class_a is None or class_b is None:
+        because = "the document no longer has both classes"
+        return ExpectedOrder(None, rule, because)
+    if class_a.urgency == class_b.urgency:
+        because = (
+            "both classes were within their share and have equal urgency, so the"
+            " earlier deadline goes first"
+        )
+        return _by_deadline(a, b, because)
+    because = (
+        "both classes were within their share, so the more urgent one goes first:"
+        f" {a.class_name} has urgency {class_a.urgency},"
+        f" {b.class_name} has {class_b.urgency}"
+    )
+    return ExpectedOrder(class_a.urgency > class_b.urgency, rule, because)
+
+
+def _by_service(a: ClassStanding, b: ClassStanding) -> ExpectedOrder:
+    rule = AdmissionRule.LEAST_NORMALISED_SERVICE
+    because = (
+        "neither class was within its share, so the one with the least service over"
+        f" share goes first: {a.class_name} had {a.normalised_service:.1f},"
+        f" {b.class_name} had {b.normalised_service:.1f}"
+    )
+    if a.normalised_service == b.normalised_service:
+        return ExpectedOrder(None, rule, because)
+    return ExpectedOrder(a.normalised_service < b.normalised_service, rule, because)
