Add the operators' tool for documents, instances, burn and accounts

Cause: operators had no tool; documents went into the store by hand, without a check, a history or a rule for promotion.

Ruled out: reporting a race by status alone. The loser needs the winner's name and the differing fields to decide what to do.

`python -m chestnuthall.standins.fleet` runs a local fleet to try it on.

Conclusion: a document goes from check to production by the tool alone.

--- a/chestnuthall/adapters/instances/_client.py
+++ b/chestnuthall/adapters/instances/_client.py
@@ -74,6 +74,10 @@
     drained: bool
 
 
+class _HealthModel(_Model):
+    draining: bool = False
+
+
 class _FailureModel(_Model):
     result_code: int
     reason: str = ""
@@ -88,6 +92,20 @@
         read = await self._ask(address, request, _StatusModel, timeout_ms)
         return read if isinstance(read, Failure) else read.to_port()
 
+    async def upstream_state(self, address: str, timeout_ms: float) -> str | Failure:
+        """Return ready, draining or unwell, as an upstream itself says."""
+        request = HttpRequest("GET", "/v1/health")
+        response = await _exchange(address, request, timeout_ms)
+        if isinstance(response, Failure):
+            return response
+        try:
+            model = _HealthModel.model_validate_json(response.body)
+        except ValidationError:
+            return UPSTREAM_ERROR.because(f"{address} sent an invalid body")
+        if model.draining:
+            return "draining"
+        return "ready" if response.status == 200 else "unwell"
+
     async def announce(
         self, address: str, stored_text: str, timeout_ms: float
     ) -> int | Failure:
--- a/chestnuthall/adapters/settings/__init__.py
+++ b/chestnuthall/adapters/settings/__init__.py
@@ -6,5 +6,13 @@
     StatsdSettings,
     read_settings,
 )
+from chestnuthall.adapters.settings._profile import ToolProfile, read_profile
 
-__all__ = ["InstanceSettings", "LimitSettings", "StatsdSettings", "read_settings"]
+__all__ = [
+    "InstanceSettings",
+    "LimitSettings",
+    "StatsdSettings",
+    "ToolProfile",
+    "read_profile",
+    "read_settings",
+]
--- /dev/null
+++ b/chestnuthall/cli/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the tool as ``python -m chestnuthall.cli``."""
+
+from chestnuthall.cli import main
+
+main()
--- /dev/null
+++ b/chestnuthall/cli/_document_commands.py
@@ -0,0 +1,338 @@
+"""Commands on environment documents."""
+
+import asyncio
+from collections.abc import Coroutine
+from dataclasses import asdict
+from pathlib import Path
+from typing import Annotated, Any
+
+from cyclopts import App, Parameter
+
+from chestnuthall.adapters.commentedjson import describe_problems
+from chestnuthall.adapters.documents import (
+    check_environment,
+    digest_of,
+    read_environment,
+)
+from chestnuthall.cli._commands import add_command
+from chestnuthall.cli._exits import ExitCode
+from chestnuthall.cli._output import Output, shown_time
+from chestnuthall.cli._promotion import promote, show_evidence
+from chestnuthall.cli._publishing import report_outcome
+from chestnuthall.cli._session import (
+    Common,
+    Session,
+    UsageError,
+    open_session,
+    read_file,
+)
+from chestnuthall.core.configuration import InForce, RevisionRecord, differences
+from chestnuthall.core.model import EnvironmentDocument
+from chestnuthall.core.results import Failure
+
+Reason = Annotated[str, Parameter(help="Why; the history shows it.")]
+Environment = Annotated[
+    str | None, Parameter(name="--env", help="Environment; trial by default.")
+]
+COMMON = Common()
+
+
+def register(app: App) -> None:
+    """Add the commands to the command line."""
+    for command in (check, diff, trial, evidence, history, show):
+        add_command(app, command)
+    add_command(app, promote_command, "promote")
+
+
+def run(command: Coroutine[Any, Any, ExitCode]) -> ExitCode:
+    """Run a command on an event loop of its own."""
+    return asyncio.run(command)
+
+
+def _checked(path: Path, output: Output) -> tuple[str, EnvironmentDocument] | ExitCode:
+    text = read_file(path)
+    checked = check_environment(text, str(path))
+    if isinstance(checked, EnvironmentDocument):
+        return text, checked
+    problems = [asdict(problem) for problem in checked]
+    return output.fail(ExitCode.INVALID, describe_problems(checked), problems=problems)
+
+
+def check(file: Path, *, common: Common = COMMON) -> ExitCode:
+    """Check a document without touching the store.
+
+    Each error names the file, line, column, path, the rule and what would be
+    right; all errors are shown at once.
+
+    Examples
+    --------
+        chestnuthall check environment.jsonc
+
+    Parameters
+    ----------
+    file
+        Environment document, JSON with comments.
+    """
+    output = Output(common.json)
+    checked = _checked(file, output)
+    if isinstance(checked, ExitCode):
+        return checked
+    text, document = checked
+    output.data({"digest": digest_of(text), "problems": []})
+    output.say(
+        f"{file} is valid: {len(document.classes)} classes,"
+        f" {len(document.groups)} groups, digest {digest_of(text)[:12]}"
+    )
+    return ExitCode.OK
+
+
+def diff(file: Path, *, env: Environment = None, common: Common = COMMON) -> ExitCode:
+    """Show what a document would change against the one in force.
+
+    Examples
+    --------
+        chestnuthall diff environment.jsonc
+        chestnuthall diff environment.jsonc --env production
+
+    Parameters
+    ----------
+    file
+        Environment document, JSON with comments.
+    """
+    session = open_session(common)
+    checked = _checked(file, session.output)
+    if isinstance(checked, ExitCode):
+        return checked
+    return run(_diff(session, env or session.profile.trial_environment, *checked))
+
+
+async def _diff(
+    session: Session, environment: str, text: str, document: EnvironmentDocument
+) -> ExitCode:
+    output = session.output
+    in_force = await session.book.in_force(environment)
+    if isinstance(in_force, Failure):
+        return output.fail_with(in_force)
+    old = None if in_force is None else read_environment(in_force.record.text)
+    if isinstance(old, Failure):
+        return output.fail_with(old)
+    revision = 0 if in_force is None else in_force.record.revision
+    same_bytes = in_force is not None and in_force.record.digest == digest_of(text)
+    found = differences(old, document)
+    output.data(
+        {
+            "environment": environment,
+            "revision": revision,
+            "same_bytes": same_bytes,
+            "differences": [asdict(item) for item in found],
+        }
+    )
+    if not found:
+        what = "the same bytes" if same_bytes else "only comments and layout differ"
+        output.say(f"no change against {environment} revision {revision}: {what}")
+        return ExitCode.OK
+    rows = [(x.path, x.old or "(none)", x.new or "(none)") for x in found]
+    title = f"changes against {environment} revision {revision}"
+    output.table(title, ("field", "in force", "new"), rows)
+    output.say(f"to apply only if this stays so: --expect-revision {revision}")
+    return ExitCode.OK
+
+
+def trial(
+    file: Path,
+    *,
+    reason: Reason,
+    expect_revision: int | None = None,
+    common: Common = COMMON,
+) -> ExitCode:
+    """Put a document in force in trial.
+
+    The write is conditional on the revision that was read; if another operator
+    was first, nothing changes and you are told who won and what differs.
+
+    Examples
+    --------
+        chestnuthall trial environment.jsonc --reason "more for the crews"
+        chestnuthall trial environment.jsonc --reason "as agreed" --expect-revision 7
+
+    Parameters
+    ----------
+    file
+        Environment document, JSON with comments.
+    expect_revision
+        Refuse unless this revision is in force; `diff` shows it.
+    """
+    session = open_session(common)
+    checked = _checked(file, session.output)
+    if isinstance(checked, ExitCode):
+        return checked
+    return run(_trial(session, checked[0], _given(reason), expect_revision))
+
+
+def _given(reason: str) -> str:
+    if not reason.strip():
+        raise UsageError("the reason is empty; say why, for the history")
+    return reason.strip()
+
+
+async def _trial(
+    session: Session, text: str, reason: str, expect_revision: int | None
+) -> ExitCode:
+    environment = session.profile.trial_environment
+    base = await session.book.in_force(environment)
+    if isinstance(base, Failure):
+        return session.output.fail_with(base)
+    if _is_same(base, text) and expect_revision is None:
+        return _already_in_force(session, base)
+    draft = session.publication.draft(
+        environment, text, digest_of(text), session.profile.operator, reason
+    )
+    with session.output.progress("writing to the store"):
+        outcome = await session.publication.publish(draft, base, expect_revision)
+    return await report_outcome(session, outcome)
+
+
+def _is_same(base: InForce | None, text: str) -> bool:
+    return base is not None and base.record.digest == digest_of(text)
+
+
+def _already_in_force(session: Session, base: InForce | None) -> ExitCode:
+    assert base is not None
+    record = base.record
+    session.output.data({"accepted": False, "revision": record.revision})
+    session.output.say(
+        f"{record.environment} has exactly this document in force already, as"
+        f" revision {record.revision} by {record.author}"
+    )
+    return ExitCode.OK
+
+
+def evidence(*, common: Common = COMMON) -> ExitCode:
+    """Show what trial proves about its document: instances, burn, refusals.
+
+    Examples
+    --------
+        chestnuthall evidence
+        chestnuthall evidence --json
+    """
+    session = open_session(common)
+    return run(show_evidence(session))
+
+
+def promote_command(
+    *,
+    reason: Reason,
+    file: Path | None = None,
+    override: str = "",
+    common: Common = COMMON,
+) -> ExitCode:
+    """Promote the document in force in trial, byte by byte, to production.
+
+    Refused while trial does not prove the document, unless you give a reason
+    to override that, which the history records.
+
+    Examples
+    --------
+        chestnuthall promote --reason "proven over the weekend"
+        chestnuthall promote --reason "closure" --override "trial has no traffic"
+
+    Parameters
+    ----------
+    file
+        Refuse unless trial has exactly the bytes of this file.
+    override
+        Reason to promote without proof.
+    """
+    session = open_session(common)
+    wanted_digest = "" if file is None else digest_of(read_file(file))
+    return run(promote(session, _given(reason), wanted_digest, override))
+
+
+def history(
+    *, env: Environment = None, last: int = 20, common: Common = COMMON
+) -> ExitCode:
+    """Show the revisions of an environment: who, when and why.
+
+    Examples
+    --------
+        chestnuthall history
+        chestnuthall history --env production --last 5
+
+    Parameters
+    ----------
+    last
+        Number of revisions to show.
+    """
+    session = open_session(common)
+    return run(_history(session, env or session.profile.trial_environment, last))
+
+
+async def _history(session: Session, environment: str, last: int) -> ExitCode:
+    found = await session.book.history(environment)
+    if isinstance(found, Failure):
+        return session.output.fail_with(found)
+    records = found.records[-max(1, last) :]
+    session.output.data([_without_text(record) for record in records])
+    rows = [
+        (
+            record.revision,
+            shown_time(record.accepted_wall_ms),
+            record.author or "-",
+            record.digest[:12],
+            _shown_reason(record),
+        )
+        for record in records
+    ]
+    title = f"history of {environment}"
+    session.output.table(title, ("revision", "accepted", "by", "digest", "why"), rows)
+    return ExitCode.OK
+
+
+def _without_text(record: RevisionRecord) -> dict[str, object]:
+    return {name: value for name, value in asdict(record).items() if name != "text"}
+
+
+def _shown_reason(record: RevisionRecord) -> str:
+    parts = [record.reason or "-"]
+    if record.source_environment:
+        source = f"{record.source_environment} revision {record.source_revision}"
+        parts.append(f"promoted from {source}: {record.evidence}")
+    if record.override_reason:
+        parts.append(f"without proof: {record.override_reason}")
+    return "; ".join(parts)
+
+
+def show(
+    *, env: Environment = None, revision: int | None = None, common: Common = COMMON
+) -> ExitCode:
+    """Print a document as it was accepted, by default the one in force.
+
+    Examples
+    --------
+        chestnuthall show --env production > environment.jsonc
+        chestnuthall show --revision 7
+
+    Parameters
+    ----------
+    revision
+        Revision to print; the oldest ones are kept without their text.
+    """
+    session = open_session(common)
+    environment = env or session.profile.trial_environment
+    return run(_show(session, environment, revision))
+
+
+async def _show(session: Session, environment: str, revision: int | None) -> ExitCode:
+    output = session.output
+    found = await session.book.history(environment)
+    if isinstance(found, Failure):
+        return output.fail_with(found)
+    record = found.of_revision(found.last_revision if revision is None else revision)
+    if record is None or not record.text:
+        return output.fail(
+            ExitCode.NOT_FOUND, f"{environment} has no text of that revision"
+        )
+    output.data(asdict(record))
+    if not output.is_json:
+        print(record.text, end="")
+    return ExitCode.OK
--- /dev/null
+++ b/chestnuthall/cli/_session.py
@@ -0,0 +1,162 @@
+"""Options common to all commands, and the services that they work with."""
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+from secrets import token_hex
+from typing import Annotated, Any
+
+from cyclopts import Parameter
+
+from chestnuthall.adapters.clock import LoopClock
+from chestnuthall.adapters.documents import (
+    JsonBurnCodec,
+    JsonRevisionCodec,
+    read_environment,
+    read_instance,
+    read_partition_map,
+)
+from chestnuthall.adapters.instances import HttpInstanceAdmin
+from chestnuthall.adapters.objectapi import HttpObjectStore
+from chestnuthall.adapters.settings import ToolProfile, read_profile
+from chestnuthall.cli._exits import ExitCode
+from chestnuthall.cli._output import Output
+from chestnuthall.core.burn import BurnReport, burn_report
+from chestnuthall.core.configuration import PromotionPolicy, RevisionRecord
+from chestnuthall.core.results import Failure
+from chestnuthall.ports import ListedInstance
+from chestnuthall.services import FleetView, Publication, RevisionBook, read_burn
+
+PROFILE_VARIABLE = "CHESTNUTHALL_PROFILE"
+PROFILE_DEFAULT = Path("chestnuthall.jsonc")
+
+
+class UsageError(Exception):
+    """A mistake of the user; the message says what to do."""
+
+    def __init__(self, message: str, code: ExitCode = ExitCode.USAGE) -> None:
+        super().__init__(message)
+        self.code = code
+
+
+@Parameter(name="*")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Common:
+    """Options of every command."""
+
+    profile: Annotated[Path | None, Parameter(help="Profile file.")] = None
+    "Profile file. Default: $CHESTNUTHALL_PROFILE, then ./chestnuthall.jsonc."
+    store: str | None = None
+    "Address of the object API; goes before the profile."
+    operator: str | None = None
+    "Your name for the history; goes before the profile."
+    json: Annotated[bool, Parameter(negative="")] = False
+    "Print JSON for scripts in place of tables."
+
+
+@dataclass(frozen=True, slots=True)
+class Session:
+    """The services of one run of the tool."""
+
+    profile: ToolProfile
+    output: Output
+    store: HttpObjectStore
+    fleet: FleetView
+    book: RevisionBook
+    publication: Publication
+    clock: LoopClock
+
+    @property
+    def policy(self) -> PromotionPolicy:
+        """What trial has to show before a promotion."""
+        return PromotionPolicy(
+            in_force_min_ms=self.profile.trial_min_ms,
+            n_requests_min=self.profile.n_trial_requests_min,
+        )
+
+    async def burn(self, record: RevisionRecord) -> BurnReport | Failure:
+        """Return the burn of an environment under its document in force."""
+        counts = await read_burn(self.store, JsonBurnCodec(), record.environment)
+        if isinstance(counts, Failure):
+            return counts
+        document = read_environment(record.text)
+        if isinstance(document, Failure):
+            return document
+        now_ms = self.clock.wall_ms()
+        return burn_report(
+            record.environment, record.revision, document, counts, now_ms
+        )
+
+
+def read_file(path: Path) -> str:
+    """Return the text of a file, without any change to its line ends."""
+    try:
+        return path.read_bytes().decode("utf-8")
+    except OSError as error:
+        raise UsageError(f"cannot read {path}: {error.strerror}") from None
+    except UnicodeDecodeError as error:
+        reason = f"{path}: byte {error.start} is not UTF-8; save the file as UTF-8"
+        raise UsageError(reason, ExitCode.INVALID) from None
+
+
+def _profile_path(common: Common) -> Path | None:
+    if common.profile is not None:
+        return common.profile
+    if PROFILE_VARIABLE in os.environ:
+        return Path(os.environ[PROFILE_VARIABLE])
+    return PROFILE_DEFAULT if PROFILE_DEFAULT.exists() else None
+
+
+def _profile(common: Common) -> ToolProfile:
+    changes: dict[str, Any] = {}
+    if common.store is not None:
+        changes["store_address"] = common.store
+    if common.operator is not None:
+        changes["operator"] = common.operator
+    path = _profile_path(common)
+    if path is not None:
+        profile = read_profile(read_file(path), str(path))
+        if isinstance(profile, Failure):
+            raise UsageError(profile.reason, ExitCode.INVALID)
+        return _with_options(profile.model_dump(exclude_none=True), changes)
+    if len(changes) < 2:
+        raise UsageError(
+            "no profile found; give --profile FILE, or both --store ADDRESS"
+            " and --operator NAME"
+        )
+    return _with_options({}, changes)
+
+
+def _with_options(values: dict[str, Any], changes: dict[str, Any]) -> ToolProfile:
+    values.pop("schema_address", None)
+    try:
+        return ToolProfile.model_validate({**values, **changes})
+    except ValueError:
+        shown = ", ".join(f"{name}={value!r}" for name, value in changes.items())
+        raise UsageError(
+            f"invalid option: {shown}; write the store as IP:PORT and the operator"
+            " as a name of at most 64 characters"
+        ) from None
+
+
+def _read_listed(text: str) -> ListedInstance | Failure:
+    model = read_instance(text)
+    if isinstance(model, Failure):
+        return model
+    return ListedInstance(
+        model.name, model.role, model.zone, model.address, model.state
+    )
+
+
+def open_session(common: Common) -> Session:
+    """Return the services that the options name."""
+    profile = _profile(common)
+    store = HttpObjectStore(profile.store_address)
+    clock = LoopClock()
+    fleet = FleetView(
+        store, HttpInstanceAdmin(), clock, _read_listed, read_partition_map
+    )
+    book = RevisionBook(store, clock, JsonRevisionCodec(), read_environment)
+    publication = Publication(book, fleet, lambda: token_hex(8))
+    output = Output(common.json)
+    return Session(profile, output, store, fleet, book, publication, clock)
--- a/chestnuthall/cli/tests/test_publication.py
+++ b/chestnuthall/cli/tests/test_publication.py
@@ -9,6 +9,7 @@
     JsonRevisionCodec,
     digest_of,
     read_environment,
+    read_partition_map,
 )
 from chestnuthall.cli.tests.fakes import (
     RecordingAdmin,
@@ -50,7 +51,9 @@
         self.book = RevisionBook(
             self.store, self.clock, JsonRevisionCodec(), read_environment
         )
-        fleet = FleetView(self.store, self.admin, self.clock, _read_listed)
+        fleet = FleetView(
+            self.store, self.admin, self.clock, _read_listed, read_partition_map
+        )
         self.fleet = fleet
         tokens = iter(f"token-{n}" for n in range(100))
         self.publication = Publication(self.book, fleet, lambda: next(tokens))
--- a/chestnuthall/ports/_operators.py
+++ b/chestnuthall/ports/_operators.py
@@ -55,6 +55,10 @@
         """Return the status of an instance."""
         ...
 
+    async def upstream_state(self, address: str, timeout_ms: float) -> str | Failure:
+        """Return ready, draining or unwell, as an upstream itself says."""
+        ...
+
     async def announce(
         self, address: str, stored_text: str, timeout_ms: float
     ) -> int | Failure:
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -8,7 +8,7 @@
     ConfigurationReader,
 )
 from chestnuthall.services._directory import Directory, PartitionMapReader
-from chestnuthall.services._fleet_view import FleetView, Seen
+from chestnuthall.services._fleet_view import FleetView, Seen, SeenUpstream
 from chestnuthall.services._lifecycle import Lifecycle
 from chestnuthall.services._membership import (
     DigestPart,
@@ -45,5 +45,6 @@
     "RaceLost",
     "RevisionBook",
     "Seen",
+    "SeenUpstream",
     "read_burn",
 ]
--- a/chestnuthall/services/_fleet_view.py
+++ b/chestnuthall/services/_fleet_view.py
@@ -9,6 +9,7 @@
     RevisionRecord,
     TrialEvidence,
 )
+from chestnuthall.core.model import PartitionMap, Replica
 from chestnuthall.core.results import NOT_FOUND, Failure
 from chestnuthall.ports import (
     Clock,
@@ -20,6 +21,7 @@
 )
 
 INSTANCE_KIND = "instances"
+PARTITION_MAP_KIND = "partition-maps"
 STORE_TIMEOUT_MS = 2_000.0
 ADMIN_TIMEOUT_MS = 2_000.0
 # Instances asked at once, so that a large fleet does not exhaust the sockets
@@ -27,6 +29,7 @@
 N_ASKED_AT_ONCE = 64
 SUCCESS_NAMES = ("OK", "OK_PARTIAL")
 
+MapReader = Callable[[str], PartitionMap | Failure]
 ListedReader = Callable[[str], ListedInstance | Failure]
 ProgressListener = Callable[[int, int], None]
 
@@ -39,6 +42,16 @@
     status: InstanceStatus | Failure
 
 
+@dataclass(frozen=True, slots=True)
+class SeenUpstream:
+    """A replica of a group's newest map with what it says about itself."""
+
+    group: str
+    shard_id: str
+    replica: Replica
+    state: str | Failure
+
+
 class FleetView:
     """Lists instances and asks them over the operators' interface."""
 
@@ -48,7 +61,9 @@
         admin: InstanceAdmin,
         clock: Clock,
         read_listed: ListedReader,
+        read_map: MapReader,
     ) -> None:
+        self._read_map = read_map
         self._store = store
         self._admin = admin
         self._clock = clock
@@ -79,6 +94,31 @@
             status = await self._admin.status(listed.address, ADMIN_TIMEOUT_MS)
         return Seen(listed, status)
 
+    async def upstreams(self) -> tuple[SeenUpstream, ...] | Failure:
+        """Ask every replica of the published partition maps for its health."""
+        objects = await self._store.list_kind(PARTITION_MAP_KIND, STORE_TIMEOUT_MS)
+        if isinstance(objects, Failure):
+            return objects
+        maps = [self._read_map(item.value) for item in objects]
+        return tuple(
+            await asyncio.gather(
+                *(
+                    self._see_upstream(item.group, shard.shard_id, replica)
+                    for item in maps
+                    if not isinstance(item, Failure)
+                    for shard in item.shards
+                    for replica in shard.replicas
+                )
+            )
+        )
+
+    async def _see_upstream(
+        self, group: str, shard_id: str, replica: Replica
+    ) -> SeenUpstream:
+        async with self._slots:
+            state = await self._admin.upstream_state(replica.address, ADMIN_TIMEOUT_MS)
+        return SeenUpstream(group, shard_id, replica, state)
+
     async def announce(
         self, instances: tuple[ListedInstance, ...], stored_text: str
     ) -> int:
--- a/chestnuthall/standins/fleet/_fleet.py
+++ b/chestnuthall/standins/fleet/_fleet.py
@@ -227,15 +227,20 @@
         target = f"/v1/objects/environments/{self.plan.environment}"
         await self.store.send("PUT", target, json.loads(encode_configuration(model)))
 
-    async def start_instance(self, index: int) -> RunningInstance:
-        """Start one entry instance and enter it in the platform's list."""
+    async def start_instance(
+        self, index: int, environment: str | None = None
+    ) -> RunningInstance:
+        """Start one entry instance and enter it in the platform's list.
+
+        It follows the plan's environment unless another one is named.
+        """
         name = f"entry-{index}"
         zone = self.plan.zones[index % len(self.plan.zones)]
         caller_address = f"{HOST}:{free_port()}"
         peer_address = f"{HOST}:{free_port()}"
         settings = {
             "name": name,
-            "environment": self.plan.environment,
+            "environment": environment or self.plan.environment,
             "zone": zone,
             "caller_address": caller_address,
             "peer_address": peer_address,
