Publish JSON Schemas and a page of settings, generated from the models

Cause: operators and their editors had no list of fields, and a hand-written one goes out of date.

Ruled out: generating at build time only; the files would not be in the repository for editors to refer to.

Change: `chestnuthall write-docs docs` writes docs/schema/ and docs/settings.md for the environment document, instance settings and tool profile; tests compare both with what the models generate.

Conclusion: a changed field without a regenerated page fails a test.

--- a/chestnuthall/adapters/documents/__init__.py
+++ b/chestnuthall/adapters/documents/__init__.py
@@ -25,8 +25,10 @@
     read_partition_map,
 )
 from chestnuthall.adapters.documents._revisions import JsonRevisionCodec
+from chestnuthall.adapters.documents._rules import CROSS_CHECKS
 
 __all__ = [
+    "CROSS_CHECKS",
     "ConfigurationModel",
     "EnvironmentModel",
     "InstanceModel",
--- a/chestnuthall/adapters/settings/_models.py
+++ b/chestnuthall/adapters/settings/_models.py
@@ -68,7 +68,7 @@
     statsd: StatsdSettings | None = None
     """Where metrics go. When left out, none are sent."""
     limits: LimitSettings = LimitSettings()
-    """Bounds that protect the instance from its callers."""
+    """Bounds on what callers may send and keep open."""
     log_level: Annotated[str, Field(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
     """Least severity that is logged."""
 
--- a/chestnuthall/cli/_main.py
+++ b/chestnuthall/cli/_main.py
@@ -13,6 +13,7 @@
 )
 from chestnuthall.cli._exits import ExitCode
 from chestnuthall.cli._output import Output
+from chestnuthall.cli._published import write_docs
 from chestnuthall.cli._session import UsageError
 
 _HELP = """Check, prove and promote environment documents, and watch the fleet.
@@ -46,6 +47,8 @@
     _fleet_commands.register(app)
     _account_commands.register(app)
     _burn_commands.register(app)
+    # For developers, so it is not among the commands that the help lists.
+    app.command(write_docs, show=False)
     app.register_install_completion_command(add_to_startup=False)
     return app
 
