Bound the volume of logs and metrics, and hold their names and docs together

Cause: each refusal could write a line and each request sent several datagrams, so that a flood of errors would load the disk and the network in proportion.

Ruled out: one budget for the whole log (a flood of one event would hide the others); statsd's own sample rate (it still grows with the rate of requests); class names as callers send them in metric names (they can be made up).

Change: a log filter with a budget per event that reports what it dropped, an `event` field with stable names, a line per refusal with request id, class and result code; statsd sums counters and samples durations once a second. docs/logs.md and docs/metrics.md table the names.

Conclusion: a name that is in the code or the docs alone fails a test.

--- a/chestnuthall/adapters/logs/__init__.py
+++ b/chestnuthall/adapters/logs/__init__.py
@@ -1,5 +1,6 @@
-"""Logs as one JSON object a line."""
+"""JSON log lines of bounded volume."""
 
-from chestnuthall.adapters.logs._setup import set_up_logs
+from chestnuthall.adapters.logs._limit import LogLimits, RateLimitFilter
+from chestnuthall.adapters.logs._setup import EventFormatter, set_up_logs
 
-__all__ = ["set_up_logs"]
+__all__ = ["EventFormatter", "LogLimits", "RateLimitFilter", "set_up_logs"]
--- /dev/null
+++ b/chestnuthall/adapters/logs/_limit.py
@@ -0,0 +1,95 @@
+"""A log filter that bounds the volume of the log."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+# Events beyond this number share one budget, so that messages made at run time
+# by a library cannot grow the table.
+N_EVENTS_MAX = 256
+OTHER_EVENTS = "(other)"
+# Longer texts, such as an error of a library, are cut.
+N_CHARACTERS_MAX = 500
+DROPPED_EVENT = "log lines dropped"
+_STANDARD = frozenset(logging.makeLogRecord({}).__dict__)
+
+
+@dataclass(slots=True)
+class _Budget:
+    """Lines that an event may still log; refilled as time passes."""
+
+    n_left: float
+    refilled_ms: float
+    n_dropped: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LogLimits:
+    """Lines per event: so many at once, and then so many per second."""
+
+    n_burst: int = 50
+    n_per_s: float = 5.0
+
+
+class RateLimitFilter(logging.Filter):
+    """Drops lines of events that are logged too often, and counts them.
+
+    Each event, which is a logger with a message, has a budget of its own, so
+    that a flood of one does not hide another.
+    """
+
+    def __init__(self, limits: LogLimits, now_ms: Callable[[], float]) -> None:
+        super().__init__()
+        self._limits = limits
+        self._now_ms = now_ms
+        self._budgets: dict[str, _Budget] = {}
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Return whether the line is written; cut its long texts."""
+        if record.msg == DROPPED_EVENT:
+            return True
+        _cut_texts(record)
+        budget = self._budget(f"{record.name}: {record.msg}")
+        self._refill(budget)
+        if budget.n_left < 1.0:
+            budget.n_dropped += 1
+            return False
+        budget.n_left -= 1.0
+        return True
+
+    def _budget(self, event: str) -> _Budget:
+        if event not in self._budgets and len(self._budgets) >= N_EVENTS_MAX:
+            event = OTHER_EVENTS
+        budget = self._budgets.get(event)
+        if budget is None:
+            budget = _Budget(float(self._limits.n_burst), self._now_ms())
+            self._budgets[event] = budget
+        return budget
+
+    def _refill(self, budget: _Budget) -> None:
+        now_ms = self._now_ms()
+        gained = (now_ms - budget.refilled_ms) / 1000.0 * self._limits.n_per_s
+        budget.n_left = min(float(self._limits.n_burst), budget.n_left + gained)
+        budget.refilled_ms = now_ms
+
+    def take_dropped(self) -> dict[str, int]:
+        """Return how many lines of each event were dropped since the last call."""
+        dropped = {x: item.n_dropped for x, item in self._budgets.items()}
+        for item in self._budgets.values():
+            item.n_dropped = 0
+        return {event: n for event, n in dropped.items() if n}
+
+    def report_dropped(self) -> None:
+        """Log how many lines of each event were dropped since the last report."""
+        for of_event, n_dropped in self.take_dropped().items():
+            logging.getLogger(__name__).warning(
+                "log lines dropped",
+                extra={"of_event": of_event, "n_dropped": n_dropped},
+            )
+
+
+def _cut_texts(record: logging.LogRecord) -> None:
+    for name, value in record.__dict__.items():
+        is_extra = name not in _STANDARD
+        if is_extra and isinstance(value, str) and len(value) > N_CHARACTERS_MAX:
+            record.__dict__[name] = value[:N_CHARACTERS_MAX] + "..."
--- a/chestnuthall/adapters/metrics/_statsd.py
+++ b/chestnuthall/adapters/metrics/_statsd.py
@@ -1,25 +1,91 @@
 """Metrics port on statsd over UDP."""
 
+import asyncio
+from collections.abc import Collection
+from random import Random
+
 from statsd import StatsClient
 
+# Everything is sent at most once per interval, so that the number of datagrams
+# does not grow with the rate of requests or of errors.
+SEND_INTERVAL_S = 1.0
+N_TIMINGS_MAX = 20
+N_NAMES_MAX = 512
+
 
 class StatsdMetrics:
-    """Sends each metric as one datagram; losses are not noticed."""
+    """Adds up what is recorded and sends it once a second.
+
+    Of the durations of one name, a random sample of bounded size is sent. Names
+    beyond a bound are dropped and counted. Lost datagrams are not noticed.
+    """
 
     def __init__(self, host: str, port: int, prefix: str) -> None:
         self._client = StatsClient(host, port, prefix=prefix)
+        self._random = Random(0)
+        self._counts: dict[str, int] = {}
+        self._gauges: dict[str, float] = {}
+        self._timings: dict[str, list[float]] = {}
+        self._n_timings: dict[str, int] = {}
+        self._n_dropped = 0
+        self._timer: asyncio.TimerHandle | None = None
 
     def count(self, name: str, n: int = 1) -> None:
         """Add to a counter."""
-        self._client.incr(name, n)
+        if self._has_room(name, self._counts):
+            self._counts[name] = self._counts.get(name, 0) + n
 
     def gauge(self, name: str, value: float) -> None:
         """Set a gauge."""
-        self._client.gauge(name, value)
+        if self._has_room(name, self._gauges):
+            self._gauges[name] = value
 
     def timing(self, name: str, duration_ms: float) -> None:
         """Record a duration."""
-        self._client.timing(name, duration_ms)
+        if not self._has_room(name, self._timings):
+            return
+        kept = self._timings.setdefault(name, [])
+        n_seen = self._n_timings.get(name, 0) + 1
+        self._n_timings[name] = n_seen
+        if len(kept) < N_TIMINGS_MAX:
+            kept.append(duration_ms)
+            return
+        # Each duration has the same chance to stay in the sample.
+        place = self._random.randrange(n_seen)
+        if place < N_TIMINGS_MAX:
+            kept[place] = duration_ms
+
+    def _has_room(self, name: str, table: Collection[str]) -> bool:
+        self._schedule()
+        if name in table or len(table) < N_NAMES_MAX:
+            return True
+        self._n_dropped += 1
+        return False
+
+    def _schedule(self) -> None:
+        if self._timer is not None:
+            return
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(SEND_INTERVAL_S, self.send)
+
+    def send(self) -> None:
+        """Send what was recorded since the last time."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._n_dropped:
+            self._counts["metrics.dropped"] = self._n_dropped
+        with self._client.pipeline() as pipe:
+            for name, n in self._counts.items():
+                pipe.incr(name, n)
+            for name, value in self._gauges.items():
+                pipe.gauge(name, value)
+            for name, kept in self._timings.items():
+                for duration_ms in kept:
+                    pipe.timing(name, duration_ms)
+        for table in (self._counts, self._gauges, self._timings, self._n_timings):
+            table.clear()
+        self._n_dropped = 0
 
 
 class NullMetrics:
--- /dev/null
+++ b/chestnuthall/cli/tests/test_names.py
@@ -0,0 +1,63 @@
+"""Guards docs/logs.md and docs/metrics.md against names that have changed."""
+
+import ast
+import re
+from pathlib import Path
+
+import pytest
+
+import chestnuthall
+
+PACKAGE = Path(chestnuthall.__file__).parent
+DOCS = PACKAGE.parent / "docs"
+LOG_METHODS = {"debug", "info", "warning", "error", "exception"}
+METRIC_METHODS = {"count", "gauge", "timing"}
+
+
+def _calls():
+    for path in PACKAGE.rglob("*.py"):
+        if "tests" in path.parts or "standins" in path.parts:
+            continue
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.Call) and isinstance(node.func, ast.Attribute):
+                yield node.func, node.args
+
+
+def _name(argument):
+    """Return a name with <> in place of each part that is computed."""
+    if isinstance(argument, ast.Constant):
+        return str(argument.value)
+    parts = getattr(argument, "values", ())
+    return "".join(
+        str(part.value) if isinstance(part, ast.Constant) else "<>" for part in parts
+    )
+
+
+def _log_names():
+    for function, arguments in _calls():
+        owner = ast.unparse(function.value)
+        is_log = owner == "_log" or owner.startswith("logging.getLogger")
+        if is_log and function.attr in LOG_METHODS:
+            yield _name(arguments[0]).replace(" ", "_")
+
+
+def _metric_names():
+    yield "metrics.dropped"
+    for function, arguments in _calls():
+        is_metrics = ast.unparse(function.value).endswith("metrics")
+        if is_metrics and function.attr in METRIC_METHODS:
+            yield _name(arguments[0])
+
+
+def _documented(page):
+    rows = re.findall(r"^\| `([^`]+)` \|", (DOCS / page).read_text(), re.M)
+    return [re.sub(r"<[^>]*>", "<>", row) for row in rows]
+
+
+@pytest.mark.parametrize(
+    ("page", "names"), [("logs.md", _log_names), ("metrics.md", _metric_names)]
+)
+def test_code_and_docs_have_the_same_names(page, names):
+    documented = _documented(page)
+    assert sorted(documented) == sorted(set(documented)), "a name is tabled twice"
+    assert set(documented) == set(names())
--- a/chestnuthall/daemon/_instance.py
+++ b/chestnuthall/daemon/_instance.py
@@ -19,6 +19,7 @@
     read_partition_map,
 )
 from chestnuthall.adapters.http import HttpServer, ServerLimits
+from chestnuthall.adapters.logs import RateLimitFilter
 from chestnuthall.adapters.metrics import NullMetrics, StatsdMetrics
 from chestnuthall.adapters.objectapi import HttpObjectStore
 from chestnuthall.adapters.peers import GrpcPeerServer, GrpcPeerTransport
@@ -37,11 +38,14 @@
     Identity,
     Lifecycle,
     Membership,
+    OutcomeRecorder,
     QueryService,
 )
 
 _log = logging.getLogger(__name__)
 
+LOG_REPORT_INTERVAL_MS = 10_000.0
+
 
 def _metrics(settings: InstanceSettings) -> Metrics:
     statsd = settings.statsd
@@ -61,7 +65,11 @@
 class EntryInstance:
     """One entry instance with its listeners and background work."""
 
-    def __init__(self, settings: InstanceSettings) -> None:
+    def __init__(
+        self, settings: InstanceSettings, log_limit: RateLimitFilter | None = None
+    ) -> None:
+        self._log_limit = log_limit
+        self._clock = LoopClock()
         self.settings = settings
         clock = LoopClock()
         random = Random()
@@ -108,7 +116,9 @@
             configuration=self.configuration,
             ledger=ClaimLedger(store, clock, JsonPartitionCodec(), LedgerSettings()),
             quarantine=quarantine,
-            record_outcome=self.burn.record,
+            record_outcome=OutcomeRecorder(
+                self.burn, metrics, self.configuration
+            ).record,
         )
         self.configuration.on_change(self._divide_connections)
         self.frontend = CallerFrontend(
@@ -170,9 +180,15 @@
             loop.create_task(self.directory.run()),
             loop.create_task(self.membership.run()),
             loop.create_task(self.burn.run()),
+            loop.create_task(self._report_dropped_lines()),
         ]
         _log.info("instance started", extra={"zone": self.settings.zone})
 
+    async def _report_dropped_lines(self) -> None:
+        while self._log_limit is not None:
+            await self._clock.sleep_ms(LOG_REPORT_INTERVAL_MS)
+            self._log_limit.report_dropped()
+
     async def run(self) -> None:
         """Serve until a stop is announced, then finish what is in flight."""
         await self.start()
@@ -181,6 +197,8 @@
         await self.lifecycle.drain(self.http_server.stop_listening)
         await self.burn.flush()
         await self.close()
+        if self._log_limit is not None:
+            self._log_limit.report_dropped()
         _log.info("instance stopped")
 
     async def close(self) -> None:
--- a/chestnuthall/daemon/_main.py
+++ b/chestnuthall/daemon/_main.py
@@ -8,7 +8,7 @@
 
 from cyclopts import App, Parameter
 
-from chestnuthall.adapters.logs import set_up_logs
+from chestnuthall.adapters.logs import RateLimitFilter, set_up_logs
 from chestnuthall.adapters.settings import InstanceSettings, read_settings
 from chestnuthall.core.results import Failure
 from chestnuthall.daemon._instance import EntryInstance
@@ -34,8 +34,8 @@
     settings = read_settings(text, str(settings_file))
     if isinstance(settings, Failure):
         _fail(settings.reason)
-    set_up_logs(settings.log_level, settings.name)
-    asyncio.run(_run(settings))
+    log_limit = set_up_logs(settings.log_level, settings.name)
+    asyncio.run(_run(settings, log_limit))
 
 
 def _fail(message: str) -> NoReturn:
@@ -43,8 +43,8 @@
     raise SystemExit(EXIT_BAD_SETTINGS)
 
 
-async def _run(settings: InstanceSettings) -> None:
-    instance = EntryInstance(settings)
+async def _run(settings: InstanceSettings, log_limit: RateLimitFilter) -> None:
+    instance = EntryInstance(settings, log_limit)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, instance.lifecycle.announce_leave)
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -16,6 +16,7 @@
     InstanceListReader,
     Membership,
 )
+from chestnuthall.services._outcomes import OutcomeRecorder
 from chestnuthall.services._publication import Publication
 from chestnuthall.services._query import Outcome, QueryService
 from chestnuthall.services._revisions import Accepted, RaceLost, RevisionBook
@@ -38,6 +39,7 @@
     "Membership",
     "NotAdmitted",
     "Outcome",
+    "OutcomeRecorder",
     "PartitionCodec",
     "PartitionMapReader",
     "Publication",
