--- a/chestnuthall/standins/fleet/__main__.py
+++ b/chestnuthall/standins/fleet/__main__.py
@@ -39,6 +39,8 @@
     async with LocalFleet(plan) as fleet:
         running = await fleet.start_instance(N_TRIAL_INSTANCES, "production")
         fleet.instances.append(running)
+        # It answers operators, though without a document it is not ready.
+        await running.client.wait_status("/v1/admin/status", 200)
         profile = {
             "store_address": fleet.store_address,
             "operator": arguments.operator,
