--- a/chestnuthall/adapters/documents/__init__.py
+++ b/chestnuthall/adapters/documents/__init__.py
@@ -1,5 +1,7 @@
 """Texts that operators and the platform store, checked by models."""
 
+from chestnuthall.adapters.documents._accounts import read_account
+from chestnuthall.adapters.documents._burn import JsonBurnCodec
 from chestnuthall.adapters.documents._configuration import (
     ConfigurationModel,
     encode_configuration,
@@ -7,6 +9,7 @@
 )
 from chestnuthall.adapters.documents._environment import (
     EnvironmentModel,
+    check_environment,
     digest_of,
     read_environment,
 )
@@ -21,17 +24,24 @@
     encode_partition_map,
     read_partition_map,
 )
+from chestnuthall.adapters.documents._revisions import JsonRevisionCodec
+from chestnuthall.adapters.documents._rules import CROSS_CHECKS
 
 __all__ = [
+    "CROSS_CHECKS",
     "ConfigurationModel",
     "EnvironmentModel",
     "InstanceModel",
+    "JsonBurnCodec",
     "JsonPartitionCodec",
+    "JsonRevisionCodec",
     "PartitionMapModel",
+    "check_environment",
     "digest_of",
     "encode_configuration",
     "encode_instance",
     "encode_partition_map",
+    "read_account",
     "read_configuration",
     "read_environment",
     "read_instance",
--- a/chestnuthall/daemon/_instance.py
+++ b/chestnuthall/daemon/_instance.py
@@ -3,16 +3,23 @@
 import asyncio
 import logging
 from random import Random
+from secrets import token_hex
 
-from chestnuthall.adapters.callers import CallerFrontend, respond_to_http_error
+from chestnuthall.adapters.callers import (
+    AdminRoutes,
+    CallerFrontend,
+    respond_to_http_error,
+)
 from chestnuthall.adapters.clock import LoopClock
 from chestnuthall.adapters.documents import (
+    JsonBurnCodec,
     JsonPartitionCodec,
     read_configuration,
     read_instance,
     read_partition_map,
 )
 from chestnuthall.adapters.http import HttpServer, ServerLimits
+from chestnuthall.adapters.logs import RateLimitFilter
 from chestnuthall.adapters.metrics import NullMetrics, StatsdMetrics
 from chestnuthall.adapters.objectapi import HttpObjectStore
 from chestnuthall.adapters.peers import GrpcPeerServer, GrpcPeerTransport
@@ -24,17 +31,21 @@
 from chestnuthall.core.results import Failure
 from chestnuthall.ports import MemberUpdate, Metrics
 from chestnuthall.services import (
+    BurnRecorder,
     ClaimLedger,
     ConfigurationKeeper,
     Directory,
     Identity,
     Lifecycle,
     Membership,
+    OutcomeRecorder,
     QueryService,
 )
 
 _log = logging.getLogger(__name__)
 
+LOG_REPORT_INTERVAL_MS = 10_000.0
+
 
 def _metrics(settings: InstanceSettings) -> Metrics:
     statsd = settings.statsd
@@ -54,7 +65,11 @@
 class EntryInstance:
     """One entry instance with its listeners and background work."""
 
-    def __init__(self, settings: InstanceSettings) -> None:
+    def __init__(
+        self, settings: InstanceSettings, log_limit: RateLimitFilter | None = None
+    ) -> None:
+        self._log_limit = log_limit
+        self._clock = LoopClock()
         self.settings = settings
         clock = LoopClock()
         random = Random()
@@ -78,15 +93,32 @@
             _read_entry_instance,
             random,
         )
+        metrics = _metrics(settings)
+        quarantine = QuarantineRegister(QuarantineSettings())
+        self.burn = BurnRecorder(
+            # Each run of the process numbers its changes from 1.
+            writer=f"{settings.name}.{token_hex(4)}",
+            environment=settings.environment,
+            store=store,
+            clock=clock,
+            metrics=metrics,
+            codec=JsonBurnCodec(),
+            configuration=self.configuration,
+            count_instances=lambda: self.membership.n_instances,
+            random=random,
+        )
         self.query = QueryService(
             identity=identity,
             clock=clock,
-            metrics=_metrics(settings),
+            metrics=metrics,
             caller=self.caller,
             directory=self.directory,
             configuration=self.configuration,
             ledger=ClaimLedger(store, clock, JsonPartitionCodec(), LedgerSettings()),
-            quarantine=QuarantineRegister(QuarantineSettings()),
+            quarantine=quarantine,
+            record_outcome=OutcomeRecorder(
+                self.burn, metrics, self.configuration
+            ).record,
         )
         self.configuration.on_change(self._divide_connections)
         self.frontend = CallerFrontend(
@@ -96,6 +128,12 @@
             clock=clock,
             is_ready=self.is_ready,
             read_status=self.read_status,
+            admin_routes=AdminRoutes(
+                quarantine=quarantine,
+                clock=clock,
+                drain_upstream=self.directory.drain,
+                announce_leave=self.lifecycle.announce_leave,
+            ).table,
         )
         self.http_server = HttpServer(
             self.frontend.handle, _server_limits(settings), respond_to_http_error
@@ -118,6 +156,8 @@
             "n_in_flight": self.lifecycle.n_in_flight,
             "configuration_revision": self.configuration.revision,
             "configuration_digest": "" if in_force is None else in_force.digest,
+            "configuration_since_wall_ms": self.burn.since_wall_ms,
+            "n_by_result": self.burn.n_by_result,
             "peers": [member.name for member in self.membership.members()],
         }
 
@@ -139,16 +179,26 @@
             loop.create_task(self.configuration.run()),
             loop.create_task(self.directory.run()),
             loop.create_task(self.membership.run()),
+            loop.create_task(self.burn.run()),
+            loop.create_task(self._report_dropped_lines()),
         ]
         _log.info("instance started", extra={"zone": self.settings.zone})
 
+    async def _report_dropped_lines(self) -> None:
+        while self._log_limit is not None:
+            await self._clock.sleep_ms(LOG_REPORT_INTERVAL_MS)
+            self._log_limit.report_dropped()
+
     async def run(self) -> None:
         """Serve until a stop is announced, then finish what is in flight."""
         await self.start()
         await self.lifecycle.wait_leave()
         _log.info("instance is leaving")
         await self.lifecycle.drain(self.http_server.stop_listening)
+        await self.burn.flush()
         await self.close()
+        if self._log_limit is not None:
+            self._log_limit.report_dropped()
         _log.info("instance stopped")
 
     async def close(self) -> None:
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -1,12 +1,14 @@
 """Use cases of an entry instance, which join the decisions to the ports."""
 
 from chestnuthall.services._admission import Admission, Admitted, NotAdmitted
+from chestnuthall.services._burn import BurnCodec, BurnRecorder, read_burn
 from chestnuthall.services._claims import ClaimLedger, PartitionCodec
 from chestnuthall.services._configuration import (
     ConfigurationKeeper,
     ConfigurationReader,
 )
 from chestnuthall.services._directory import Directory, PartitionMapReader
+from chestnuthall.services._fleet_view import FleetView, Seen, SeenUpstream
 from chestnuthall.services._lifecycle import Lifecycle
 from chestnuthall.services._membership import (
     DigestPart,
@@ -14,23 +16,37 @@
     InstanceListReader,
     Membership,
 )
+from chestnuthall.services._outcomes import OutcomeRecorder
+from chestnuthall.services._publication import Publication
 from chestnuthall.services._query import Outcome, QueryService
+from chestnuthall.services._revisions import Accepted, RaceLost, RevisionBook
 
 __all__ = [
+    "Accepted",
     "Admission",
     "Admitted",
+    "BurnCodec",
+    "BurnRecorder",
     "ClaimLedger",
     "ConfigurationKeeper",
     "ConfigurationReader",
     "DigestPart",
     "Directory",
+    "FleetView",
     "Identity",
     "InstanceListReader",
     "Lifecycle",
     "Membership",
     "NotAdmitted",
     "Outcome",
+    "OutcomeRecorder",
     "PartitionCodec",
     "PartitionMapReader",
+    "Publication",
     "QueryService",
+    "RaceLost",
+    "RevisionBook",
+    "Seen",
+    "SeenUpstream",
+    "read_burn",
 ]
