Make the claim protocol a state machine that groups claims

Cause: each claim read and wrote its partition on its own, so two claims of one partition always cost two writes, and a conflict was retried without any delay. A claim of a request that was refused later kept its key for good.

Change: core.claims.PartitionClaims takes events and returns actions for one partition; services.ClaimLedger carries them out. Claims that arrive during a write go into the next one. A write whose answer was lost is settled by reading the token back, and is repeated from the same version when that has not moved. An abandoned claim is removed from the object. The rate of writes is divided over the fleet, and a breaker fails claims at once while the store is down.

Ruled out: marking abandoned entries, which only takes room, because every write is conditional and a removed token cannot come back.

--- a/chestnuthall/adapters/documents/_ledger.py
+++ b/chestnuthall/adapters/documents/_ledger.py
@@ -9,12 +9,12 @@
 
 
 class _PartitionModel(BaseModel):
-    """``entries`` maps a key to its token, issue time and abandoned flag."""
+    """``entries`` maps a key to its token and issue time."""
 
     model_config = ConfigDict(extra="forbid", frozen=True)
 
     floor_ms: float
-    entries: dict[str, tuple[str, float, bool]]
+    entries: dict[str, tuple[str, float]]
 
 
 class JsonPartitionCodec:
@@ -23,7 +23,7 @@
     def encode(self, partition: LedgerPartition) -> str:
         """Return the text that is stored."""
         entries = {
-            key: (entry.token, entry.issued_at_ms, entry.is_abandoned)
+            key: (entry.token, entry.issued_at_ms)
             for key, entry in partition.entries.items()
         }
         body = {"floor_ms": partition.floor_ms, "entries": entries}
--- a/chestnuthall/daemon/_instance.py
+++ b/chestnuthall/daemon/_instance.py
@@ -85,7 +85,13 @@
             caller=self.caller,
             directory=self.directory,
             configuration=self.configuration,
-            ledger=ClaimLedger(store, clock, JsonPartitionCodec(), LedgerSettings()),
+            ledger=ClaimLedger(
+                store,
+                clock,
+                JsonPartitionCodec(),
+                LedgerSettings(),
+                lambda: self.membership.n_instances,
+            ),
             quarantine=QuarantineRegister(QuarantineSettings()),
         )
         self.configuration.on_change(self._divide_connections)
--- a/chestnuthall/services/_claims.py
+++ b/chestnuthall/services/_claims.py
@@ -1,32 +1,64 @@
 """Claims of idempotency keys in the object store."""
 
+import asyncio
+from collections.abc import Callable, Coroutine
+from functools import singledispatchmethod
+from random import Random
 from secrets import token_hex
 from typing import Protocol
 
 from chestnuthall.core.claims import (
-    ClaimDecision,
+    EMPTY_PARTITION,
+    AbandonRequested,
+    AwaitTurn,
+    ClaimAction,
+    ClaimEvent,
+    ClaimRequested,
+    ClaimWithdrawn,
+    Delay,
+    DelayEnded,
     KeyClaim,
     LedgerPartition,
     LedgerSettings,
-    add_claims,
+    PartitionClaims,
+    PartitionRead,
+    Phase,
+    ReadFailed,
+    ReadPartition,
+    Settle,
+    StoreBreaker,
+    TurnGranted,
+    WriteBudget,
+    WriteConflicted,
+    WriteFailed,
+    WriteLost,
+    WritePartition,
+    WriteSucceeded,
     partition_name_of,
 )
 from chestnuthall.core.model import MutationRequest
 from chestnuthall.core.results import (
-    CLAIM_UNSETTLED,
-    INVALID_REQUEST,
-    KEY_ALREADY_CLAIMED,
-    KEY_EXPIRED,
-    LEDGER_FULL,
+    DEADLINE_PASSED,
     OBJECT_CONFLICT,
     OBJECT_NOT_FOUND,
+    RATE_LIMITED,
+    STORE_UNAVAILABLE,
     STORE_WRITE_UNKNOWN,
     Failure,
 )
 from chestnuthall.ports import Clock, ObjectStore, StoredObject
 
 CLAIMS_KIND = "claims"
-STORE_TIMEOUT_MS = 1_000.0
+# The store answers in milliseconds; a mutation must not wait out an outage.
+STORE_TIMEOUT_MS = 500.0
+# Writes of claims by the whole fleet. The store takes several hundred a
+# second, and the instances' status objects need some of them.
+N_FLEET_WRITES_PER_S = 250.0
+N_BURST_WRITES = 8
+# An instance of a fleet that is too large for the budget still makes progress.
+N_WRITES_PER_S_MIN = 1.0
+# Entries of all cached partitions together; each takes about 300 bytes.
+N_CACHED_ENTRIES_MAX = 50_000
 
 
 class PartitionCodec(Protocol):
@@ -42,7 +74,11 @@
 
 
 class ClaimLedger:
-    """Claims keys by conditional updates of the partitions' objects."""
+    """Claims keys by conditional updates of the partitions' objects.
+
+    ``n_instances`` returns the size of the fleet, over which the budget for
+    writes is divided.
+    """
 
     def __init__(
         self,
@@ -50,52 +86,179 @@
         clock: Clock,
         codec: PartitionCodec,
         settings: LedgerSettings,
+        n_instances: Callable[[], int] = lambda: 1,
+        random: Random | None = None,
     ) -> None:
         self._store = store
         self._clock = clock
         self._codec = codec
         self._settings = settings
+        self._n_instances = n_instances
+        self._random = random or Random()
+        self._budget = WriteBudget(N_BURST_WRITES)
+        self._breaker = StoreBreaker()
+        self._partitions: dict[str, PartitionClaims] = {}
+        self._waiters: dict[str, asyncio.Future[Failure | None]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
 
-    async def claim(self, request: MutationRequest) -> str | Failure:
-        """Claim the key of a request; return the token of the claim."""
+    async def claim(self, request: MutationRequest) -> KeyClaim | Failure:
+        """Claim the key of a request; return the claim, to abandon it by."""
         claim = KeyClaim(
             request.idempotency_key, token_hex(8), float(request.issued_at_ms)
         )
-        name = partition_name_of(request.idempotency_key, self._settings.n_partitions)
-        while self._clock.now_ms() < request.deadline_ms:
-            outcome = await self._try_claim(name, claim)
-            if outcome is None:
-                continue
-            return outcome
-        return CLAIM_UNSETTLED.because("the deadline passed before the claim settled")
-
-    async def _try_claim(self, name: str, claim: KeyClaim) -> str | Failure | None:
+        waiter: asyncio.Future[Failure | None]
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters[claim.token] = waiter
+        wall_ms = self._clock.wall_ms()
+        self._handle(self._name_of(claim), ClaimRequested(wall_ms, claim))
+        try:
+            failure = await self._wait(claim, waiter, request.deadline_ms)
+        except asyncio.CancelledError:
+            self._give_up(claim, waiter)
+            raise
+        return claim if failure is None else failure
+
+    def abandon(self, claim: KeyClaim) -> None:
+        """Release a claim that was never dispatched and never will be.
+
+        Best effort: returns at once, and while the store is down the key stays
+        claimed.
+        """
+        self._handle(
+            self._name_of(claim), AbandonRequested(self._clock.wall_ms(), claim)
+        )
+
+    async def close(self) -> None:
+        """Stop the calls that are under way."""
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _name_of(self, claim: KeyClaim) -> str:
+        return partition_name_of(claim.idempotency_key, self._settings.n_partitions)
+
+    async def _wait(
+        self,
+        claim: KeyClaim,
+        waiter: "asyncio.Future[Failure | None]",
+        deadline_ms: float,
+    ) -> Failure | None:
+        remaining_ms = deadline_ms - self._clock.now_ms()
+        await asyncio.wait([waiter], timeout=max(0.0, remaining_ms) / 1000.0)
+        if not waiter.done():
+            self._withdraw(claim)
+            return await waiter
+        if waiter.result() is None and self._clock.now_ms() >= deadline_ms:
+            # The claim came too late to be dispatched.
+            self.abandon(claim)
+            return DEADLINE_PASSED.because("the deadline passed during the claim")
+        return waiter.result()
+
+    def _withdraw(self, claim: KeyClaim) -> None:
+        self._handle(self._name_of(claim), ClaimWithdrawn(self._clock.wall_ms(), claim))
+
+    def _give_up(
+        self, claim: KeyClaim, waiter: "asyncio.Future[Failure | None]"
+    ) -> None:
+        if waiter.done() and not waiter.cancelled():
+            if waiter.result() is None:
+                self.abandon(claim)
+            return
+        self._withdraw(claim)
+
+    def _handle(self, name: str, event: ClaimEvent) -> None:
+        partition = self._partitions.get(name)
+        if partition is None:
+            partition = self._partitions[name] = PartitionClaims(self._settings)
+        for action in partition.handle(event):
+            self._perform(action, name)
+        if partition.phase is Phase.IDLE:
+            self._limit_cache(name)
+
+    def _limit_cache(self, name: str) -> None:
+        """Forget the cached partitions that were used least recently."""
+        self._partitions[name] = self._partitions.pop(name)
+        caches = [
+            (item, len(item.cached[1].entries))
+            for item in self._partitions.values()
+            if item.cached is not None
+        ]
+        n_entries = sum(n for _, n in caches)
+        for item, n in caches:
+            if n_entries <= N_CACHED_ENTRIES_MAX:
+                return
+            item.forget_cache()
+            n_entries -= n
+
+    @singledispatchmethod
+    def _perform(self, action: ClaimAction, name: str) -> None:
+        raise TypeError(f"not an action: {type(action).__name__}")
+
+    @_perform.register
+    def _(self, action: Settle, name: str) -> None:
+        waiter = self._waiters.pop(action.token, None)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(action.failure)
+
+    @_perform.register
+    def _(self, action: ReadPartition, name: str) -> None:
+        self._start(self._read(name))
+
+    @_perform.register
+    def _(self, action: AwaitTurn, name: str) -> None:
+        rate_per_s = N_FLEET_WRITES_PER_S / max(1, self._n_instances())
+        wait_ms = self._budget.reserve(
+            self._clock.now_ms(), max(rate_per_s, N_WRITES_PER_S_MIN)
+        )
+        self._start(self._sleep(name, wait_ms, TurnGranted))
+
+    @_perform.register
+    def _(self, action: Delay, name: str) -> None:
+        self._start(self._sleep(name, action.duration_ms, DelayEnded))
+
+    @_perform.register
+    def _(self, action: WritePartition, name: str) -> None:
+        self._start(self._write(name, action))
+
+    def _start(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _sleep(
+        self, name: str, duration_ms: float, ended: Callable[[float], ClaimEvent]
+    ) -> None:
+        if duration_ms > 0.0:
+            await self._clock.sleep_ms(duration_ms)
+        self._handle(name, ended(self._clock.wall_ms()))
+
+    async def _read(self, name: str) -> None:
+        self._handle(name, await self._read_event(name))
+
+    async def _read_event(self, name: str) -> ClaimEvent:
+        if not self._breaker.allows(self._clock.now_ms()):
+            failure = STORE_UNAVAILABLE.because("the last calls to the store failed")
+            return ReadFailed(self._clock.wall_ms(), failure)
         stored = await self._store.get(CLAIMS_KIND, name, STORE_TIMEOUT_MS)
-        version = 0
-        partition = LedgerPartition(0.0, {})
+        wall_ms = self._clock.wall_ms()
         if isinstance(stored, StoredObject):
+            self._breaker.note_success()
             decoded = self._codec.decode(stored.value)
             if isinstance(decoded, Failure):
-                return decoded
-            version, partition = stored.version, decoded
-        elif stored.kind is not OBJECT_NOT_FOUND:
-            return stored
-        changed, decisions = add_claims(
-            partition, (claim,), self._settings, self._clock.wall_ms()
-        )
-        failure = _failure_of(decisions[claim.token])
-        if failure is not None:
-            return failure
-        written = await self._write(name, version, self._codec.encode(changed))
-        if isinstance(written, StoredObject):
-            return claim.token
-        if written.kind in (OBJECT_CONFLICT, STORE_WRITE_UNKNOWN):
-            # The next round reads the partition back and finds the token there
-            # if the write took effect.
-            return None
-        return written
-
-    async def _write(
+                return ReadFailed(wall_ms, decoded)
+            return PartitionRead(wall_ms, stored.version, decoded)
+        if stored.kind is OBJECT_NOT_FOUND:
+            self._breaker.note_success()
+            return PartitionRead(wall_ms, 0, EMPTY_PARTITION)
+        self._breaker.note_failure(self._clock.now_ms())
+        return ReadFailed(wall_ms, stored)
+
+    async def _write(self, name: str, action: WritePartition) -> None:
+        text = self._codec.encode(action.partition)
+        written = await self._store_text(name, action.version, text)
+        self._handle(name, self._event_of_write(written))
+
+    async def _store_text(
         self, name: str, version: int, text: str
     ) -> StoredObject | Failure:
         if version == 0:
@@ -104,14 +267,14 @@
             CLAIMS_KIND, name, text, version, STORE_TIMEOUT_MS
         )
 
-
-def _failure_of(decision: ClaimDecision) -> Failure | None:
-    if decision is ClaimDecision.CLAIMED:
-        return None
-    if decision is ClaimDecision.HELD_BY_OTHER:
-        return KEY_ALREADY_CLAIMED.because("another request claimed the key")
-    if decision is ClaimDecision.EXPIRED:
-        return KEY_EXPIRED.because("the key was issued before the ledger's floor")
-    if decision is ClaimDecision.ISSUED_IN_FUTURE:
-        return INVALID_REQUEST.because("issued_at_ms lies in the future")
-    return LEDGER_FULL.because("the key's ledger partition is full")
+    def _event_of_write(self, written: StoredObject | Failure) -> ClaimEvent:
+        wall_ms = self._clock.wall_ms()
+        if isinstance(written, StoredObject):
+            return WriteSucceeded(wall_ms, written.version)
+        if written.kind is OBJECT_CONFLICT:
+            return WriteConflicted(wall_ms, self._random.random())
+        if written.kind is STORE_WRITE_UNKNOWN:
+            return WriteLost(wall_ms)
+        if written.kind is not RATE_LIMITED:
+            self._breaker.note_failure(self._clock.now_ms())
+        return WriteFailed(wall_ms, written)
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -6,6 +6,7 @@
 from functools import singledispatchmethod
 from typing import TypeAlias
 
+from chestnuthall.core.claims import KeyClaim
 from chestnuthall.core.fanout import (
     Action,
     Begin,
@@ -81,7 +82,7 @@
     revision: int
     admission: AdmissionAccount
     admitted_wall_ms: float | None = None
-    is_claimed: bool = False
+    claim: KeyClaim | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,9 +174,14 @@
             return self._refuse(progress, failure)
         cost = float(len(target_shards(request, plan.partition_map)))
         admission = self.admission_of(plan.group)
-        ticket = await admission.acquire(request, cost)
+        try:
+            ticket = await admission.acquire(request, cost)
+        except asyncio.CancelledError:
+            self._abandon(progress)
+            raise
         progress.admission = ticket.account
         if isinstance(ticket, NotAdmitted):
+            self._abandon(progress)
             return self._refuse(progress, ticket.failure)
         try:
             return await self._run_admitted(progress, plan, admission, ticket)
@@ -206,9 +212,14 @@
         claimed = await self._ledger.claim(request)
         if isinstance(claimed, Failure):
             return claimed
-        progress.is_claimed = True
+        progress.claim = claimed
         return None
 
+    def _abandon(self, progress: _Progress) -> None:
+        """Release the claim of a request that is not dispatched."""
+        if progress.claim is not None:
+            self._ledger.abandon(progress.claim)
+
     async def _run_admitted(
         self,
         progress: _Progress,
@@ -219,6 +230,7 @@
         request = progress.request
         progress.admitted_wall_ms = self._clock.wall_ms()
         if self._clock.now_ms() >= request.deadline_ms:
+            self._abandon(progress)
             failure = DEADLINE_PASSED.because("the deadline passed before dispatch")
             return self._refuse(progress, failure)
         # The map is pinned at the last moment, since the queue may have held
@@ -238,6 +250,8 @@
             self._directory,
         )
         completion = await run.complete()
+        if completion.account.n_calls == 0:
+            self._abandon(progress)
         return self._finish(progress, completion)
 
     def _finish(self, progress: _Progress, completion: Completion) -> Outcome:
@@ -318,7 +332,7 @@
         if n_calls > 0 and run is RunState.NO:
             run = RunState.UNKNOWN
         return run, repeat
-    if progress.is_claimed and run is RunState.NO and repeat is Repeat.SAFE:
+    if progress.claim is not None and run is RunState.NO and repeat is Repeat.SAFE:
         repeat = Repeat.NEW_KEY
     return run, repeat
 
