Give the object API emulator its faults, and the port an in-memory fake

Cause: the emulator knew only an outage by hanging and lost answers, and a write that was answered by a 5xx counted as without effect, although the platform may have applied it.

Change: ObjectService answers calls whatever they arrive over, with refused, hanging and 503 outages, slowness, lost answers, late writes, stale reads, a rate limit, a lagging instance list and trimmed history. ObjectApiServer serves it over HTTP, MemoryObjectStore in memory. In the adapter, only a refused connection and the statuses 400, 404, 409, 410, 412, 413 and 429 say that a write had no effect. A trimmed history is HISTORY_TRIMMED (5008).

--- a/chestnuthall/adapters/http/__init__.py
+++ b/chestnuthall/adapters/http/__init__.py
@@ -1,13 +1,18 @@
 """HTTP/1.1 through h11 on asyncio protocols, for clients and servers."""
 
 from chestnuthall.adapters.http._client import ClientConnection, connect
-from chestnuthall.adapters.http._messages import HttpRequest, HttpResponse
+from chestnuthall.adapters.http._messages import (
+    DropConnection,
+    HttpRequest,
+    HttpResponse,
+)
 from chestnuthall.adapters.http._pool import ConnectionPool, PoolSettings
 from chestnuthall.adapters.http._server import HttpServer, ServerLimits
 
 __all__ = [
     "ClientConnection",
     "ConnectionPool",
+    "DropConnection",
     "HttpRequest",
     "HttpResponse",
     "HttpServer",
--- a/chestnuthall/adapters/http/_messages.py
+++ b/chestnuthall/adapters/http/_messages.py
@@ -3,6 +3,10 @@
 from dataclasses import dataclass, field
 
 
+class DropConnection(Exception):
+    """Raised by a handler to close the connection without a response."""
+
+
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
     """A request; header names are lower-case bytes."""
--- a/chestnuthall/adapters/http/_server.py
+++ b/chestnuthall/adapters/http/_server.py
@@ -7,7 +7,11 @@
 
 import h11
 
-from chestnuthall.adapters.http._messages import HttpRequest, HttpResponse
+from chestnuthall.adapters.http._messages import (
+    DropConnection,
+    HttpRequest,
+    HttpResponse,
+)
 
 _log = logging.getLogger(__name__)
 
@@ -195,6 +199,10 @@
     async def _serve(self, request: HttpRequest) -> None:
         try:
             response = await self._server.handler(request)
+        except DropConnection:
+            self._task = None
+            self.close()
+            return
         except Exception:
             _log.exception("request handler failed")
             response = self._server.error_responder(500, "internal error")
--- a/chestnuthall/adapters/objectapi/_client.py
+++ b/chestnuthall/adapters/objectapi/_client.py
@@ -12,6 +12,8 @@
     PoolSettings,
 )
 from chestnuthall.core.results import (
+    HISTORY_TRIMMED,
+    INVALID_REQUEST,
     NO_REPLICA,
     OBJECT_CONFLICT,
     OBJECT_NOT_FOUND,
@@ -19,6 +21,7 @@
     STORE_UNAVAILABLE,
     STORE_WRITE_UNKNOWN,
     Failure,
+    FailureKind,
 )
 from chestnuthall.ports import StoredObject, WatchBatch
 
@@ -28,6 +31,18 @@
 WATCH_MARGIN_MS = 1_000.0
 
 
+# Statuses by which the platform says that a call had no effect.
+_KINDS_OF_STATUS: dict[int, FailureKind] = {
+    400: INVALID_REQUEST,
+    404: OBJECT_NOT_FOUND,
+    409: OBJECT_CONFLICT,
+    410: HISTORY_TRIMMED,
+    412: OBJECT_CONFLICT,
+    413: INVALID_REQUEST,
+    429: RATE_LIMITED,
+}
+
+
 class _ObjectModel(BaseModel):
     model_config = ConfigDict(extra="ignore", frozen=True)
 
@@ -58,6 +73,10 @@
             address, PoolSettings(n_connections_max=N_CONNECTIONS_MAX)
         )
 
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._pool.close()
+
     async def get(
         self, kind: str, name: str, timeout_ms: float
     ) -> StoredObject | Failure:
@@ -147,7 +166,7 @@
             if response.kind is NO_REPLICA:
                 return STORE_UNAVAILABLE.because(response.reason)
             return STORE_WRITE_UNKNOWN.because(response.reason)
-        return _read_object(response)
+        return _read_write_answer(response)
 
     async def _exchange(
         self, request: HttpRequest, timeout_ms: float
@@ -175,6 +194,22 @@
     return STORE_UNAVAILABLE.because(failure.reason)
 
 
+def _read_write_answer(response: HttpResponse) -> StoredObject | Failure:
+    """Return the object written, or what is known about a write without one.
+
+    Only the statuses in the table prove that a write had no effect. After any
+    other, such as a 5xx of the platform or of something in front of it, the
+    write may have taken effect or may still do so.
+    """
+    if response.status == 200:
+        try:
+            return _ObjectModel.model_validate_json(response.body).to_port()
+        except ValidationError:
+            return STORE_WRITE_UNKNOWN.because("the store sent an invalid object")
+    kind = _KINDS_OF_STATUS.get(response.status, STORE_WRITE_UNKNOWN)
+    return kind.because(_reason_of(response))
+
+
 def _read_object(response: HttpResponse) -> StoredObject | Failure:
     if response.status != 200:
         return _failure_of_status(response)
@@ -185,11 +220,10 @@
 
 
 def _failure_of_status(response: HttpResponse) -> Failure:
-    reason = response.body.decode("utf-8", "replace")[:200]
-    if response.status == 404:
-        return OBJECT_NOT_FOUND.because(reason)
-    if response.status in (409, 412):
-        return OBJECT_CONFLICT.because(reason)
-    if response.status == 429:
-        return RATE_LIMITED.because(reason)
-    return STORE_UNAVAILABLE.because(f"status {response.status}: {reason}")
+    kind = _KINDS_OF_STATUS.get(response.status, STORE_UNAVAILABLE)
+    return kind.because(_reason_of(response))
+
+
+def _reason_of(response: HttpResponse) -> str:
+    text = response.body.decode("utf-8", "replace")[:200]
+    return f"status {response.status}: {text}"
--- a/chestnuthall/core/results/_kinds.py
+++ b/chestnuthall/core/results/_kinds.py
@@ -147,6 +147,13 @@
     _NEW_KEY,
     "The claim was not settled before the deadline, so nothing was dispatched.",
 )
+HISTORY_TRIMMED: Final[FailureKind] = _define(
+    _CODE.HISTORY_TRIMMED,
+    410,
+    _NO,
+    _SAFE,
+    "The store no longer keeps the changes after the version asked for.",
+)
 INTERNAL_ERROR: Final[FailureKind] = _define(
     _CODE.INTERNAL_ERROR, 500, _UNKNOWN, _ASK, "The instance has a defect."
 )
--- a/chestnuthall/ports/_objects.py
+++ b/chestnuthall/ports/_objects.py
@@ -32,9 +32,11 @@
 class ObjectStore(Protocol):
     """Objects with versions, conditional updates and watches.
 
-    Failures: ``OBJECT_NOT_FOUND``, ``OBJECT_CONFLICT``, ``RATE_LIMITED`` and
-    ``STORE_UNAVAILABLE`` say that a write had no effect;
-    ``STORE_WRITE_UNKNOWN`` says that it may have had one, now or later.
+    Failures: ``OBJECT_NOT_FOUND``, ``OBJECT_CONFLICT``, ``RATE_LIMITED``,
+    ``INVALID_REQUEST`` and ``STORE_UNAVAILABLE`` say that a write had no
+    effect; ``STORE_WRITE_UNKNOWN`` says that it may have had one, now or later.
+    A watch fails with ``HISTORY_TRIMMED`` where the changes after its version
+    are no longer kept; the client then reads the objects again.
     """
 
     async def get(
--- /dev/null
+++ b/chestnuthall/standins/objectapi/_memory.py
@@ -0,0 +1,142 @@
+"""The object store port in memory, with the emulator's versions and faults."""
+
+import asyncio
+
+from chestnuthall.core.results import (
+    HISTORY_TRIMMED,
+    INVALID_REQUEST,
+    OBJECT_CONFLICT,
+    OBJECT_NOT_FOUND,
+    RATE_LIMITED,
+    STORE_UNAVAILABLE,
+    STORE_WRITE_UNKNOWN,
+    Failure,
+    FailureKind,
+)
+from chestnuthall.ports import StoredObject, WatchBatch
+from chestnuthall.standins.objectapi._service import (
+    Call,
+    DeleteCall,
+    Drop,
+    GetCall,
+    ListCall,
+    ObjectService,
+    PutCall,
+    Reply,
+    WatchCall,
+)
+
+# Time that a watch may take beyond the wait that it asks for.
+WATCH_MARGIN_MS = 1_000.0
+
+_KINDS: dict[int, FailureKind] = {
+    400: INVALID_REQUEST,
+    404: OBJECT_NOT_FOUND,
+    410: HISTORY_TRIMMED,
+    412: OBJECT_CONFLICT,
+    413: INVALID_REQUEST,
+    429: RATE_LIMITED,
+}
+
+
+class MemoryObjectStore:
+    """A client of an ``ObjectService`` without any transport.
+
+    Several clients of one service see each other's writes; setting
+    ``is_cut_off`` separates a single one from the service.
+    """
+
+    def __init__(self, service: ObjectService) -> None:
+        self.service = service
+        self.is_cut_off = False
+
+    async def get(
+        self, kind: str, name: str, timeout_ms: float
+    ) -> StoredObject | Failure:
+        """Read one object."""
+        reply = await self._read(GetCall(kind, name), timeout_ms)
+        return reply if isinstance(reply, Failure) else _object_of(reply.body)
+
+    async def list_kind(
+        self, kind: str, timeout_ms: float
+    ) -> tuple[StoredObject, ...] | Failure:
+        """Read all objects of a kind."""
+        reply = await self._read(ListCall(kind), timeout_ms)
+        if isinstance(reply, Failure):
+            return reply
+        return _objects_of(reply.body["objects"])
+
+    async def create(
+        self, kind: str, name: str, value: str, timeout_ms: float
+    ) -> StoredObject | Failure:
+        """Write an object that must not exist yet."""
+        return await self._write(PutCall(kind, name, value, 0), timeout_ms)
+
+    async def update(
+        self, kind: str, name: str, value: str, version: int, timeout_ms: float
+    ) -> StoredObject | Failure:
+        """Write an object whose version must still be ``version``."""
+        return await self._write(PutCall(kind, name, value, version), timeout_ms)
+
+    async def delete(
+        self, kind: str, name: str, version: int, timeout_ms: float
+    ) -> Failure | None:
+        """Delete an object whose version must still be ``version``."""
+        result = await self._write(DeleteCall(kind, name, version), timeout_ms)
+        return result if isinstance(result, Failure) else None
+
+    async def watch(
+        self, kind: str, after_version: int, timeout_ms: float
+    ) -> WatchBatch | Failure:
+        """Wait for changes of a kind after a version; an empty batch on timeout."""
+        call = WatchCall(kind, after_version, timeout_ms)
+        reply = await self._read(call, timeout_ms + WATCH_MARGIN_MS)
+        if isinstance(reply, Failure):
+            return reply
+        body = reply.body
+        return WatchBatch(
+            body["version"],  # type: ignore[arg-type]
+            _objects_of(body["changed"]),
+            tuple(body["deleted_names"]),  # type: ignore[arg-type]
+        )
+
+    async def _call(self, call: Call, timeout_ms: float) -> Reply | Drop | None:
+        """Return the reply, or None where none came in time."""
+        if self.is_cut_off:
+            return Drop.REFUSED
+        try:
+            return await asyncio.wait_for(
+                self.service.serve(call), max(0.0, timeout_ms) / 1000.0
+            )
+        except TimeoutError:
+            return None
+
+    async def _read(self, call: Call, timeout_ms: float) -> Reply | Failure:
+        reply = await self._call(call, timeout_ms)
+        if not isinstance(reply, Reply):
+            return STORE_UNAVAILABLE.because("no answer")
+        if reply.status == 200:
+            return reply
+        kind = _KINDS.get(reply.status, STORE_UNAVAILABLE)
+        return kind.because(f"status {reply.status}")
+
+    async def _write(
+        self, call: PutCall | DeleteCall, timeout_ms: float
+    ) -> StoredObject | Failure:
+        reply = await self._call(call, timeout_ms)
+        if reply is Drop.REFUSED:
+            return STORE_UNAVAILABLE.because("the connection was refused")
+        if not isinstance(reply, Reply):
+            return STORE_WRITE_UNKNOWN.because("no answer")
+        if reply.status == 200:
+            return _object_of(reply.body)
+        kind = _KINDS.get(reply.status, STORE_WRITE_UNKNOWN)
+        return kind.because(f"status {reply.status}")
+
+
+def _object_of(body: dict[str, object]) -> StoredObject:
+    return StoredObject(**body)  # type: ignore[arg-type]
+
+
+def _objects_of(bodies: object) -> tuple[StoredObject, ...]:
+    return tuple(_object_of(body) for body in bodies)  # type: ignore[attr-defined]
--- a/chestnuthall/standins/objectapi/_objects.py
+++ b/chestnuthall/standins/objectapi/_objects.py
@@ -1,10 +1,13 @@
 """Objects with versions and a bounded history of changes."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 N_CHANGES_KEPT = 10_000
 N_VALUE_BYTES_MAX = 1024 * 1024
+# Older states of one object that stale reads can return.
+N_STATES_KEPT = 8
 
 
 class VersionConflict(Exception):
@@ -15,6 +18,10 @@
     """There is no object of that name."""
 
 
+class HistoryTrimmed(Exception):
+    """Changes after the version asked for are no longer kept."""
+
+
 @dataclass(frozen=True, slots=True)
 class Entry:
     """One object with the version of its last write."""
@@ -35,26 +42,43 @@
     entry: Entry | None
 
 
+def _loop_time_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
 class ObjectTable:
     """All objects; versions grow by one with each write to any object."""
 
-    def __init__(self) -> None:
+    def __init__(self, read_time_s: Callable[[], float] = _loop_time_s) -> None:
         self.version = 0
-        self._entries: dict[tuple[str, str], Entry] = {}
+        self.trimmed_version = 0
+        self._read_time_s = read_time_s
+        self._states: dict[tuple[str, str], list[tuple[float, Entry | None]]] = {}
         self._changes: list[Change] = []
         self._changed = asyncio.Event()
 
-    def get(self, kind: str, name: str) -> Entry:
-        """Return an object."""
-        entry = self._entries.get((kind, name))
+    def get(self, kind: str, name: str, lag_s: float = 0.0) -> Entry:
+        """Return an object as it was ``lag_s`` ago."""
+        entry = self._state_of((kind, name), lag_s)
         if entry is None:
             raise UnknownObject(f"{kind}/{name} does not exist")
         return entry
 
-    def list_kind(self, kind: str) -> list[Entry]:
-        """Return all objects of a kind, by name."""
-        found = [entry for entry in self._entries.values() if entry.kind == kind]
-        return sorted(found, key=lambda entry: entry.name)
+    def _state_of(self, key: tuple[str, str], lag_s: float) -> Entry | None:
+        states = self._states.get(key, [])
+        if states and lag_s <= 0.0:
+            return states[-1][1]
+        as_of_s = self._read_time_s() - lag_s
+        past = [entry for landed_s, entry in states if landed_s <= as_of_s]
+        if not past and len(states) == N_STATES_KEPT:
+            return states[0][1]
+        return past[-1] if past else None
+
+    def list_kind(self, kind: str, lag_s: float = 0.0) -> list[Entry]:
+        """Return all objects of a kind as they were ``lag_s`` ago, by name."""
+        names = sorted(name for item_kind, name in self._states if item_kind == kind)
+        found = [self._state_of((kind, name), lag_s) for name in names]
+        return [entry for entry in found if entry is not None]
 
     def put(
         self, kind: str, name: str, value: str, expected_version: int | None
@@ -63,13 +87,12 @@
 
         None writes without a condition.
         """
-        current = self._entries.get((kind, name))
+        current = self._state_of((kind, name), 0.0)
         current_version = 0 if current is None else current.version
         if expected_version is not None and expected_version != current_version:
             raise VersionConflict(f"{kind}/{name} is at version {current_version}")
         self.version += 1
         entry = Entry(kind, name, self.version, value)
-        self._entries[(kind, name)] = entry
         self._note(Change(self.version, kind, name, entry))
         return entry
 
@@ -78,19 +101,33 @@
         entry = self.get(kind, name)
         if expected_version is not None and expected_version != entry.version:
             raise VersionConflict(f"{kind}/{name} is at version {entry.version}")
-        del self._entries[(kind, name)]
         self.version += 1
         self._note(Change(self.version, kind, name, None))
         return entry
 
     def _note(self, change: Change) -> None:
+        states = self._states.setdefault((change.kind, change.name), [])
+        states.append((self._read_time_s(), change.entry))
+        del states[:-N_STATES_KEPT]
         self._changes.append(change)
-        del self._changes[:-N_CHANGES_KEPT]
+        self._trim(N_CHANGES_KEPT)
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def _trim(self, n_kept: int) -> None:
+        n_dropped = len(self._changes) - n_kept
+        if n_dropped > 0:
+            self.trimmed_version = self._changes[n_dropped - 1].version
+            del self._changes[:n_dropped]
+
+    def trim_history(self) -> None:
+        """Drop all changes that are kept for watches."""
+        self._trim(0)
+
     def changes_after(self, kind: str, version: int) -> list[Change]:
         """Return the last change of each object of a kind after a version."""
+        if version < self.trimmed_version:
+            raise HistoryTrimmed(f"changes start after {self.trimmed_version}")
         latest: dict[str, Change] = {}
         for change in self._changes:
             if change.kind == kind and change.version > version:
