Prove claims and configuration by state machines and a table of faults

Cause: the claim protocol and the follower had no tests of their own.

Found: a key that is sent again with another issue time can be claimed after it was pruned; the issue time is part of the key, which the model now says. wait_for of Python 3.11 loses a cancellation that meets the result, so the in-memory store uses timeout. A pause shorter than the clock's rounding was repeated without end.

--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,14 @@
 
 bench: setup
 	$(PYTHON) -m benchmarks
+
+# Faults of the object store, alone and in pairs, in virtual time.
+faults: setup
+	$(PYTHON) -m pytest chestnuthall/daemon/tests chestnuthall/standins/objectapi
+
+# State machines with random seeds; the number of examples of each.
+CHESTNUTHALL_FUZZ_EXAMPLES ?= 3000
+
+fuzz: export CHESTNUTHALL_FUZZ_EXAMPLES := $(CHESTNUTHALL_FUZZ_EXAMPLES)
+fuzz: setup
+	$(PYTHON) -m pytest chestnuthall/core/claims/tests/test_fuzz.py chestnuthall/services/tests/test_configuration_fuzz.py
--- /dev/null
+++ b/chestnuthall/core/claims/tests/test_fuzz.py
@@ -0,0 +1,231 @@
+"""Guards the claim protocol against any order of calls, losses and delays.
+
+Three writers share one partition of a store whose writes may take effect at
+once, later or never, with or without an answer. Holders may be paused between
+any two steps, since each writer acts only when the test chooses it.
+"""
+
+import os
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from chestnuthall.core.claims import (
+    EMPTY_PARTITION,
+    AbandonRequested,
+    AwaitTurn,
+    ClaimRequested,
+    ClaimWithdrawn,
+    Delay,
+    DelayEnded,
+    KeyClaim,
+    LedgerSettings,
+    PartitionClaims,
+    PartitionRead,
+    ReadFailed,
+    ReadPartition,
+    Settle,
+    TurnGranted,
+    WriteConflicted,
+    WriteFailed,
+    WriteLost,
+    WritePartition,
+    WriteSucceeded,
+)
+from chestnuthall.core.results import RATE_LIMITED, STORE_UNAVAILABLE, RunState
+
+N_EXAMPLES = int(os.environ.get("CHESTNUTHALL_FUZZ_EXAMPLES", "150"))
+LEDGER = LedgerSettings(
+    retention_ms=100.0, future_tolerance_ms=20.0, n_entries_max=3, n_bytes_max=100_000
+)
+WRITERS = st.integers(0, 2)
+KEYS = st.sampled_from([f"key-{letter}" for letter in "abcdefgh"])
+
+
+class ClaimProtocol(RuleBasedStateMachine):
+    """A dispatch is what a holder does once, any time after its claim held."""
+
+    @initialize()
+    def start(self):
+        self.now_ms = 1_000.0
+        self.versions = [(0, EMPTY_PARTITION)]
+        self.writers = [PartitionClaims(LEDGER) for _ in range(3)]
+        self.calls = [None, None, None]
+        self.late = []
+        self.claims = {}
+        self.issued_at_ms = {}
+        self.waiting = [{}, {}, {}]
+        self.holders = []
+        self.refused_not_run = set()
+        self.dispatched = {}
+        self.n_tokens = 0
+
+    def feed(self, index, event):
+        self.calls[index] = None
+        self.take(index, self.writers[index].handle(event))
+
+    def take(self, index, actions):
+        for action in actions:
+            if isinstance(action, Settle):
+                self.settle(index, action)
+            else:
+                assert self.calls[index] is None, "two calls under way"
+                self.calls[index] = action
+
+    def settle(self, index, action):
+        claim = self.waiting[index].pop(action.token)
+        if action.failure is None:
+            self.holders.append((index, claim))
+        elif action.failure.kind.run is RunState.NO:
+            self.refused_not_run.add(claim.token)
+
+    @rule(index=WRITERS, key=KEYS, age_ms=st.sampled_from([0.0, 30.0, 90.0, -15.0]))
+    def request(self, index, key, age_ms):
+        self.n_tokens += 1
+        # A key is issued once: a resend carries the same issue time.
+        issued_at_ms = self.issued_at_ms.setdefault(key, self.now_ms - age_ms)
+        claim = KeyClaim(key, f"t{self.n_tokens}", issued_at_ms)
+        self.claims[claim.token] = claim
+        self.waiting[index][claim.token] = claim
+        event = ClaimRequested(self.clock(index), claim)
+        self.take(index, self.writers[index].handle(event))
+
+    def clock(self, index):
+        """The writers' clocks differ by up to 50 ms, half of the retention."""
+        return self.now_ms + (index - 1) * 50.0
+
+    @rule(index=WRITERS, data=st.data())
+    def withdraw(self, index, data):
+        if self.waiting[index]:
+            token = data.draw(st.sampled_from(sorted(self.waiting[index])))
+            event = ClaimWithdrawn(self.clock(index), self.claims[token])
+            self.take(index, self.writers[index].handle(event))
+
+    @rule(data=st.data(), is_abandoned=st.booleans())
+    def act_on_claim(self, data, is_abandoned):
+        if not self.holders:
+            return
+        holder = data.draw(st.sampled_from(self.holders))
+        self.holders.remove(holder)
+        index, claim = holder
+        if is_abandoned:
+            event = AbandonRequested(self.clock(index), claim)
+            self.take(index, self.writers[index].handle(event))
+            return
+        assert claim.token not in self.refused_not_run
+        self.dispatched.setdefault(claim.idempotency_key, []).append(claim.token)
+
+    @rule(index=WRITERS, n_behind=st.sampled_from([0, 0, 0, 1, 2]))
+    def answer_read(self, index, n_behind):
+        if isinstance(self.calls[index], ReadPartition):
+            version, partition = self.versions[
+                max(0, len(self.versions) - 1 - n_behind)
+            ]
+            self.feed(index, PartitionRead(self.clock(index), version, partition))
+
+    @rule(index=WRITERS)
+    def fail_call(self, index):
+        call = self.calls[index]
+        failure = STORE_UNAVAILABLE.because("down")
+        if isinstance(call, ReadPartition):
+            self.feed(index, ReadFailed(self.clock(index), failure))
+        elif isinstance(call, WritePartition):
+            self.feed(index, WriteFailed(self.clock(index), failure))
+
+    @rule(index=WRITERS)
+    def limit_write(self, index):
+        if isinstance(self.calls[index], WritePartition):
+            failure = RATE_LIMITED.because("busy")
+            self.feed(index, WriteFailed(self.clock(index), failure))
+
+    def land(self, write):
+        """Apply a write; return whether its condition held."""
+        version, stored = self.versions[-1]
+        if write.version != version:
+            return False
+        assert write.partition.floor_ms >= stored.floor_ms, "the floor fell"
+        self.versions.append((version + 1, write.partition))
+        return True
+
+    @rule(index=WRITERS)
+    def answer_write(self, index):
+        call = self.calls[index]
+        if isinstance(call, WritePartition):
+            if self.land(call):
+                event = WriteSucceeded(self.clock(index), self.versions[-1][0])
+            else:
+                event = WriteConflicted(self.clock(index), 0.5)
+            self.feed(index, event)
+
+    @rule(index=WRITERS, how=st.sampled_from(["landed", "late", "never"]))
+    def lose_write(self, index, how):
+        call = self.calls[index]
+        if isinstance(call, WritePartition):
+            if how == "landed":
+                self.land(call)
+            elif how == "late":
+                self.late.append(call)
+            self.feed(index, WriteLost(self.clock(index)))
+
+    @precondition(lambda self: self.late)
+    @rule(data=st.data())
+    def land_late(self, data):
+        index = data.draw(st.integers(0, len(self.late) - 1))
+        self.land(self.late.pop(index))
+
+    @rule(index=WRITERS)
+    def end_wait(self, index):
+        call = self.calls[index]
+        if isinstance(call, AwaitTurn):
+            self.feed(index, TurnGranted(self.clock(index)))
+        elif isinstance(call, Delay):
+            self.feed(index, DelayEnded(self.clock(index)))
+
+    @rule(duration_ms=st.sampled_from([1.0, 40.0, 120.0]))
+    def pass_time(self, duration_ms):
+        self.now_ms += duration_ms
+
+    @rule(index=WRITERS)
+    def restart(self, index):
+        """The instance is killed; what it has sent may still land."""
+        if isinstance(self.calls[index], WritePartition):
+            self.late.append(self.calls[index])
+        self.calls[index] = None
+        self.writers[index] = PartitionClaims(LEDGER)
+        self.waiting[index] = {}
+        self.holders = [item for item in self.holders if item[0] != index]
+
+    @invariant()
+    def a_key_is_dispatched_at_most_once(self):
+        assert all(len(tokens) == 1 for tokens in self.dispatched.values())
+
+    @invariant()
+    def a_key_has_one_holder(self):
+        keys = [claim.idempotency_key for _, claim in self.holders]
+        assert len(keys) == len(set(keys))
+
+    @invariant()
+    def the_partition_is_bounded(self):
+        assert len(self.versions[-1][1].entries) <= LEDGER.n_entries_max
+
+    @invariant()
+    def a_writer_with_work_is_busy(self):
+        for index, waiting in enumerate(self.waiting):
+            assert not waiting or self.calls[index] is not None, "a claim is stuck"
+
+
+TestClaimProtocol = ClaimProtocol.TestCase
+TestClaimProtocol.settings = settings(
+    max_examples=N_EXAMPLES,
+    stateful_step_count=60,
+    deadline=None,
+    derandomize="CHESTNUTHALL_FUZZ_EXAMPLES" not in os.environ,
+    database=None,
+)
--- a/chestnuthall/core/configuration/_follower.py
+++ b/chestnuthall/core/configuration/_follower.py
@@ -15,6 +15,8 @@
 CONFIRMATION_AGE_MAX_MS = 4_500.0
 PAUSE_FIRST_MS = 250.0
 PAUSE_MAX_MS = 1_000.0
+# A shorter remainder may be lost in rounding, and would be paused for again.
+PAUSE_MIN_MS = 1.0
 # Least time from the start of one watch to that of the next.
 WATCH_INTERVAL_MIN_MS = 200.0
 
@@ -165,7 +167,7 @@
         follower.loaded_ms + PAUSE_MAX_MS,
     )
     if event.now_ms < due_ms:
-        return Pause(due_ms - event.now_ms)
+        return Pause(max(due_ms - event.now_ms, PAUSE_MIN_MS))
     # Changes that were not watched are read as the object's last state.
     follower.version = None
     return Load()
--- /dev/null
+++ b/chestnuthall/daemon/tests/test_configuration_on_store.py
@@ -0,0 +1,253 @@
+"""Guards configuration against faults of the store and of peers, over time.
+
+Real keepers run on the in-memory store in virtual time.
+"""
+
+import asyncio
+from contextlib import suppress
+
+import pytest
+
+from chestnuthall.core.configuration import RevisionDecision
+from chestnuthall.core.results import CONFIGURATION_REJECTED
+from chestnuthall.daemon.tests.store_world import (
+    DOCUMENT,
+    StoreWorld,
+    configuration_text,
+)
+from chestnuthall.standins.objectapi import Outage, StoreFaults
+from chestnuthall.standins.virtual_time import run_virtual
+
+BOUND_MS = 8_000.0
+FAULTS = {
+    "calm": {},
+    "refused": {"outage": Outage.REFUSED, "outage_ms": 20_000.0},
+    "hanging": {"outage": Outage.HANGING, "outage_ms": 20_000.0},
+    "503": {"outage": Outage.ERROR_503, "outage_ms": 20_000.0},
+    "slow": {"delay_ms": 900.0},
+    "stale-reads": {"stale_read_ms": 3_000.0},
+    "rate-limit": {"n_calls_per_s_max": 1},
+}
+STEPS = {"before-start": -1.0, "during-first-read": 0.001, "during-watch": 6.0}
+# Faults in which every call fails, so that nobody can reach the store.
+OUTAGES = {name for name, fault in FAULTS.items() if "outage" in fault}
+
+
+async def run_keepers(world, scenario):
+    """Run the keepers and the exchange between them around a scenario."""
+    logs = [[] for _ in world.keepers]
+    for keeper, log in zip(world.keepers, logs, strict=True):
+        keeper.on_change(
+            lambda item, log=log: log.append((item.revision, world.clock.now_ms()))
+        )
+    tasks = [asyncio.ensure_future(keeper.run()) for keeper in world.keepers]
+    tasks.append(asyncio.ensure_future(world.tell_peers()))
+    try:
+        result = await scenario()
+    finally:
+        for task in tasks:
+            task.cancel()
+            with suppress(asyncio.CancelledError):
+                await task
+    for log in logs:
+        revisions = [revision for revision, _ in log]
+        assert revisions == sorted(set(revisions)), "a revision reverted"
+    return logs, result
+
+
+@pytest.mark.parametrize("watchers", [(0, 1, 2), (1,)], ids=["all-watch", "one"])
+@pytest.mark.parametrize("fault", FAULTS)
+@pytest.mark.parametrize("step", STEPS)
+def test_fault_at_step(step, fault, watchers):
+    """Revisions must not revert under a fault, and arrive in time after it."""
+
+    async def scenario(world):
+        await world.accept(1)
+        if STEPS[step] < 0.0:
+            world.service.set_faults(StoreFaults(**FAULTS[fault]))
+
+        async def act():
+            await asyncio.sleep(max(0.0, STEPS[step]))
+            world.service.set_faults(StoreFaults(**FAULTS[fault]))
+            await asyncio.sleep(21.0 if fault in OUTAGES else 0.5)
+            accepted_ms = world.clock.now_ms()
+            await world.accept(2)
+            await asyncio.sleep(BOUND_MS / 1000.0)
+            return accepted_ms
+
+        return await run_keepers(world, act)
+
+    logs, accepted_ms = run_virtual(scenario(StoreWorld(watchers=watchers)))
+    for log in logs:
+        assert log[-1][0] == 2
+        assert log[-1][1] - accepted_ms <= BOUND_MS
+
+
+@pytest.mark.parametrize("offset_s", [0.0, 0.7, 1.9, 3.3, 4.9])
+def test_hung_watch_does_not_delay(offset_s):
+    """A watch that hangs when a store recovers must not hold news back."""
+
+    async def scenario(world):
+        await world.accept(1)
+
+        async def act():
+            await asyncio.sleep(10.0 + offset_s)
+            world.service.set_faults(
+                StoreFaults(outage=Outage.HANGING, outage_ms=100.0)
+            )
+            await asyncio.sleep(0.2)
+            await world.accept(2)
+            await asyncio.sleep(BOUND_MS / 1000.0)
+
+        return await run_keepers(world, act)
+
+    logs, _ = run_virtual(scenario(StoreWorld(n=1, watchers=(0,))))
+    assert logs[0][-1][0] == 2
+
+
+def test_cut_off_instance_learns_from_peers():
+    """An instance that reaches peers but not the store must follow them."""
+
+    async def scenario(world):
+        await world.accept(1)
+        world.clients[2].is_cut_off = True
+
+        async def act():
+            await asyncio.sleep(5.0)
+            await world.accept(2)
+            await asyncio.sleep(BOUND_MS / 1000.0)
+
+        return await run_keepers(world, act)
+
+    logs, _ = run_virtual(scenario(StoreWorld()))
+    assert [log[-1][0] for log in logs] == [2, 2, 2]
+
+
+@pytest.mark.parametrize(
+    ("stale_ms", "is_cut_off", "peer_revision", "expected"),
+    [
+        pytest.param(0.0, False, None, 2, id="store-only"),
+        pytest.param(0.0, True, 2, 2, id="peers-only"),
+        pytest.param(5_000.0, False, 2, 2, id="stale-store-newer-peer"),
+        pytest.param(0.0, False, 1, 2, id="older-peer"),
+        pytest.param(0.0, True, None, 0, id="neither"),
+    ],
+)
+def test_start_takes_the_highest(stale_ms, is_cut_off, peer_revision, expected):
+    """A starting instance must not serve an older revision than it can learn."""
+
+    async def scenario(world):
+        await world.accept(1)
+        await asyncio.sleep(6.0)
+        await world.accept(2)
+        await asyncio.sleep(1.0)
+        if peer_revision is not None:
+            world.keepers[1].offer_text(configuration_text(peer_revision), "test")
+        world.service.set_faults(StoreFaults(delay_ms=50.0, stale_read_ms=stale_ms))
+        world.clients[0].is_cut_off = is_cut_off
+        task = asyncio.ensure_future(world.keepers[0].run())
+        await asyncio.sleep(0.04)
+        assert not world.keepers[0].is_ready or is_cut_off
+        await asyncio.sleep(0.011)
+        ready = world.keepers[0].is_ready
+        task.cancel()
+        return ready, world.keepers[0].revision
+
+    ready, revision = run_virtual(scenario(StoreWorld()))
+    assert (ready, revision) == (expected > 0, expected)
+
+
+def test_trimmed_history_is_read_again():
+    """A watch that falls behind the kept history must not miss a revision."""
+
+    async def scenario(world):
+        await world.accept(1)
+
+        async def act():
+            await asyncio.sleep(1.0)
+            world.clients[0].is_cut_off = True
+            await asyncio.sleep(5.0)
+            await world.accept(2)
+            world.service.table.trim_history()
+            world.clients[0].is_cut_off = False
+            await asyncio.sleep(BOUND_MS / 1000.0)
+
+        return await run_keepers(world, act)
+
+    logs, _ = run_virtual(scenario(StoreWorld(n=1, watchers=(0,))))
+    assert [revision for revision, _ in logs[0]] == [1, 2]
+
+
+@pytest.mark.parametrize(
+    ("faults", "is_written", "watchers", "n_max"),
+    [
+        pytest.param({}, True, (0,), 16, id="watcher"),
+        pytest.param({}, True, (), 15, id="not-a-watcher"),
+        pytest.param({}, False, (0,), 20, id="no-object"),
+        pytest.param({}, False, (), 62, id="no-object-no-watcher"),
+        pytest.param({"outage": Outage.REFUSED}, True, (0,), 65, id="refused"),
+        pytest.param({"outage": Outage.ERROR_503}, True, (), 65, id="503"),
+        pytest.param({"stale_read_ms": 9e9}, True, (), 65, id="stale"),
+    ],
+)
+def test_calls_per_minute(faults, is_written, watchers, n_max):
+    """Nothing may poll the store in a tight loop, whatever it answers."""
+
+    async def scenario(world):
+        if is_written:
+            await world.accept(1)
+        await asyncio.sleep(1.0)
+        world.service.set_faults(StoreFaults(**faults))
+        task = asyncio.ensure_future(world.keepers[0].run())
+        await asyncio.sleep(60.0)
+        task.cancel()
+        return sum(world.stores[0].calls_in_last_minute().values())
+
+    n_calls = run_virtual(scenario(StoreWorld(n=1, watchers=watchers)))
+    print(f"{n_calls} calls in a minute")
+    assert 0 < n_calls <= n_max
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        (configuration_text(3), RevisionDecision.KEEP),
+        (configuration_text(2), RevisionDecision.KEEP),
+        (
+            configuration_text(3, DOCUMENT + "\n"),
+            RevisionDecision.REJECT_SAME_REVISION_OTHER_DIGEST,
+        ),
+        (
+            configuration_text(4, environment="production"),
+            RevisionDecision.REJECT_OTHER_ENVIRONMENT,
+        ),
+        (configuration_text(4), RevisionDecision.APPLY),
+        ("{}", CONFIGURATION_REJECTED),
+    ],
+    ids=["repeated", "older", "other-digest", "other-environment", "newer", "bad"],
+)
+def test_offers(text, expected):
+    """An offer from any source may only move the revision forward."""
+
+    async def scenario(world):
+        keeper = world.keepers[0]
+        keeper.offer_text(configuration_text(3), "test")
+        decision = keeper.offer_text(text, "test")
+        return getattr(decision, "kind", decision), keeper.revision
+
+    decision, revision = run_virtual(scenario(StoreWorld()))
+    assert decision is expected
+    assert revision == (4 if expected is RevisionDecision.APPLY else 3)
+
+
+def test_failing_listener_does_not_stop_the_others():
+    """A defect in one listener must not keep others on an old revision."""
+
+    async def scenario(world):
+        keeper, seen = world.keepers[0], []
+        keeper.on_change(lambda item: 1 / 0)
+        keeper.on_change(lambda item: seen.append(item.revision))
+        keeper.offer_text(configuration_text(1), "test")
+        return seen
+
+    assert run_virtual(scenario(StoreWorld())) == [1]
--- a/chestnuthall/standins/objectapi/_memory.py
+++ b/chestnuthall/standins/objectapi/_memory.py
@@ -105,9 +105,10 @@
         if self.is_cut_off:
             return Drop.REFUSED
         try:
-            return await asyncio.wait_for(
-                self.service.serve(call), max(0.0, timeout_ms) / 1000.0
-            )
+            # ``wait_for`` of Python 3.11 loses a cancellation that arrives in
+            # the same turn as the result.
+            async with asyncio.timeout(max(0.0, timeout_ms) / 1000.0):
+                return await self.service.serve(call)
         except TimeoutError:
             return None
 
--- a/chestnuthall/standins/objectapi/_objects.py
+++ b/chestnuthall/standins/objectapi/_objects.py
@@ -146,6 +146,7 @@
             if changes or remaining_s <= 0.0:
                 return changes
             try:
-                await asyncio.wait_for(self._changed.wait(), remaining_s)
+                async with asyncio.timeout(remaining_s):
+                    await self._changed.wait()
             except TimeoutError:
                 return []
