--- /dev/null
+++ b/chestnuthall/adapters/documents/tests/test_ledger.py
@@ -0,0 +1,49 @@
+"""Guards the ledger's object against growing beyond what the store accepts."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from chestnuthall.adapters.documents import JsonPartitionCodec
+from chestnuthall.core.claims import (
+    EMPTY_PARTITION,
+    ClaimDecision,
+    KeyClaim,
+    LedgerSettings,
+    add_claims,
+    entry_size_bytes,
+)
+
+CODEC = JsonPartitionCodec()
+WALL_MS = 1_800_000_000_000.123456
+
+
+def make_claims(keys):
+    return tuple(KeyClaim(key, f"{n:016x}", WALL_MS) for n, key in enumerate(keys))
+
+
+@settings(derandomize=True, database=None, max_examples=200)
+@given(st.lists(st.text(min_size=1, max_size=128), unique=True, max_size=8))
+def test_size_is_bounded_by_estimate(keys):
+    """The estimate that bounds a partition must not be below its real size."""
+    partition = add_claims(
+        EMPTY_PARTITION, make_claims(keys), LedgerSettings(), WALL_MS
+    )[0]
+    text = CODEC.encode(partition)
+    assert len(text.encode()) <= 64 + sum(entry_size_bytes(key) for key in keys)
+    assert CODEC.decode(text) == partition
+
+
+@pytest.mark.parametrize(
+    "letter", ["k", '"', "é", "\U0001f600"], ids=["plain", "quote", "accent", "emoji"]
+)
+def test_full_partition_fits_the_store(letter):
+    """Claims beyond a megabyte or the count must be refused as full."""
+    keys = [f"{n:06d}".ljust(128, letter) for n in range(8_000)]
+    partition, decisions = add_claims(
+        EMPTY_PARTITION, make_claims(keys), LedgerSettings(), WALL_MS
+    )
+    assert len(CODEC.encode(partition).encode()) <= 1024 * 1024
+    assert len(partition.entries) <= 6_000
+    n_full = list(decisions.values()).count(ClaimDecision.FULL)
+    assert n_full == 8_000 - len(partition.entries) > 0
