--- a/chestnuthall/core/configuration/__init__.py
+++ b/chestnuthall/core/configuration/__init__.py
@@ -1,6 +1,24 @@
 """Configuration revisions that only go forward, promotion and history."""
 
-from chestnuthall.core.configuration._differences import Difference, differences
+from chestnuthall.core.configuration._differences import (
+    Difference,
+    differences,
+)
+from chestnuthall.core.configuration._follower import (
+    CONFIRMATION_AGE_MAX_MS,
+    WATCH_TIMEOUT_MS,
+    FollowAction,
+    FollowEvent,
+    Load,
+    Loaded,
+    Pause,
+    PauseEnded,
+    StoreFailed,
+    StoreFollower,
+    Watch,
+    WatchEnded,
+    WatchTrimmed,
+)
 from chestnuthall.core.configuration._promotion import (
     InstanceEvidence,
     PromotionDecision,
@@ -26,25 +44,44 @@
     Settlement,
     decide_settlement,
 )
+from chestnuthall.core.configuration._watchers import (
+    N_WATCHERS_PER_ZONE,
+    is_watcher,
+)
 
 __all__ = [
+    "CONFIRMATION_AGE_MAX_MS",
     "Difference",
     "Draft",
+    "FollowAction",
+    "FollowEvent",
     "History",
     "InForce",
     "InstanceEvidence",
+    "Load",
+    "Loaded",
+    "N_WATCHERS_PER_ZONE",
+    "Pause",
+    "PauseEnded",
     "PromotionDecision",
     "PromotionPolicy",
     "PromotionVerdict",
     "RevisionDecision",
     "RevisionRecord",
     "Settlement",
+    "StoreFailed",
+    "StoreFollower",
     "TrialEvidence",
+    "WATCH_TIMEOUT_MS",
+    "Watch",
+    "WatchEnded",
+    "WatchTrimmed",
     "add_to_history",
     "decide_promotion",
     "decide_revision",
     "decide_settlement",
     "differences",
+    "is_watcher",
     "next_record",
     "promotion_draft",
 ]
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -1,25 +1,62 @@
 """Use cases of an entry instance, which join the decisions to the ports."""
 
-from chestnuthall.services._admission import Admission, Admitted, NotAdmitted
-from chestnuthall.services._burn import BurnCodec, BurnRecorder, read_burn
-from chestnuthall.services._claims import ClaimLedger, PartitionCodec
+from chestnuthall.services._admission import (
+    Admission,
+    Admitted,
+    NotAdmitted,
+)
+from chestnuthall.services._burn import (
+    BurnCodec,
+    BurnRecorder,
+    read_burn,
+)
+from chestnuthall.services._claims import (
+    ClaimLedger,
+    PartitionCodec,
+)
 from chestnuthall.services._configuration import (
     ConfigurationKeeper,
     ConfigurationReader,
 )
-from chestnuthall.services._directory import Directory, PartitionMapReader
-from chestnuthall.services._fleet_view import FleetView, Seen, SeenUpstream
-from chestnuthall.services._lifecycle import Lifecycle
+from chestnuthall.services._configuration_peers import (
+    PeerConfigurations,
+)
+from chestnuthall.services._directory import (
+    Directory,
+    PartitionMapReader,
+)
+from chestnuthall.services._fleet_view import (
+    FleetView,
+    Seen,
+    SeenUpstream,
+)
+from chestnuthall.services._lifecycle import (
+    Lifecycle,
+)
 from chestnuthall.services._membership import (
     DigestPart,
     Identity,
     InstanceListReader,
     Membership,
 )
-from chestnuthall.services._outcomes import OutcomeRecorder
-from chestnuthall.services._publication import Publication
-from chestnuthall.services._query import Outcome, QueryService
-from chestnuthall.services._revisions import Accepted, RaceLost, RevisionBook
+from chestnuthall.services._outcomes import (
+    OutcomeRecorder,
+)
+from chestnuthall.services._publication import (
+    Publication,
+)
+from chestnuthall.services._query import (
+    Outcome,
+    QueryService,
+)
+from chestnuthall.services._revisions import (
+    Accepted,
+    RaceLost,
+    RevisionBook,
+)
+from chestnuthall.services._store_calls import (
+    CountedObjectStore,
+)
 
 __all__ = [
     "Accepted",
@@ -30,6 +67,7 @@
     "ClaimLedger",
     "ConfigurationKeeper",
     "ConfigurationReader",
+    "CountedObjectStore",
     "DigestPart",
     "Directory",
     "FleetView",
@@ -42,6 +80,7 @@
     "OutcomeRecorder",
     "PartitionCodec",
     "PartitionMapReader",
+    "PeerConfigurations",
     "Publication",
     "QueryService",
     "RaceLost",
