Split the fan-out by concern, and settle suspected requests with a probe

Cause: a shard was marked as hedged before it was known whether it may be hedged, so one moment without a free slot or credit left a straggler without its hedge. A search that lost two replicas in its first wave, as a rack failure does, was quarantined. A replan cancelled the running calls before another map was known. A query that waited for a map was not ended at its deadline.

Change: fan-out state, handlers, hedges, probes and outcome are modules of their own. A shard counts as hedged once the call is made. Losses of one wave make a request suspected; peers are warned, one held shard is called, and its outcome clears or quarantines the request. Retries keep the last part of the extra-load credit; hedges need credit beyond it. Replicas are chosen from two candidates by expected time, which the age of the oldest call in flight bounds from below; at most a third of a shard is ejected. Refusals state `run` from what the calls did.

Ruled out: quarantine on two losses of one wave, since it cannot be told from a failed rack.

test_no_other_snapshot_returns_what_was_merged expected the third shard's call to be cancelled when no newer map was found. It now expects that call's answer to count, which is stricter on coverage.

--- a/chestnuthall/core/fanout/__init__.py
+++ b/chestnuthall/core/fanout/__init__.py
@@ -14,9 +14,13 @@
     Replan,
     SetTimer,
     TimerFired,
+    VerdictGiven,
+    Warn,
+    Warned,
 )
-from chestnuthall.core.fanout._machine import FanOut, FanOutContext
+from chestnuthall.core.fanout._machine import FanOut
 from chestnuthall.core.fanout._merge import coverage_of, merge_hits
+from chestnuthall.core.fanout._state import FanOutContext
 from chestnuthall.core.fanout._targets import target_shards
 
 __all__ = [
@@ -35,6 +39,9 @@
     "Replan",
     "SetTimer",
     "TimerFired",
+    "VerdictGiven",
+    "Warn",
+    "Warned",
     "coverage_of",
     "merge_hits",
     "target_shards",
--- a/chestnuthall/core/fanout/_events.py
+++ b/chestnuthall/core/fanout/_events.py
@@ -10,7 +10,7 @@
     ShardAnswer,
     ShardCall,
 )
-from chestnuthall.core.results import Failure
+from chestnuthall.core.results import Failure, RunState
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +53,16 @@
     partition_map: PartitionMap | None
 
 
+@dataclass(frozen=True, slots=True)
+class Warned(Event):
+    """The answer to ``Warn``: the peers that can be reached know."""
+
+
+@dataclass(frozen=True, slots=True)
+class VerdictGiven(Event):
+    """A suspected request was cleared or quarantined, here or at a peer."""
+
+
 @dataclass(frozen=True, slots=True)
 class Action:
     """Base of all actions."""
@@ -86,15 +96,26 @@
     gone_snapshot_ids: tuple[int, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Warn(Action):
+    """Tell the peers of a suspected request before a second replica runs it."""
+
+    fingerprint: str
+
+
 @dataclass(frozen=True, slots=True)
 class Completion:
-    """The outcome of a fan-out; ``failure`` is None for an answer."""
+    """The outcome of a fan-out; ``failure`` is None for an answer.
+
+    ``run`` says whether any replica ran the request.
+    """
 
     failure: Failure | None
     hits: tuple[Hit, ...]
     coverage: Coverage
     snapshot_id: int
     account: FanOutAccount
+    run: RunState = RunState.UNKNOWN
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/chestnuthall/core/fanout/_hedges.py
@@ -0,0 +1,68 @@
+"""Second calls of shards that are slow to answer."""
+
+from chestnuthall.core.fanout._events import Action
+from chestnuthall.core.fanout._progress import ShardProgress
+from chestnuthall.core.fanout._state import FanOutState
+from chestnuthall.core.model import is_idempotent
+
+# A hedge that finds no free slot or no credit is considered again after this
+# time. The call that stays slow longest is the one worth a hedge most.
+HEDGE_RETRY_MS = 10.0
+
+
+def hedge_due_ms(state: FanOutState, progress: ShardProgress) -> float | None:
+    """Return when a hedge of the shard is to be considered, or None for never."""
+    start_ms = progress.oldest_start_ms
+    if start_ms is None or not _may_hedge(state, progress):
+        return None
+    due_ms = start_ms + state.context.router.hedge_delay_ms()
+    return max(due_ms, progress.hedge_not_before_ms)
+
+
+def _may_hedge(state: FanOutState, progress: ShardProgress) -> bool:
+    return (
+        progress.answer is None
+        and not progress.is_hedged
+        and is_idempotent(state.request)
+        and len(progress.shard.replicas) > 1
+    )
+
+
+def hedge_due_shards(state: FanOutState, now_ms: float) -> list[Action]:
+    """Start the hedges that are due, the longest running calls first.
+
+    A suspected request is not hedged: it runs on one replica at a time.
+    """
+    if state.is_suspected(now_ms):
+        return []
+    due = []
+    for progress in state.shards.values():
+        due_ms = hedge_due_ms(state, progress)
+        if due_ms is not None and due_ms <= now_ms:
+            due.append(progress)
+    due.sort(key=lambda progress: progress.oldest_start_ms or 0.0)
+    actions: list[Action] = []
+    for progress in due:
+        actions += _hedge(state, progress, now_ms)
+    return actions
+
+
+def _hedge(state: FanOutState, progress: ShardProgress, now_ms: float) -> list[Action]:
+    """Start a second call if a replica has a free slot and the budget allows it.
+
+    The shard counts as hedged only once the call is made. Otherwise one moment
+    without a slot or credit would leave a straggler without its hedge.
+    """
+    progress.hedge_not_before_ms = now_ms + HEDGE_RETRY_MS
+    replica = state.context.router.choose(
+        progress.shard,
+        state.partition_map.snapshot_id,
+        progress.tried_names,
+        now_ms,
+        needs_free_slot=True,
+    )
+    if replica is None or not state.context.budget.try_take_hedge():
+        return []
+    progress.is_hedged = True
+    state.n_hedges += 1
+    return [state.start(progress, replica, now_ms)]
--- /dev/null
+++ b/chestnuthall/core/fanout/_outcome.py
@@ -0,0 +1,75 @@
+"""How a fan-out ends: its answer, or the failure that it ends with."""
+
+from chestnuthall.core.fanout._events import Completion
+from chestnuthall.core.fanout._merge import merge_hits
+from chestnuthall.core.fanout._state import NOT_STARTED_KINDS, FanOutState
+from chestnuthall.core.fanout._targets import n_hits_wanted
+from chestnuthall.core.model import Coverage, is_idempotent
+from chestnuthall.core.results import (
+    COVERAGE_BELOW_FLOOR,
+    DEADLINE_PASSED,
+    NO_REPLICA,
+    OUTCOME_UNKNOWN,
+    QUARANTINED,
+    Failure,
+)
+
+
+def completion_of(state: FanOutState, now_ms: float) -> Completion:
+    """Return what the query ends with, from what was merged so far."""
+    coverage = state.coverage()
+    failure = _failure_of(state, coverage, now_ms)
+    n_hits = n_hits_wanted(state.request)
+    hits = () if failure else merge_hits(state.answers().values(), n_hits)
+    return Completion(
+        failure=failure,
+        hits=hits,
+        coverage=coverage,
+        snapshot_id=state.partition_map.snapshot_id,
+        account=state.account(),
+        run=state.run_state(),
+    )
+
+
+def _failure_of(
+    state: FanOutState, coverage: Coverage, now_ms: float
+) -> Failure | None:
+    if not is_idempotent(state.request):
+        return _mutation_failure(state, now_ms)
+    if coverage.is_full and state.shards:
+        return None
+    if state.is_quarantined(now_ms):
+        return QUARANTINED.because("the request crashed the replicas that ran it")
+    floor = state.context.caller_class.coverage_floor_ratio
+    if state.shards and coverage.ratio >= floor:
+        return None
+    if state.n_calls == 0:
+        return _failure_without_calls(state, now_ms)
+    return COVERAGE_BELOW_FLOOR.because(
+        f"coverage {coverage.ratio:.4f} is below the floor {floor:.4f}"
+    )
+
+
+def _failure_without_calls(state: FanOutState, now_ms: float) -> Failure:
+    if state.is_quarantined(now_ms):
+        return QUARANTINED.because("the request crashed the replicas that ran it")
+    if state.is_suspected(now_ms):
+        return DEADLINE_PASSED.because(
+            "an earlier run lost a replica and its verdict did not come in time"
+        )
+    return NO_REPLICA.because("no replica of the shards can be called")
+
+
+def _mutation_failure(state: FanOutState, now_ms: float) -> Failure | None:
+    for progress in state.shards.values():
+        if progress.answer is not None:
+            return None
+        if progress.running:
+            return OUTCOME_UNKNOWN.because("the upstream did not answer in time")
+    if state.n_calls == 0:
+        return _failure_without_calls(state, now_ms)
+    if state.last_failure is None:
+        return DEADLINE_PASSED.because("no replica began the request in time")
+    if state.last_failure.kind in NOT_STARTED_KINDS:
+        return state.last_failure
+    return OUTCOME_UNKNOWN.because(state.last_failure.reason)
--- a/chestnuthall/core/fanout/_progress.py
+++ b/chestnuthall/core/fanout/_progress.py
@@ -1,16 +1,29 @@
 """Progress of one shard and of its calls."""
 
 from dataclasses import dataclass, field
+from enum import Enum
 
 from chestnuthall.core.model import Shard, ShardAnswer, ShardCall
 
 
+class ProbeStep(Enum):
+    """How far the probe of a suspected request has come."""
+
+    NONE = "none"
+    WARNING = "warning"
+    RUNNING = "running"
+
+
 @dataclass(slots=True)
 class RunningCall:
-    """A call that has neither answered nor failed."""
+    """A call that has neither answered nor failed.
+
+    ``is_probe`` marks a call whose outcome is the verdict on the request.
+    """
 
     call: ShardCall
     started_ms: float
+    is_probe: bool = False
 
 
 @dataclass(slots=True)
@@ -18,7 +31,9 @@
     """What is known about one shard of the plan.
 
     ``retry_at_ms`` is set while the shard waits for its next attempt;
-    ``is_given_up`` means that no further attempt will be made.
+    ``is_given_up`` means that no further attempt will be made, and ``is_held``
+    that the shard waits for the verdict on a suspected request. ``has_lost``
+    means that a replica of the shard was lost while it ran the request.
     """
 
     shard: Shard
@@ -28,6 +43,9 @@
     n_attempts: int = 0
     is_hedged: bool = False
     is_given_up: bool = False
+    is_held: bool = False
+    has_lost: bool = False
+    hedge_not_before_ms: float = float("-inf")
     retry_at_ms: float | None = None
 
     @property
--- /dev/null
+++ b/chestnuthall/core/fanout/_state.py
@@ -0,0 +1,213 @@
+"""State of one query over its shards, and the steps that change it."""
+
+from dataclasses import dataclass
+
+from chestnuthall.core.fanout._events import Action, Cancel, Dispatch
+from chestnuthall.core.fanout._merge import coverage_of
+from chestnuthall.core.fanout._progress import ProbeStep, RunningCall, ShardProgress
+from chestnuthall.core.fanout._targets import target_shards
+from chestnuthall.core.model import (
+    CallerClass,
+    Coverage,
+    FanOutAccount,
+    PartitionMap,
+    Replica,
+    Request,
+    ShardAnswer,
+    ShardCall,
+    is_idempotent,
+)
+from chestnuthall.core.quarantine import QuarantineRegister
+from chestnuthall.core.results import (
+    CALL_CANCELLED,
+    DEADLINE_PASSED,
+    NO_REPLICA,
+    SHED_BY_UPSTREAM,
+    SNAPSHOT_GONE,
+    Failure,
+    FailureKind,
+    RunState,
+)
+from chestnuthall.core.routing import ExtraLoadBudget, Router
+
+N_ATTEMPTS_MAX = 4
+N_REPLANS_MAX = 2
+
+# Failures that prove that the replica did not begin the call.
+NOT_STARTED_KINDS: frozenset[FailureKind] = frozenset(
+    {NO_REPLICA, SHED_BY_UPSTREAM, SNAPSHOT_GONE, DEADLINE_PASSED}
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FanOutContext:
+    """What a fan-out shares with the other queries of its instance."""
+
+    router: Router
+    budget: ExtraLoadBudget
+    quarantine: QuarantineRegister
+    caller_class: CallerClass
+    utilisation_ratio: float = 0.0
+
+
+class FanOutState:
+    """The pinned map, the progress of its shards, and what the calls did."""
+
+    def __init__(
+        self, request: Request, partition_map: PartitionMap, context: FanOutContext
+    ) -> None:
+        self.request = request
+        self.context = context
+        self.partition_map = partition_map
+        self.shards: dict[str, ShardProgress] = {}
+        self.is_complete = False
+        self.is_replanning = False
+        self.probe_step = ProbeStep.NONE
+        self.gone_snapshot_ids: list[int] = []
+        self.last_failure: Failure | None = None
+        self.n_calls = 0
+        self.n_not_started = 0
+        self.n_answered = 0
+        self.n_hedges = 0
+        self.n_retries = 0
+        self.n_discarded = 0
+        self.slowest_shard_id = ""
+        self.slowest_shard_ms = 0.0
+        self._shard_of_call: dict[str, str] = {}
+        self._n_call_ids = 0
+
+    def plan(self, partition_map: PartitionMap) -> None:
+        """Pin a map and forget everything that was merged from another one."""
+        self.partition_map = partition_map
+        self.shards = {
+            shard.shard_id: ShardProgress(shard)
+            for shard in target_shards(self.request, partition_map)
+        }
+
+    def dispatch_all(self, now_ms: float) -> list[Action]:
+        """Start the first call of every shard."""
+        actions: list[Action] = []
+        for progress in self.shards.values():
+            actions += self.try_dispatch(progress, now_ms)
+        return actions
+
+    def try_dispatch(self, progress: ShardProgress, now_ms: float) -> list[Action]:
+        """Start a call of a shard, or give the shard up if nothing can run it."""
+        progress.retry_at_ms = None
+        replica = self._choose(progress, now_ms)
+        if replica is None and progress.tried_names and is_idempotent(self.request):
+            progress.tried_names.clear()
+            replica = self._choose(progress, now_ms)
+        if replica is None:
+            progress.is_given_up = True
+            return []
+        return [self.start(progress, replica, now_ms)]
+
+    def _choose(self, progress: ShardProgress, now_ms: float) -> Replica | None:
+        return self.context.router.choose(
+            progress.shard,
+            self.partition_map.snapshot_id,
+            progress.tried_names,
+            now_ms,
+        )
+
+    def start(
+        self,
+        progress: ShardProgress,
+        replica: Replica,
+        now_ms: float,
+        is_probe: bool = False,
+    ) -> Dispatch:
+        """Start a call of a shard at a replica."""
+        self._n_call_ids += 1
+        call = ShardCall(
+            call_id=f"{self.request.request_id}.{self._n_call_ids}",
+            replica=replica,
+            shard_id=progress.shard.shard_id,
+            snapshot_id=self.partition_map.snapshot_id,
+            deadline_ms=self.request.deadline_ms,
+            request=self.request,
+        )
+        progress.running[call.call_id] = RunningCall(call, now_ms, is_probe)
+        progress.tried_names.add(replica.name)
+        progress.n_attempts += 1
+        self._shard_of_call[call.call_id] = call.shard_id
+        self.n_calls += 1
+        self.context.router.on_started(replica, now_ms)
+        return Dispatch(call)
+
+    def take_running(self, call_id: str) -> tuple[ShardProgress, RunningCall] | None:
+        """Remove a running call; None for one that was dropped before."""
+        progress = self.shards.get(self._shard_of_call.pop(call_id, ""))
+        if progress is None:
+            return None
+        running = progress.running.pop(call_id, None)
+        return None if running is None else (progress, running)
+
+    def cancel_running(self, progress: ShardProgress, now_ms: float) -> list[Action]:
+        """Cancel the calls of a shard that still run."""
+        actions: list[Action] = []
+        for call_id, running in progress.running.items():
+            self._shard_of_call.pop(call_id, None)
+            self.context.router.on_failed(
+                running.call.replica,
+                CALL_CANCELLED.because("answer no longer needed"),
+                running.call.snapshot_id,
+                running.started_ms,
+                now_ms,
+            )
+            actions.append(Cancel(call_id))
+        progress.running.clear()
+        return actions
+
+    def cancel_all(self, now_ms: float) -> list[Action]:
+        """Cancel every call that still runs."""
+        actions: list[Action] = []
+        for progress in self.shards.values():
+            actions += self.cancel_running(progress, now_ms)
+        return actions
+
+    def may_replan(self) -> bool:
+        """Return whether the query may start over on another snapshot."""
+        return len(self.gone_snapshot_ids) < N_REPLANS_MAX
+
+    def is_suspected(self, now_ms: float) -> bool:
+        """Return whether the request cost a replica and was not cleared since."""
+        return self.context.quarantine.is_suspected(self.request.fingerprint, now_ms)
+
+    def is_quarantined(self, now_ms: float) -> bool:
+        """Return whether the request may not run any more."""
+        return self.context.quarantine.is_quarantined(self.request.fingerprint, now_ms)
+
+    def coverage(self) -> Coverage:
+        """Return the coverage of the shard answers merged so far."""
+        shards = [progress.shard for progress in self.shards.values()]
+        return coverage_of(shards, self.answers())
+
+    def answers(self) -> dict[str, ShardAnswer]:
+        """Return the answers taken for the pinned map, by shard id."""
+        return {
+            shard_id: progress.answer
+            for shard_id, progress in self.shards.items()
+            if progress.answer is not None
+        }
+
+    def run_state(self) -> RunState:
+        """Return whether any replica ran the request, as far as known."""
+        if self.n_answered > 0:
+            return RunState.YES
+        if self.n_calls == self.n_not_started:
+            return RunState.NO
+        return RunState.UNKNOWN
+
+    def account(self) -> FanOutAccount:
+        """Return what the shard calls did so far."""
+        return FanOutAccount(
+            n_calls=self.n_calls,
+            n_hedges=self.n_hedges,
+            n_retries=self.n_retries,
+            n_replans=len(self.gone_snapshot_ids),
+            n_discarded=self.n_discarded,
+            slowest_shard_id=self.slowest_shard_id,
+            slowest_shard_ms=self.slowest_shard_ms,
+        )
--- a/chestnuthall/core/fanout/tests/test_machine.py
+++ b/chestnuthall/core/fanout/tests/test_machine.py
@@ -182,13 +182,15 @@
 def test_no_other_snapshot_returns_what_was_merged():
     """Without a newer map the answer keeps its snapshot and true coverage."""
     fan_out = make_fan_out(partition_map=make_map(n_replicas=1))
-    first, second, _ = calls_of(fan_out.handle(Begin(0.0)))
+    first, second, third = calls_of(fan_out.handle(Begin(0.0)))
     fan_out.handle(CallAnswered(1.0, first.call_id, answer_to(first)))
     gone = SNAPSHOT_GONE.because("swapped")
     fan_out.handle(CallFailed(2.0, second.call_id, gone))
-    completion = completion_of(fan_out.handle(MapReplaced(3.0, None)))
+    assert completion_of(fan_out.handle(MapReplaced(3.0, None))) is None
+    last = CallAnswered(4.0, third.call_id, answer_to(third))
+    completion = completion_of(fan_out.handle(last))
     assert completion.snapshot_id == 1
-    assert completion.coverage.n_documents_covered == 100
+    assert completion.coverage.n_documents_covered == 200
 
 
 @pytest.mark.parametrize(
--- a/chestnuthall/core/quarantine/__init__.py
+++ b/chestnuthall/core/quarantine/__init__.py
@@ -4,6 +4,7 @@
     QuarantineRegister,
     QuarantineSettings,
     Suspicion,
+    SuspicionState,
 )
 
-__all__ = ["QuarantineRegister", "QuarantineSettings", "Suspicion"]
+__all__ = ["QuarantineRegister", "QuarantineSettings", "Suspicion", "SuspicionState"]
--- a/chestnuthall/core/routing/__init__.py
+++ b/chestnuthall/core/routing/__init__.py
@@ -2,15 +2,19 @@
 
 from chestnuthall.core.routing._budget import ExtraLoadBudget
 from chestnuthall.core.routing._catalog import SnapshotCatalog
+from chestnuthall.core.routing._connections import ConnectionShare
 from chestnuthall.core.routing._latency import LatencyWindow
 from chestnuthall.core.routing._replicas import ReplicaState
 from chestnuthall.core.routing._router import Router, RouterSettings
+from chestnuthall.core.routing._utilisation import UtilisationAverage
 
 __all__ = [
+    "ConnectionShare",
     "ExtraLoadBudget",
     "LatencyWindow",
     "ReplicaState",
     "Router",
     "RouterSettings",
     "SnapshotCatalog",
+    "UtilisationAverage",
 ]
--- a/chestnuthall/core/routing/_router.py
+++ b/chestnuthall/core/routing/_router.py
@@ -4,9 +4,10 @@
 from dataclasses import dataclass
 from random import Random
 
-from chestnuthall.core.model import Replica, Shard
+from chestnuthall.core.model import Replica, Shard, ShardAnswer
 from chestnuthall.core.results import (
     CALL_CANCELLED,
+    DEADLINE_PASSED,
     SHED_BY_UPSTREAM,
     SNAPSHOT_GONE,
     Failure,
@@ -14,6 +15,10 @@
 from chestnuthall.core.routing._latency import LatencyWindow
 from chestnuthall.core.routing._replicas import ReplicaState
 
+# Failures in a row after which an answer is taken as that of a restarted
+# replica, which starts cold. A single failure is no sign of a restart.
+N_FAILURES_OF_RESTART = 2
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RouterSettings:
@@ -23,11 +28,18 @@
     other_zone_cost_ms: float = 1.0
     unknown_latency_ms: float = 5.0
     n_slots: int = 3
+    n_candidates: int = 2
     hedge_quantile: float = 0.95
     hedge_delay_min_ms: float = 2.0
     hedge_delay_unknown_ms: float = 50.0
     avoid_base_ms: float = 200.0
-    avoid_max_ms: float = 10_000.0
+    # A lost replica that is asked again costs a refused connection, and a
+    # returned one is needed at once, so the longest pause is short.
+    avoid_max_ms: float = 2_000.0
+    failure_cost_ms: float = 50.0
+    ejected_ratio_max: float = 1.0 / 3.0
+    ramp_ms: float = 2_000.0
+    ramp_factor: float = 3.0
     drain_notice_ms: float = 30_000.0
 
 
@@ -39,6 +51,7 @@
         self._random = random
         self._replicas: dict[str, ReplicaState] = {}
         self._latencies = LatencyWindow()
+        self.n_in_flight = 0
 
     def state_of(self, replica_name: str) -> ReplicaState:
         """Return the local view of a replica, made at its first use."""
@@ -48,47 +61,82 @@
         return state
 
     def holds(self, replica: Replica, snapshot_id: int, now_ms: float) -> bool:
-        """Return whether a replica can be called for a snapshot."""
+        """Return whether a replica is known to serve a snapshot."""
         state = self.state_of(replica.name)
         return state.holds(snapshot_id) and not state.is_draining(now_ms)
 
+    def may_call(self, replica: Replica, snapshot_id: int, now_ms: float) -> bool:
+        """Return whether a call for a snapshot may be tried at a replica."""
+        state = self.state_of(replica.name)
+        return state.may_hold(snapshot_id, now_ms) and not state.is_draining(now_ms)
+
     def choose(
         self,
         shard: Shard,
         snapshot_id: int,
         excluded_names: Collection[str],
         now_ms: float,
+        needs_free_slot: bool = False,
     ) -> Replica | None:
-        """Return the replica with the least expected time, or None.
+        """Return the replica with the least expected time of a few, or None.
 
-        Replicas that failed lately are used only when no other one is left.
+        Ejected replicas are used only when no other one is left.
         """
         usable = [
             replica
             for replica in shard.replicas
             if replica.name not in excluded_names
-            and self.holds(replica, snapshot_id, now_ms)
+            and self.may_call(replica, snapshot_id, now_ms)
+            and (not needs_free_slot or self.has_free_slot(replica))
         ]
-        healthy = [
-            replica
-            for replica in usable
-            if not self.state_of(replica.name).is_avoided(now_ms)
-        ]
-        candidates = healthy or usable
-        if not candidates:
+        if len(usable) > 1:
+            ejected = self.ejected_names(shard, now_ms)
+            usable = [item for item in usable if item.name not in ejected] or usable
+        if not usable:
             return None
-        return min(candidates, key=self._expected_ms)
+        n_candidates = self._settings.n_candidates
+        if len(usable) > n_candidates:
+            usable = self._random.sample(usable, n_candidates)
+        return min(usable, key=lambda replica: self._expected_ms(replica, now_ms))
+
+    def ejected_names(self, shard: Shard, now_ms: float) -> frozenset[str]:
+        """Return the replicas of a shard that get no calls after failures.
 
-    def _expected_ms(self, replica: Replica) -> float:
+        A limited part of a shard is ejected, those that failed most first, so
+        that misleading failures do not put all of its load on one replica.
+        """
+        avoided = [
+            self.state_of(replica.name)
+            for replica in shard.replicas
+            if self.state_of(replica.name).is_avoided(now_ms)
+        ]
+        if not avoided:
+            return frozenset()
+        n_max = int(len(shard.replicas) * self._settings.ejected_ratio_max + 1e-9)
+        avoided.sort(key=lambda state: -state.n_failures_in_row)
+        return frozenset(state.name for state in avoided[:n_max])
+
+    def _expected_ms(self, replica: Replica, now_ms: float) -> float:
         settings = self._settings
         state = self.state_of(replica.name)
-        latency_ms = state.latency_ms
-        if latency_ms is None:
-            latency_ms = settings.unknown_latency_ms
+        latency_ms = state.expected_latency_ms(self._typical_ms(), now_ms)
         queue_factor = 1.0 + state.n_in_flight / settings.n_slots
         zone_ms = 0.0 if replica.zone == settings.zone else settings.other_zone_cost_ms
+        if state.is_avoided(now_ms):
+            zone_ms += settings.failure_cost_ms * state.n_failures_in_row
         # A small random part spreads instances that know the same figures.
-        return latency_ms * queue_factor * self._random.uniform(0.9, 1.1) + zone_ms
+        spread = self._random.uniform(0.9, 1.1)
+        return latency_ms * queue_factor * self._ramp(state, now_ms) * spread + zone_ms
+
+    def _typical_ms(self) -> float:
+        typical_ms = self._latencies.quantile_ms(0.5)
+        return self._settings.unknown_latency_ms if typical_ms is None else typical_ms
+
+    def _ramp(self, state: ReplicaState, now_ms: float) -> float:
+        """Return the factor by which a replica that just started counts as slower."""
+        settings = self._settings
+        left = 1.0 - (now_ms - state.ramp_from_ms) / settings.ramp_ms
+        return 1.0 + (settings.ramp_factor - 1.0) * max(0.0, left)
 
     def has_free_slot(self, replica: Replica) -> bool:
         """Return whether this instance leaves a slot of the replica unused."""
@@ -102,29 +150,31 @@
             return settings.hedge_delay_unknown_ms
         return max(settings.hedge_delay_min_ms, delay_ms)
 
-    def on_started(self, replica: Replica) -> None:
+    def on_started(self, replica: Replica, now_ms: float) -> None:
         """Note a call that was dispatched to a replica."""
-        self.state_of(replica.name).n_in_flight += 1
+        self.state_of(replica.name).started_ms.append(now_ms)
+        self.n_in_flight += 1
+
+    def _end(self, replica: Replica, started_ms: float) -> ReplicaState:
+        state = self.state_of(replica.name)
+        state.started_ms.remove(started_ms)
+        self.n_in_flight -= 1
+        return state
 
     def on_answered(
-        self,
-        replica: Replica,
-        latency_ms: float,
-        held_snapshots: tuple[int, ...],
-        is_draining: bool,
-        now_ms: float,
+        self, replica: Replica, started_ms: float, answer: ShardAnswer, now_ms: float
     ) -> None:
         """Note a whole answer of a replica."""
-        state = self.state_of(replica.name)
-        state.n_in_flight -= 1
+        state = self._end(replica, started_ms)
+        if state.n_failures_in_row >= N_FAILURES_OF_RESTART:
+            state.ramp_from_ms = now_ms
         state.n_failures_in_row = 0
         state.avoided_until_ms = float("-inf")
-        state.observe_latency(latency_ms)
-        self._latencies.add(latency_ms)
-        if held_snapshots:
-            state.held_snapshots = frozenset(held_snapshots)
-            state.missing_snapshots.difference_update(held_snapshots)
-        if is_draining:
+        state.observe_latency(now_ms - started_ms, now_ms)
+        self._latencies.add(now_ms - started_ms)
+        if answer.held_snapshots:
+            state.note_held(answer.held_snapshots, now_ms)
+        if answer.is_draining:
             self.drain(replica.name, now_ms)
 
     def on_failed(
@@ -132,7 +182,7 @@
         replica: Replica,
         failure: Failure,
         snapshot_id: int,
-        elapsed_ms: float,
+        started_ms: float,
         now_ms: float,
         is_explained: bool = False,
     ) -> None:
@@ -141,21 +191,28 @@
         ``is_explained`` marks a loss that a suspected request accounts for; it
         is no evidence against the replica.
         """
-        state = self.state_of(replica.name)
-        state.n_in_flight -= 1
+        state = self._end(replica, started_ms)
         if failure.kind is CALL_CANCELLED:
-            # The call would have taken at least as long as it already had.
-            if state.latency_ms is None or elapsed_ms > state.latency_ms:
-                state.observe_latency(elapsed_ms)
+            self._on_cancelled(state, now_ms - started_ms, now_ms)
             return
         if failure.kind is SNAPSHOT_GONE:
-            state.missing_snapshots.add(snapshot_id)
+            state.note_missing(snapshot_id, now_ms)
             return
-        if is_explained:
+        if is_explained or failure.kind is DEADLINE_PASSED:
             return
         state.n_failures_in_row += 1
         state.avoided_until_ms = now_ms + self._avoid_ms(state, failure)
 
+    def _on_cancelled(
+        self, state: ReplicaState, elapsed_ms: float, now_ms: float
+    ) -> None:
+        # The call would have taken at least as long as it already had. Without
+        # these samples the quantile would forget the calls that were hedged.
+        if state.latency_ms is None or elapsed_ms > state.latency_ms:
+            state.observe_latency(elapsed_ms, now_ms)
+        if elapsed_ms >= self.hedge_delay_ms():
+            self._latencies.add(elapsed_ms)
+
     def _avoid_ms(self, state: ReplicaState, failure: Failure) -> float:
         settings = self._settings
         if failure.kind is SHED_BY_UPSTREAM:
--- a/chestnuthall/daemon/_instance.py
+++ b/chestnuthall/daemon/_instance.py
@@ -35,6 +35,10 @@
 
 _log = logging.getLogger(__name__)
 
+# Peers that hear at once of a request that lost a replica: all of a small fleet.
+# In a larger one the others hear of it with the probes between instances.
+N_WARNED_PEERS = 16
+
 
 def _metrics(settings: InstanceSettings) -> Metrics:
     statsd = settings.statsd
@@ -87,6 +91,8 @@
             configuration=self.configuration,
             ledger=ClaimLedger(store, clock, JsonPartitionCodec(), LedgerSettings()),
             quarantine=QuarantineRegister(QuarantineSettings()),
+            spread=lambda: self.membership.spread_now(N_WARNED_PEERS),
+            n_instances=lambda: self.membership.n_instances,
         )
         self.configuration.on_change(self._divide_connections)
         self.frontend = CallerFrontend(
--- /dev/null
+++ b/chestnuthall/services/_fan_out_run.py
@@ -0,0 +1,136 @@
+"""Carries out the actions of one fan-out on the event loop."""
+
+import asyncio
+from functools import singledispatchmethod
+
+from chestnuthall.core.fanout import (
+    Action,
+    Begin,
+    CallAnswered,
+    CallFailed,
+    Cancel,
+    Complete,
+    Completion,
+    Dispatch,
+    Event,
+    FanOut,
+    MapReplaced,
+    Replan,
+    SetTimer,
+    TimerFired,
+    VerdictGiven,
+    Warn,
+    Warned,
+)
+from chestnuthall.core.model import ShardCall
+from chestnuthall.core.results import Failure
+from chestnuthall.ports import Clock, ShardCaller
+from chestnuthall.services._directory import Directory
+from chestnuthall.services._suspects import Suspects
+
+
+class FanOutRun:
+    """One fan-out with its calls, its timer and what it waits for."""
+
+    def __init__(
+        self,
+        fan_out: FanOut,
+        clock: Clock,
+        caller: ShardCaller,
+        directory: Directory,
+        suspects: Suspects,
+    ) -> None:
+        self._fan_out = fan_out
+        self._clock = clock
+        self._caller = caller
+        self._directory = directory
+        self._suspects = suspects
+        self._loop = asyncio.get_running_loop()
+        self._done: asyncio.Future[Completion] = self._loop.create_future()
+        self._calls: dict[str, asyncio.Task[None]] = {}
+        self._waits: list[asyncio.Task[None]] = []
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def complete(self) -> Completion:
+        """Run the fan-out to its end; cancelling it cancels its calls."""
+        fingerprint = self._fan_out.request.fingerprint
+        self._suspects.add_waiter(fingerprint, self._on_verdict)
+        try:
+            self._handle(Begin(self._clock.now_ms()))
+            return await self._done
+        finally:
+            self._suspects.remove_waiter(fingerprint, self._on_verdict)
+            self._stop()
+
+    def _stop(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        for task in self._waits:
+            task.cancel()
+        if not self._fan_out.is_complete:
+            self._fan_out.abandon(self._clock.now_ms())
+        for task in self._calls.values():
+            task.cancel()
+
+    def _handle(self, event: Event) -> None:
+        for action in self._fan_out.handle(event):
+            self._perform(action)
+
+    @singledispatchmethod
+    def _perform(self, action: Action) -> None:
+        raise TypeError(f"not an action: {type(action).__name__}")
+
+    @_perform.register
+    def _(self, action: Dispatch) -> None:
+        call = action.call
+        self._calls[call.call_id] = self._loop.create_task(self._call(call))
+
+    @_perform.register
+    def _(self, action: Cancel) -> None:
+        task = self._calls.pop(action.call_id, None)
+        if task is not None:
+            task.cancel()
+
+    @_perform.register
+    def _(self, action: SetTimer) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        delay_ms = max(0.0, action.at_ms - self._clock.now_ms())
+        self._timer = self._loop.call_later(delay_ms / 1000.0, self._on_timer)
+
+    @_perform.register
+    def _(self, action: Replan) -> None:
+        self._waits.append(self._loop.create_task(self._pin_another(action)))
+
+    @_perform.register
+    def _(self, action: Warn) -> None:
+        self._waits.append(self._loop.create_task(self._warn()))
+
+    @_perform.register
+    def _(self, action: Complete) -> None:
+        if not self._done.done():
+            self._done.set_result(action.completion)
+
+    def _on_timer(self) -> None:
+        self._handle(TimerFired(self._clock.now_ms()))
+
+    def _on_verdict(self) -> None:
+        self._handle(VerdictGiven(self._clock.now_ms()))
+
+    async def _warn(self) -> None:
+        await self._suspects.warn_peers()
+        self._handle(Warned(self._clock.now_ms()))
+
+    async def _call(self, call: ShardCall) -> None:
+        result = await self._caller.call(call)
+        self._calls.pop(call.call_id, None)
+        now_ms = self._clock.now_ms()
+        if isinstance(result, Failure):
+            self._handle(CallFailed(now_ms, call.call_id, result))
+        else:
+            self._handle(CallAnswered(now_ms, call.call_id, result))
+
+    async def _pin_another(self, action: Replan) -> None:
+        group = self._fan_out.request.group
+        another = await self._directory.pin_another(group, action.gone_snapshot_ids)
+        self._handle(MapReplaced(self._clock.now_ms(), another))
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -1,27 +1,13 @@
 """One request from admission to its answer."""
 
-import asyncio
-import logging
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from functools import singledispatchmethod
 from typing import TypeAlias
 
 from chestnuthall.core.fanout import (
-    Action,
-    Begin,
-    CallAnswered,
-    CallFailed,
-    Cancel,
-    Complete,
     Completion,
-    Dispatch,
-    Event,
     FanOut,
     FanOutContext,
-    MapReplaced,
-    Replan,
-    SetTimer,
-    TimerFired,
     target_shards,
 )
 from chestnuthall.core.model import (
@@ -35,9 +21,7 @@
     PartitionMap,
     Refusal,
     Request,
-    ShardCall,
     UpstreamGroup,
-    is_idempotent,
     kind_of,
 )
 from chestnuthall.core.quarantine import QuarantineRegister
@@ -52,7 +36,7 @@
     ResultCode,
     RunState,
 )
-from chestnuthall.core.routing import ExtraLoadBudget
+from chestnuthall.core.routing import ExtraLoadBudget, UtilisationAverage
 from chestnuthall.ports import Clock, Metrics, ShardCaller
 from chestnuthall.services._admission import (
     Admission,
@@ -63,9 +47,9 @@
 from chestnuthall.services._claims import ClaimLedger
 from chestnuthall.services._configuration import ConfigurationKeeper
 from chestnuthall.services._directory import Directory
+from chestnuthall.services._fan_out_run import FanOutRun
 from chestnuthall.services._membership import Identity
-
-_log = logging.getLogger(__name__)
+from chestnuthall.services._suspects import Suspects
 
 RETRY_AFTER_MS = 1_000.0
 
@@ -91,6 +75,7 @@
     caller_class: CallerClass
     group: UpstreamGroup
     partition_map: PartitionMap
+    budget: ExtraLoadBudget
 
 
 class QueryService:
@@ -107,6 +92,8 @@
         configuration: ConfigurationKeeper,
         ledger: ClaimLedger,
         quarantine: QuarantineRegister,
+        spread: Callable[[], Awaitable[None]] | None = None,
+        n_instances: Callable[[], int] = lambda: 1,
     ) -> None:
         self._identity = identity
         self._clock = clock
@@ -116,6 +103,9 @@
         self._configuration = configuration
         self._ledger = ledger
         self._quarantine = quarantine
+        self._suspects = Suspects(quarantine, clock, spread)
+        self._n_instances = n_instances
+        self._utilisation: dict[str, UtilisationAverage] = {}
         self._admissions: dict[str, Admission] = {}
         self._budgets: dict[str, ExtraLoadBudget] = {}
         configuration.on_change(self._apply_configuration)
@@ -124,8 +114,14 @@
         document = configuration.document
         for group in document.groups:
             self._directory.add_group(group)
+        # A class keeps its credit across revisions. Otherwise each change of
+        # the document would grant the credit of a start again.
         self._budgets = {
-            item.name: ExtraLoadBudget(document.extra_load) for item in document.classes
+            item.name: self._budgets[item.name]
+            if item.name in self._budgets
+            and self._budgets[item.name].policy == document.extra_load
+            else ExtraLoadBudget(document.extra_load)
+            for item in document.classes
         }
         # Queries of the previous revision keep the queue that admitted them.
         self._admissions = {}
@@ -197,7 +193,8 @@
         partition_map = self._directory.pin(request.group)
         if partition_map is None:
             return NOT_READY.because(f"no partition map of {request.group!r} is known")
-        return _Plan(caller_class, group, partition_map)
+        budget = self._budgets[request.class_name]
+        return _Plan(caller_class, group, partition_map, budget)
 
     async def _claim(self, progress: _Progress) -> Failure | None:
         request = progress.request
@@ -226,20 +223,38 @@
         partition_map = self._directory.pin(request.group) or plan.partition_map
         context = FanOutContext(
             router=self._directory.router(request.group),
-            budget=self._budgets[request.class_name],
+            budget=plan.budget,
             quarantine=self._quarantine,
             caller_class=plan.caller_class,
-            utilisation_ratio=admission.utilisation_ratio,
+            utilisation_ratio=self._sample_utilisation(plan, ticket),
         )
-        run = _FanOutRun(
+        run = FanOutRun(
             FanOut(request, partition_map, context),
             self._clock,
             self._caller,
             self._directory,
+            self._suspects,
         )
         completion = await run.complete()
         return self._finish(progress, completion)
 
+    def _sample_utilisation(self, plan: _Plan, ticket: Admitted) -> float:
+        """Return the average use of this instance's part of a group's slots.
+
+        Calls in flight are counted, since admission counts a query with all of
+        its calls until the slowest one ends. A query that had to queue for
+        longer than a hedge would wait shows that the group is saturated.
+        """
+        group_name = plan.group.name
+        router = self._directory.router(group_name)
+        n_replicas = sum(len(item.replicas) for item in plan.partition_map.shards)
+        n_slots = plan.group.n_slots * n_replicas / self._n_instances()
+        ratio = min(1.0, router.n_in_flight / n_slots) if n_slots else 1.0
+        if ticket.account.queued_ms > router.hedge_delay_ms():
+            ratio = 1.0
+        average = self._utilisation.setdefault(group_name, UtilisationAverage())
+        return average.add(ratio, self._clock.now_ms())
+
     def _finish(self, progress: _Progress, completion: Completion) -> Outcome:
         if completion.failure is not None:
             return self._refuse(progress, completion.failure, completion)
@@ -308,107 +323,15 @@
 ) -> tuple[RunState, Repeat]:
     """Return what a refusal says about this request.
 
-    A search that made no call was not run, whatever the kind of failure says
-    in general. A mutation whose key is claimed needs a new key.
+    Before any shard call the request was not run, and the failure's kind says
+    so where it can be known. Afterwards what the calls did decides: a search
+    whose calls were all refused unstarted was not run, whatever its kind says.
+    A mutation whose key is claimed needs a new key.
     """
     kind = failure.kind
     run, repeat = kind.run, kind.repeat
-    n_calls = 0 if completion is None else completion.account.n_calls
-    if is_idempotent(progress.request):
-        if n_calls > 0 and run is RunState.NO:
-            run = RunState.UNKNOWN
-        return run, repeat
+    if completion is not None:
+        run = completion.run
     if progress.is_claimed and run is RunState.NO and repeat is Repeat.SAFE:
         repeat = Repeat.NEW_KEY
     return run, repeat
-
-
-class _FanOutRun:
-    """Carries out the actions of one fan-out on the event loop."""
-
-    def __init__(
-        self,
-        fan_out: FanOut,
-        clock: Clock,
-        caller: ShardCaller,
-        directory: Directory,
-    ) -> None:
-        self._fan_out = fan_out
-        self._clock = clock
-        self._caller = caller
-        self._directory = directory
-        self._loop = asyncio.get_running_loop()
-        self._done: asyncio.Future[Completion] = self._loop.create_future()
-        self._calls: dict[str, asyncio.Task[None]] = {}
-        self._replan: asyncio.Task[None] | None = None
-        self._timer: asyncio.TimerHandle | None = None
-
-    async def complete(self) -> Completion:
-        """Run the fan-out to its end; cancelling it cancels its calls."""
-        self._handle(Begin(self._clock.now_ms()))
-        try:
-            return await self._done
-        finally:
-            self._stop()
-
-    def _stop(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        if self._replan is not None:
-            self._replan.cancel()
-        if not self._fan_out.is_complete:
-            self._fan_out.cancel_all(self._clock.now_ms())
-        for task in self._calls.values():
-            task.cancel()
-
-    def _handle(self, event: Event) -> None:
-        for action in self._fan_out.handle(event):
-            self._perform(action)
-
-    @singledispatchmethod
-    def _perform(self, action: Action) -> None:
-        raise TypeError(f"not an action: {type(action).__name__}")
-
-    @_perform.register
-    def _(self, action: Dispatch) -> None:
-        call = action.call
-        self._calls[call.call_id] = self._loop.create_task(self._call(call))
-
-    @_perform.register
-    def _(self, action: Cancel) -> None:
-        task = self._calls.pop(action.call_id, None)
-        if task is not None:
-            task.cancel()
-
-    @_perform.register
-    def _(self, action: SetTimer) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        delay_ms = max(0.0, action.at_ms - self._clock.now_ms())
-        self._timer = self._loop.call_later(delay_ms / 1000.0, self._on_timer)
-
-    @_perform.register
-    def _(self, action: Replan) -> None:
-        self._replan = self._loop.create_task(self._pin_another(action))
-
-    @_perform.register
-    def _(self, action: Complete) -> None:
-        if not self._done.done():
-            self._done.set_result(action.completion)
-
-    def _on_timer(self) -> None:
-        self._handle(TimerFired(self._clock.now_ms()))
-
-    async def _call(self, call: ShardCall) -> None:
-        result = await self._caller.call(call)
-        self._calls.pop(call.call_id, None)
-        now_ms = self._clock.now_ms()
-        if isinstance(result, Failure):
-            self._handle(CallFailed(now_ms, call.call_id, result))
-        else:
-            self._handle(CallAnswered(now_ms, call.call_id, result))
-
-    async def _pin_another(self, action: Replan) -> None:
-        group = self._fan_out.request.group
-        another = await self._directory.pin_another(group, action.gone_snapshot_ids)
-        self._handle(MapReplaced(self._clock.now_ms(), another))
