Test a request's life fault by fault, and crashing requests over a fleet

Cause: nothing checked the services as a whole against faults at each step.

Retries of lost calls may now overdraw the credit by ten calls, which later calls earn back before any hedge; retries of shed calls may not. The hedge quantile of fewer than 20 latencies hedged ordinary calls, so the fixed delay applies until there are as many.

Ruled out: exempting retries from the budget, since the extra load of a failing fleet would have no bound.

--- a/chestnuthall/core/fanout/_handlers.py
+++ b/chestnuthall/core/fanout/_handlers.py
@@ -182,7 +182,9 @@
     # A call of which nothing was written, or that a replica refused for its
     # snapshot, put no work on any upstream; only other retries are extra load.
     is_free = failure.kind in (NO_REPLICA, SNAPSHOT_GONE)
-    if not is_free and not state.context.budget.try_take_retry():
+    # An upstream that sheds has no room, so its calls wait for earned credit.
+    may_overdraw = failure.kind is not SHED_BY_UPSTREAM
+    if not is_free and not state.context.budget.try_take_retry(may_overdraw):
         progress.is_given_up = True
         return []
     state.n_retries += 1
--- a/chestnuthall/core/fanout/_probes.py
+++ b/chestnuthall/core/fanout/_probes.py
@@ -90,7 +90,7 @@
 def _take_credit(state: FanOutState, progress: ShardProgress) -> bool:
     if progress.n_attempts == 0:
         return True
-    if not state.context.budget.try_take_retry():
+    if not state.context.budget.try_take_retry(may_overdraw=True):
         return False
     state.n_retries += 1
     return True
--- a/chestnuthall/core/routing/_budget.py
+++ b/chestnuthall/core/routing/_budget.py
@@ -7,6 +7,9 @@
 N_CALLS_SAVED_MAX = 10.0
 # Credit that hedges leave to retries: a retry saves coverage, a hedge only time.
 N_CALLS_FOR_RETRIES = 5.0
+# By how much the retries of lost calls may overdraw the credit. The loss of a
+# zone takes one call of many shards at once, and each one costs coverage.
+N_CALLS_OVERDRAWN_MAX = 10.0
 # Credit at the start, which only a retry can use.
 N_CALLS_AT_START = 2.0
 
@@ -44,9 +47,14 @@
         earned = n_calls * self.allowed_ratio(utilisation_ratio)
         self._credit = min(N_CALLS_SAVED_MAX, self._credit + earned)
 
-    def try_take_retry(self) -> bool:
-        """Take the credit of one retry; return whether there was enough."""
-        if self._credit < 1.0:
+    def try_take_retry(self, may_overdraw: bool = False) -> bool:
+        """Take the credit of one retry; return whether there was enough.
+
+        ``may_overdraw`` lets the credit fall below zero by a bounded amount,
+        which later calls have to earn back before any hedge.
+        """
+        least = 1.0 - N_CALLS_OVERDRAWN_MAX if may_overdraw else 1.0
+        if self._credit < least:
             return False
         self._credit -= 1.0
         return True
--- a/chestnuthall/core/routing/_router.py
+++ b/chestnuthall/core/routing/_router.py
@@ -18,6 +18,8 @@
 # Failures in a row after which an answer is taken as that of a restarted
 # replica, which starts cold. A single failure is no sign of a restart.
 N_FAILURES_OF_RESTART = 2
+# Fewer latencies do not reach a quantile of 0.95, and would hedge ordinary calls.
+N_SAMPLES_FOR_QUANTILE = 20
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -146,7 +148,7 @@
         """Return how long a call may run before a second one is considered."""
         settings = self._settings
         delay_ms = self._latencies.quantile_ms(settings.hedge_quantile)
-        if delay_ms is None:
+        if delay_ms is None or len(self._latencies) < N_SAMPLES_FOR_QUANTILE:
             return settings.hedge_delay_unknown_ms
         return max(settings.hedge_delay_min_ms, delay_ms)
 
--- /dev/null
+++ b/chestnuthall/services/tests/_world.py
@@ -0,0 +1,265 @@
+"""A query service over fakes at its ports that record each run."""
+
+import asyncio
+from dataclasses import dataclass, field, replace
+from random import Random
+
+from chestnuthall.core.claims import LedgerSettings
+from chestnuthall.core.model import (
+    CallerClass,
+    Configuration,
+    EnvironmentDocument,
+    Hit,
+    KeyRange,
+    LookupRequest,
+    MutationRequest,
+    PartitionMap,
+    Replica,
+    SearchRequest,
+    Shard,
+    ShardAnswer,
+    UpstreamGroup,
+)
+from chestnuthall.core.quarantine import QuarantineRegister, QuarantineSettings
+from chestnuthall.core.results import (
+    CALL_TIMED_OUT,
+    CONNECTION_LOST,
+    DEADLINE_PASSED,
+    INVALID_REQUEST,
+    NO_REPLICA,
+    OBJECT_CONFLICT,
+    OBJECT_NOT_FOUND,
+    SHED_BY_UPSTREAM,
+    SNAPSHOT_GONE,
+    STORE_UNAVAILABLE,
+)
+from chestnuthall.ports import StoredObject
+from chestnuthall.services import (
+    ClaimLedger,
+    ConfigurationKeeper,
+    Directory,
+    Identity,
+    QueryService,
+)
+
+DEADLINE_MS = 500.0
+FLOOR_RATIO = 0.5
+
+
+def make_map(snapshot_id=1, n_shards=3, n_replicas=3):
+    """Return a map whose zones differ within each shard."""
+    shards = []
+    for i in range(n_shards):
+        start, end = f"{i}" if i else "", f"{i + 1}" if i < n_shards - 1 else ""
+        names = [f"r{i}{j}" for j in range(n_replicas)]
+        replicas = tuple(Replica(n, n, f"z{j}") for j, n in enumerate(names))
+        shards.append(Shard(f"s{i}", KeyRange(start, end), 100 + i, replicas))
+    return PartitionMap("g", snapshot_id, tuple(shards))
+
+
+class LoopTimeClock:
+    def now_ms(self):
+        return asyncio.get_running_loop().time() * 1000.0
+
+    wall_ms = now_ms
+
+    async def sleep_ms(self, duration_ms):
+        await asyncio.sleep(max(0.0, duration_ms) / 1000.0)
+
+
+class FakeStore:
+    """Conditional updates in memory; ``is_down`` refuses everything."""
+
+    def __init__(self):
+        self.objects = {}
+        self.is_down = False
+
+    async def get(self, kind, name, timeout_ms):
+        await asyncio.sleep(0.001)
+        if self.is_down:
+            return STORE_UNAVAILABLE.because("down")
+        return self.objects.get((kind, name)) or OBJECT_NOT_FOUND.because(name)
+
+    async def update(self, kind, name, value, version, timeout_ms):
+        await asyncio.sleep(0.001)
+        if self.is_down:
+            return STORE_UNAVAILABLE.because("down")
+        held = self.objects.get((kind, name))
+        if (held.version if held else 0) != version:
+            return OBJECT_CONFLICT.because(name)
+        self.objects[kind, name] = StoredObject(kind, name, version + 1, value)
+        return self.objects[kind, name]
+
+    async def create(self, kind, name, value, timeout_ms):
+        return await self.update(kind, name, value, 0, timeout_ms)
+
+    # The ledger's partitions are kept as they are.
+    encode = decode = staticmethod(lambda value: value)
+
+
+@dataclass
+class FakeUpstreams:
+    """Shard caller port; ``next_fault`` maps a shard to its next call's fault."""
+
+    clock: LoopTimeClock
+    random: Random
+    snapshots: set = field(default_factory=lambda: {1})
+    newest: PartitionMap = field(default_factory=make_map)
+    dead: set = field(default_factory=set)
+    crashing: set = field(default_factory=set)
+    crash_shards: set = field(default_factory=lambda: {"s0", "s1", "s2"})
+    crash_ms: float = 1.0
+    next_fault: dict = field(default_factory=dict)
+    slow_ms: dict = field(default_factory=dict)
+    runs: list = field(default_factory=list)
+    running: dict = field(default_factory=dict)
+    last_answer: ShardAnswer | None = None
+    on_event: object = lambda name: None
+
+    async def call(self, call):
+        self.running[call.call_id] = call
+        try:
+            remaining_ms = call.deadline_ms - self.clock.now_ms()
+            async with asyncio.timeout(max(0.0, remaining_ms) / 1000.0):
+                return await self._call(call)
+        except TimeoutError:
+            return CALL_TIMED_OUT.because("late")
+        finally:
+            del self.running[call.call_id]
+
+    async def _call(self, call):
+        name, shard_id = call.replica.name, call.shard_id
+        await asyncio.sleep(0.001)
+        fault = self.next_fault.pop(shard_id, "")
+        if name in self.dead or fault == "cut-before":
+            return NO_REPLICA.because("refused")
+        if self.clock.now_ms() >= call.deadline_ms:
+            return DEADLINE_PASSED.because("paused before the first byte")
+        if fault == "shed":
+            return SHED_BY_UPSTREAM.because("full")
+        if call.snapshot_id not in self.snapshots:
+            return SNAPSHOT_GONE.because("swapped")
+        self.runs.append((call.request.request_id, shard_id, name))
+        self.on_event("written")
+        if sum(item.shard_id == shard_id for item in self.running.values()) > 1:
+            self.on_event("hedged")
+        fault = fault or self.next_fault.pop(shard_id, "")
+        if call.request.fingerprint in self.crashing and shard_id in self.crash_shards:
+            await asyncio.sleep(self.crash_ms / 1000.0)
+            self.dead.add(name)
+        if name not in self.dead:
+            slow_ms = self.slow_ms.pop(shard_id, 0.0)
+            await asyncio.sleep((slow_ms + self.random.uniform(4, 8)) / 1000.0)
+        # A fault that came while the call ran cuts it too.
+        fault = fault or self.next_fault.pop(shard_id, "")
+        if name in self.dead or fault in ("cut-after", "cut-before", "shed"):
+            return CONNECTION_LOST.because("cut")
+        return self._answer(call, fault)
+
+    def _answer(self, call, fault):
+        n = 100 + int(call.shard_id[1:])
+        n //= 2 if fault == "truncated" else 1
+        key = f"{call.snapshot_id}/{call.shard_id}/{call.request.request_id}"
+        answer = ShardAnswer(
+            call_id=call.call_id,
+            shard_id=call.shard_id,
+            snapshot_id=call.snapshot_id,
+            hits=(Hit(key, 0.5, str(n)),),
+            n_documents_searched=n,
+            held_snapshots=tuple(self.snapshots),
+        )
+        previous, self.last_answer = self.last_answer, answer
+        self.on_event("answered")
+        if fault == "duplicate" and previous is not None:
+            return previous
+        if fault == "crossed":
+            return replace(answer, call_id="other.1", hits=(Hit("x/x/x", 1.0, "0"),))
+        return answer
+
+    async def fetch_partition_map(self, replica, timeout_ms):
+        await asyncio.sleep(0.001)
+        return self.newest
+
+    def set_connection_budget(self, group, n_connections):
+        pass
+
+
+class World:
+    """One instance's services; create it inside a virtual-time loop."""
+
+    def __init__(self, seed, upstreams=None, spread=None):
+        self.clock = LoopTimeClock()
+        self.store = FakeStore()
+        self.random = Random(seed)
+        self.upstreams = upstreams or FakeUpstreams(self.clock, self.random)
+        self.register = QuarantineRegister(QuarantineSettings())
+        keeper = ConfigurationKeeper("t", self.store, self.clock, lambda text: None)
+        self.directory = Directory(
+            self.store,
+            self.upstreams,
+            self.clock,
+            lambda text: INVALID_REQUEST.because("unused"),
+            "z0",
+            self.random,
+        )
+        self.query = QueryService(
+            identity=Identity("e", "e", "z0"),
+            clock=self.clock,
+            metrics=_NoMetrics(),
+            caller=self.upstreams,
+            directory=self.directory,
+            configuration=keeper,
+            ledger=ClaimLedger(self.store, self.clock, self.store, LedgerSettings()),
+            quarantine=self.register,
+            spread=spread,
+        )
+        document = EnvironmentDocument(
+            classes=(
+                CallerClass(
+                    name="c",
+                    share=1.0,
+                    urgency=0,
+                    coverage_floor_ratio=FLOOR_RATIO,
+                    deadline_ms=DEADLINE_MS,
+                ),
+            ),
+            groups=(
+                UpstreamGroup(
+                    name="g", n_slots=3, n_connections_max=30, connect_cost_ms=1.0
+                ),
+            ),
+        )
+        keeper.offer(
+            Configuration(
+                environment="t", revision=1, digest="", text="", document=document
+            ),
+            "test",
+        )
+        self.directory.add_map(make_map())
+
+    def request(self, kind, number=1, fingerprint=None, key="key-1"):
+        """Return a request that arrives now."""
+        now_ms = self.clock.now_ms()
+        shared = {
+            "request_id": f"q{number}",
+            "class_name": "c",
+            "group": "g",
+            "arrived_ms": now_ms,
+            "deadline_ms": now_ms + DEADLINE_MS,
+            "fingerprint": fingerprint or f"f{number}",
+        }
+        if kind == "search":
+            return SearchRequest(**shared, query="x", n_hits_max=10)
+        if kind == "lookup":
+            return LookupRequest(**shared, key="1x")
+        return MutationRequest(
+            **shared, key="1x", payload="", idempotency_key=key, issued_at_ms=1.0
+        )
+
+
+class _NoMetrics:
+    def count(self, name, n=1):
+        pass
+
+    def timing(self, name, duration_ms):
+        pass
