Measure slowed, killed and saturated replicas, and spend hedges on the latest

Ordinary slow calls used up the credit for hedges; the latencies of slowed replicas raised the learnt quantile; a replica whose calls were cancelled looked fast again too soon; and the utilisation average weighted samples by the gap before them, which finds nothing in flight.

Change: the quantile is 0.97 and leaves out replicas known to be slow. A call far beyond the delay may overdraw the credit by five. A cancelled slow call raises its replica's latency to twice its age. Calls that test a slow replica again are hedged sooner. Three candidates are compared instead of two. Utilisation samples have equal weight.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,6 +8,7 @@
 
 from benchmarks._deployments import DEPLOYMENTS
 from benchmarks._scenarios import Figures, run_calm
+from benchmarks._stragglers import run_stragglers
 
 
 def main(
@@ -21,6 +22,7 @@
     for deployment in DEPLOYMENTS:
         results[deployment.name] = {
             "calm_50": run_calm(deployment, seed, 0.5, 10_000.0),
+            **run_stragglers(deployment, seed),
         }
     if as_json:
         print(json.dumps({"seed": seed, "results": results}, indent=2))
@@ -28,7 +30,7 @@
     for name, scenarios in results.items():
         for scenario, figures in scenarios.items():
             row = "  ".join(f"{key} {value:.4g}" for key, value in figures.items())
-            print(f"{name:12} {scenario:10} {row}")
+            print(f"{name:12} {scenario:15} {row}")
     print(f"took {time.perf_counter() - started_s:.1f} s")
 
 
--- a/benchmarks/_fleet.py
+++ b/benchmarks/_fleet.py
@@ -14,6 +14,7 @@
 from chestnuthall.core.model import Configuration, EnvironmentDocument
 from chestnuthall.core.quarantine import QuarantineRegister, QuarantineSettings
 from chestnuthall.core.results import CONFIGURATION_REJECTED, INVALID_REQUEST
+from chestnuthall.core.routing import RouterSettings
 from chestnuthall.ports import MemberUpdate, PeerService
 from chestnuthall.services import (
     ClaimLedger,
@@ -56,6 +57,7 @@
             lambda text: INVALID_REQUEST.because("the fake store has none"),
             self.zone,
             random,
+            fleet.router_settings,
         )
         self.membership = Membership(
             identity, store, peers, clock, self.configuration, _read_member, random
@@ -69,6 +71,8 @@
             configuration=self.configuration,
             ledger=ClaimLedger(store, clock, JsonPartitionCodec(), LedgerSettings()),
             quarantine=QuarantineRegister(QuarantineSettings()),
+            spread=lambda: self.membership.spread_now(deployment.n_instances),
+            n_instances=lambda: self.membership.n_instances,
         )
         fleet.peer_services[self.name] = self.membership
 
@@ -101,7 +105,9 @@
         deployment: Deployment,
         seed: int,
         document: EnvironmentDocument | None = None,
+        router_settings: RouterSettings | None = None,
     ) -> None:
+        self.router_settings = router_settings or RouterSettings()
         self.deployment = deployment
         self.seed = seed
         self.clock = LoopClock(wall_from_loop=True)
--- /dev/null
+++ b/benchmarks/_stragglers.py
@@ -0,0 +1,252 @@
+"""Slowed and killed replicas: tail latency, extra load and coverage."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from benchmarks._baseline import use_baseline
+from benchmarks._deployments import N_DOCUMENTS_PER_SHARD, Deployment
+from benchmarks._fleet import VirtualFleet
+from benchmarks._load import LoadGenerator, Stream, quantile_ms
+from benchmarks._scenarios import Figures, search_capacity_per_s
+from benchmarks._upstreams import ReplicaModel
+from chestnuthall.core.model import Answer, Request
+from chestnuthall.core.routing import RouterSettings
+from chestnuthall.services import Outcome
+from chestnuthall.standins.virtual_time import run_virtual
+
+SLOW_FACTOR = 10.0
+SLOWED_PART = 0.1
+COLD_FACTOR = 4.0
+COLD_MS = 1_000.0
+STRETCH_MS = (2_000.0, 5_000.0)
+CLASS_PARTS = (("urgent", 0.3), ("ordinary", 0.4), ("bulk", 0.3))
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Run:
+    """One run: its load, what happens to the replicas, and the policies."""
+
+    load_ratio: float = 0.5
+    duration_ms: float = 10_000.0
+    # Latencies of the first while are left out, in the baseline too: the
+    # instances start without connections and without any latency learnt.
+    warm_up_ms: float = 2_000.0
+    slowed: bool = False
+    # Two of a shard's three replicas slowed at once leave it less capacity than
+    # half of the load needs, which no choice of replicas can make up for.
+    one_per_shard: bool = True
+    killed: bool = False
+    restarted: bool = False
+    is_baseline: bool = False
+    settings: RouterSettings | None = None
+
+
+@dataclass(slots=True)
+class CoverageCheck:
+    """Compares the coverage that answers report with the hits they have."""
+
+    n_documents: int
+    floors: dict[str, float]
+    n_answers: int = 0
+    n_full: int = 0
+    n_below_floor: int = 0
+    n_misreported: int = 0
+
+    def check(self, request: Request, outcome: Outcome) -> None:
+        """Note one outcome; the model's replicas return one hit a shard."""
+        if not isinstance(outcome, Answer):
+            return
+        n_covered = len(outcome.hits) * N_DOCUMENTS_PER_SHARD
+        self.n_answers += 1
+        self.n_full += outcome.coverage.is_full
+        self.n_misreported += outcome.coverage.n_documents_covered != n_covered
+        ratio = n_covered / self.n_documents
+        self.n_below_floor += ratio < self.floors[request.class_name]
+
+
+async def slow_down(
+    replicas: list[ReplicaModel], random: Random, one_per_shard: bool
+) -> None:
+    """Keep one replica slowed, another one after each stretch."""
+    while True:
+        slowed = {_shard_of(item) for item in replicas if item.slow_factor > 1.0}
+        replica = random.choice(
+            [
+                item
+                for item in replicas
+                if item.slow_factor == 1.0
+                and not (one_per_shard and _shard_of(item) in slowed)
+            ]
+        )
+        replica.slow_factor = SLOW_FACTOR
+        await asyncio.sleep(random.uniform(*STRETCH_MS) / 1000.0)
+        replica.slow_factor = 1.0
+
+
+def _shard_of(replica: ReplicaModel) -> str:
+    return replica.name.rpartition("-")[0]
+
+
+async def kill_all_but_one(
+    fleet: VirtualFleet, group: str, random: Random, duration_ms: float
+) -> None:
+    """Kill replicas one after another until each shard has one left."""
+    doomed = []
+    for shard in fleet.upstreams.published[group].shards:
+        names = [replica.name for replica in shard.replicas]
+        doomed += random.sample(names, len(names) - 1)
+    random.shuffle(doomed)
+    for name in doomed:
+        await asyncio.sleep(0.8 * duration_ms / len(doomed) / 1000.0)
+        fleet.upstreams.replicas[name].is_alive = False
+
+
+async def restart(replicas: list[ReplicaModel], random: Random) -> None:
+    """Kill one replica after another; each returns cold after a second."""
+    while True:
+        replica = random.choice(replicas)
+        replica.is_alive = False
+        await asyncio.sleep(1.0)
+        replica.is_alive = True
+        replica.slow_factor = COLD_FACTOR
+        await asyncio.sleep(COLD_MS / 1000.0)
+        replica.slow_factor = 1.0
+
+
+def observe(fleet: VirtualFleet, check: CoverageCheck) -> None:
+    """Check every outcome of the fleet."""
+    for instance in fleet.instances:
+        serve = instance.query.serve
+
+        async def checked(
+            request: Request,
+            serve: Callable[[Request], "asyncio.Future[Outcome]"] = serve,
+        ) -> Outcome:
+            outcome = await serve(request)
+            check.check(request, outcome)
+            return outcome
+
+        instance.query.serve = checked
+
+
+async def _play(deployment: Deployment, seed: int, run: Run) -> Figures:
+    fleet = VirtualFleet(deployment, seed, router_settings=run.settings)
+    await fleet.start()
+    if run.is_baseline:
+        use_baseline(fleet)
+    group = deployment.groups[0]
+    floors = {item.name: item.coverage_floor_ratio for item in fleet.document.classes}
+    check = CoverageCheck(group.n_shards * N_DOCUMENTS_PER_SHARD, floors)
+    observe(fleet, check)
+    random = Random(f"{seed}/trouble")
+    replicas = [
+        item for item in fleet.upstreams.replicas.values() if item.size is group
+    ]
+    tasks = []
+    if run.slowed:
+        for _ in range(round(SLOWED_PART * len(replicas))):
+            tasks.append(
+                asyncio.ensure_future(slow_down(replicas, random, run.one_per_shard))
+            )
+    if run.killed:
+        kill = kill_all_but_one(fleet, group.name, random, run.duration_ms)
+        tasks.append(asyncio.ensure_future(kill))
+    if run.restarted:
+        tasks.append(asyncio.ensure_future(restart(replicas, random)))
+    rate_per_s = search_capacity_per_s(deployment, group.name) * run.load_ratio
+    streams = [
+        Stream(
+            class_name=name,
+            group=group.name,
+            rate_per_s=lambda elapsed_ms, part=part: rate_per_s * part,
+        )
+        for name, part in CLASS_PARTS
+    ]
+    samples = await LoadGenerator(fleet, seed).run(streams, run.duration_ms)
+    for task in tasks:
+        task.cancel()
+    await fleet.stop()
+    latencies_ms = [
+        item.latency_ms
+        for item in samples
+        if item.is_answer and item.arrived_ms >= run.warm_up_ms
+    ]
+    upstreams = fleet.upstreams
+    return {
+        "n_requests": len(samples),
+        "answered_ratio": check.n_answers / len(samples),
+        "p50_ms": quantile_ms(latencies_ms, 0.5),
+        "p99_ms": quantile_ms(latencies_ms, 0.99),
+        "extra_load_ratio": upstreams.n_repeated / max(1, upstreams.n_written),
+        "full_coverage_ratio": check.n_full / max(1, check.n_answers),
+        "n_below_floor": check.n_below_floor,
+        "n_misreported": check.n_misreported,
+    }
+
+
+def play(deployment: Deployment, seed: int, run: Run) -> Figures:
+    """Play one run in virtual time."""
+    return run_virtual(_play(deployment, seed, run))
+
+
+def run_unslowed(deployment: Deployment, seed: int) -> Figures:
+    """Run at half of the capacity, with every replica at its normal speed."""
+    return play(deployment, seed, Run())
+
+
+def run_slowed(deployment: Deployment, seed: int) -> Figures:
+    """Run with a tenth of the replicas slowed for stretches of seconds."""
+    return play(deployment, seed, Run(slowed=True))
+
+
+def run_light_unslowed(deployment: Deployment, seed: int) -> Figures:
+    """Run at three tenths of the capacity."""
+    return play(deployment, seed, Run(load_ratio=0.3))
+
+
+def run_light_slowed(deployment: Deployment, seed: int) -> Figures:
+    """Run at three tenths of the capacity, with slowed replicas."""
+    return play(deployment, seed, Run(load_ratio=0.3, slowed=True))
+
+
+def run_slowed_baseline(deployment: Deployment, seed: int) -> Figures:
+    """Run the baseline with the same slowed replicas."""
+    return play(deployment, seed, Run(slowed=True, is_baseline=True))
+
+
+def run_killed(deployment: Deployment, seed: int) -> Figures:
+    """Kill replicas until every shard has one left, at a load that one carries."""
+    return play(deployment, seed, Run(load_ratio=0.15, killed=True))
+
+
+def run_killed_baseline(deployment: Deployment, seed: int) -> Figures:
+    """Run the baseline with the same killed replicas."""
+    return play(deployment, seed, Run(load_ratio=0.15, killed=True, is_baseline=True))
+
+
+def run_saturated(deployment: Deployment, seed: int) -> Figures:
+    """Offer more than the capacity, with slowed replicas."""
+    return play(
+        deployment,
+        seed,
+        Run(load_ratio=1.3, slowed=True, duration_ms=3_000.0, warm_up_ms=500.0),
+    )
+
+
+RUNS: dict[str, Callable[[Deployment, int], Figures]] = {
+    "unslowed": run_unslowed,
+    "slowed": run_slowed,
+    "slowed_baseline": run_slowed_baseline,
+    "light_unslowed": run_light_unslowed,
+    "light_slowed": run_light_slowed,
+    "killed": run_killed,
+    "killed_baseline": run_killed_baseline,
+    "saturated": run_saturated,
+}
+
+
+def run_stragglers(deployment: Deployment, seed: int) -> dict[str, Figures]:
+    """Play every run of this module."""
+    return {name: run(deployment, seed) for name, run in RUNS.items()}
--- a/benchmarks/_upstreams.py
+++ b/benchmarks/_upstreams.py
@@ -96,6 +96,16 @@
         self.seed = seed
         self.replicas: dict[str, ReplicaModel] = {}
         self.published: dict[str, PartitionMap] = {}
+        self.n_written = 0
+        self.n_repeated = 0
+        self._written: set[tuple[str, str]] = set()
+
+    def note_written(self, call: ShardCall) -> None:
+        """Count a call that reached a replica, and repeats for the same shard."""
+        key = (call.request.request_id, call.shard_id)
+        self.n_written += 1
+        self.n_repeated += key in self._written
+        self._written.add(key)
 
     def publish(self, partition_map: PartitionMap) -> None:
         """Create the replicas of a map that do not exist yet."""
@@ -202,6 +212,7 @@
         if model.zone != self._zone:
             delay_ms = self._upstreams.deployment.zone_delay_ms
         self.n_calls += 1
+        self._upstreams.note_written(call)
         await self._clock.sleep_ms(delay_ms)
         if call.snapshot_id not in model.held_snapshots:
             await self._clock.sleep_ms(delay_ms)
--- a/chestnuthall/core/fanout/_hedges.py
+++ b/chestnuthall/core/fanout/_hedges.py
@@ -1,24 +1,28 @@
 """Second calls of shards that are slow to answer."""
 
 from chestnuthall.core.fanout._events import Action
-from chestnuthall.core.fanout._progress import ShardProgress
+from chestnuthall.core.fanout._progress import RunningCall, ShardProgress
 from chestnuthall.core.fanout._state import FanOutState
 from chestnuthall.core.model import is_idempotent
 
 # A hedge that finds no free slot or no credit is considered again after this
 # time. The call that stays slow longest is the one worth a hedge most.
-HEDGE_RETRY_MS = 10.0
+HEDGE_RETRY_MS = 5.0
 
 
 def hedge_due_ms(state: FanOutState, progress: ShardProgress) -> float | None:
     """Return when a hedge of the shard is to be considered, or None for never."""
-    start_ms = progress.oldest_start_ms
-    if start_ms is None or not _may_hedge(state, progress):
+    oldest = progress.oldest
+    if oldest is None or not _may_hedge(state, progress):
         return None
-    due_ms = start_ms + state.context.router.hedge_delay_ms()
+    due_ms = oldest.started_ms + _delay_ms(state, oldest)
     return max(due_ms, progress.hedge_not_before_ms)
 
 
+def _delay_ms(state: FanOutState, running: RunningCall) -> float:
+    return state.context.router.hedge_delay_ms(running.call.replica.name)
+
+
 def _may_hedge(state: FanOutState, progress: ShardProgress) -> bool:
     return (
         progress.answer is None
@@ -38,16 +42,19 @@
     due = []
     for progress in state.shards.values():
         due_ms = hedge_due_ms(state, progress)
-        if due_ms is not None and due_ms <= now_ms:
-            due.append(progress)
-    due.sort(key=lambda progress: progress.oldest_start_ms or 0.0)
+        oldest = progress.oldest
+        if oldest is not None and due_ms is not None and due_ms <= now_ms:
+            due.append((oldest, progress))
+    due.sort(key=lambda item: item[0].started_ms)
     actions: list[Action] = []
-    for progress in due:
-        actions += _hedge(state, progress, now_ms)
+    for oldest, progress in due:
+        actions += _hedge(state, progress, oldest, now_ms)
     return actions
 
 
-def _hedge(state: FanOutState, progress: ShardProgress, now_ms: float) -> list[Action]:
+def _hedge(
+    state: FanOutState, progress: ShardProgress, oldest: RunningCall, now_ms: float
+) -> list[Action]:
     """Start a second call if a replica has a free slot and the budget allows it.
 
     The shard counts as hedged only once the call is made. Otherwise one moment
@@ -61,7 +68,10 @@
         now_ms,
         needs_free_slot=True,
     )
-    if replica is None or not state.context.budget.try_take_hedge():
+    if replica is None:
+        return []
+    lateness_ratio = (now_ms - oldest.started_ms) / _delay_ms(state, oldest)
+    if not state.context.budget.try_take_hedge(lateness_ratio):
         return []
     progress.is_hedged = True
     state.n_hedges += 1
--- a/chestnuthall/core/fanout/_progress.py
+++ b/chestnuthall/core/fanout/_progress.py
@@ -54,6 +54,6 @@
         return self.answer is not None or (self.is_given_up and not self.running)
 
     @property
-    def oldest_start_ms(self) -> float | None:
-        """Start of the call that has run longest, or None."""
-        return min((item.started_ms for item in self.running.values()), default=None)
+    def oldest(self) -> RunningCall | None:
+        """The call that has run longest, or None."""
+        return next(iter(self.running.values()), None)
--- a/chestnuthall/core/routing/_budget.py
+++ b/chestnuthall/core/routing/_budget.py
@@ -5,21 +5,23 @@
 # Credit that a class may save up, in calls. It bounds a burst of extra calls
 # after a calm stretch.
 N_CALLS_SAVED_MAX = 10.0
-# Credit that hedges leave to retries: a retry saves coverage, a hedge only time.
-N_CALLS_FOR_RETRIES = 5.0
-# By how much the retries of lost calls may overdraw the credit. The loss of a
-# zone takes one call of many shards at once, and each one costs coverage.
+# By how much the retries of lost calls may overdraw the credit. A retry saves
+# coverage, a hedge only time, and the loss of a zone takes one call of many
+# shards at once.
 N_CALLS_OVERDRAWN_MAX = 10.0
-# Credit at the start, which only a retry can use.
-N_CALLS_AT_START = 2.0
+# By how much hedges of calls far beyond the hedge delay may overdraw it.
+N_HEDGES_OVERDRAWN_MAX = 5.0
+FAR_BEYOND_RATIO = 1.2
+# Credit at the start, before any call has earned some.
+N_CALLS_AT_START = 1.0
 
 
 class ExtraLoadBudget:
     """Credit for extra shard calls of one class of callers.
 
     Each ordinary call adds a fraction of a call to the credit, so that extra
-    calls stay a fixed part of all calls over any long stretch. The last part of
-    the credit is kept for retries.
+    calls stay a fixed part of all calls over any long stretch. Retries go before
+    hedges, in that they may overdraw the credit further.
     """
 
     def __init__(self, policy: ExtraLoadPolicy) -> None:
@@ -59,15 +61,19 @@
         self._credit -= 1.0
         return True
 
-    def try_take_hedge(self) -> bool:
+    def try_take_hedge(self, lateness_ratio: float) -> bool:
         """Take the credit of one hedge; return whether there was enough.
 
+        ``lateness_ratio`` is the age of the call over the hedge delay. Only a
+        call far beyond the delay may overdraw the credit, since it is likely to
+        be held by a slowed replica, and those come in bursts.
         Saved credit buys no hedges while the group is saturated, since their
         load would delay the calls of every class.
         """
         if self._utilisation_ratio >= self.policy.none_above_ratio:
             return False
-        if self._credit < N_CALLS_FOR_RETRIES + 1.0:
+        is_far_beyond = lateness_ratio >= FAR_BEYOND_RATIO
+        if self._credit < (1.0 - N_HEDGES_OVERDRAWN_MAX if is_far_beyond else 1.0):
             return False
         self._credit -= 1.0
         return True
--- a/chestnuthall/core/routing/_replicas.py
+++ b/chestnuthall/core/routing/_replicas.py
@@ -48,6 +48,12 @@
             return
         self.latency_ms += LATENCY_WEIGHT * (latency_ms - self.latency_ms)
 
+    def raise_latency(self, latency_ms: float, now_ms: float) -> None:
+        """Note that the replica takes at least this long now."""
+        self.updated_ms = now_ms
+        if self.latency_ms is None or latency_ms > self.latency_ms:
+            self.latency_ms = latency_ms
+
     def expected_latency_ms(self, typical_ms: float, now_ms: float) -> float:
         """Return the latency to expect, from past calls and those in flight.
 
--- a/chestnuthall/core/routing/_router.py
+++ b/chestnuthall/core/routing/_router.py
@@ -18,6 +18,8 @@
 # Failures in a row after which an answer is taken as that of a restarted
 # replica, which starts cold. A single failure is no sign of a restart.
 N_FAILURES_OF_RESTART = 2
+# How much longer than until its cancellation a slow call is taken to last.
+CANCELLED_FACTOR = 2.0
 # Fewer latencies do not reach a quantile of 0.95, and would hedge ordinary calls.
 N_SAMPLES_FOR_QUANTILE = 20
 
@@ -30,8 +32,10 @@
     other_zone_cost_ms: float = 1.0
     unknown_latency_ms: float = 5.0
     n_slots: int = 3
-    n_candidates: int = 2
-    hedge_quantile: float = 0.95
+    n_candidates: int = 3
+    hedge_quantile: float = 0.97
+    slow_ratio: float = 2.0
+    hedge_sooner_ratio: float = 0.6
     hedge_delay_min_ms: float = 2.0
     hedge_delay_unknown_ms: float = 50.0
     avoid_base_ms: float = 200.0
@@ -144,12 +148,19 @@
         """Return whether this instance leaves a slot of the replica unused."""
         return self.state_of(replica.name).n_in_flight < self._settings.n_slots
 
-    def hedge_delay_ms(self) -> float:
-        """Return how long a call may run before a second one is considered."""
+    def hedge_delay_ms(self, replica_name: str = "") -> float:
+        """Return how long a call may run before a second one is considered.
+
+        A replica that was slow lately is tried again to learn whether it still
+        is; such a call is hedged sooner.
+        """
         settings = self._settings
         delay_ms = self._latencies.quantile_ms(settings.hedge_quantile)
         if delay_ms is None or len(self._latencies) < N_SAMPLES_FOR_QUANTILE:
             return settings.hedge_delay_unknown_ms
+        state = self._replicas.get(replica_name)
+        if state is not None and self._is_slow(state):
+            delay_ms *= settings.hedge_sooner_ratio
         return max(settings.hedge_delay_min_ms, delay_ms)
 
     def on_started(self, replica: Replica, now_ms: float) -> None:
@@ -172,8 +183,9 @@
             state.ramp_from_ms = now_ms
         state.n_failures_in_row = 0
         state.avoided_until_ms = float("-inf")
+        if not self._is_slow(state):
+            self._latencies.add(now_ms - started_ms)
         state.observe_latency(now_ms - started_ms, now_ms)
-        self._latencies.add(now_ms - started_ms)
         if answer.held_snapshots:
             state.note_held(answer.held_snapshots, now_ms)
         if answer.is_draining:
@@ -208,12 +220,23 @@
     def _on_cancelled(
         self, state: ReplicaState, elapsed_ms: float, now_ms: float
     ) -> None:
-        # The call would have taken at least as long as it already had. Without
-        # these samples the quantile would forget the calls that were hedged.
-        if state.latency_ms is None or elapsed_ms > state.latency_ms:
-            state.observe_latency(elapsed_ms, now_ms)
-        if elapsed_ms >= self.hedge_delay_ms():
+        if elapsed_ms < self.hedge_delay_ms():
+            return
+        # The call was slow and would have taken longer still. Without its sample
+        # the quantile would forget the calls that were hedged.
+        if not self._is_slow(state):
             self._latencies.add(elapsed_ms)
+        state.raise_latency(CANCELLED_FACTOR * elapsed_ms, now_ms)
+
+    def _is_slow(self, state: ReplicaState) -> bool:
+        """Return whether a replica is slowed, as far as its past calls tell.
+
+        Its latencies are left out of the quantile. They would make every hedge
+        late at the very time that hedges are needed.
+        """
+        if state.latency_ms is None:
+            return False
+        return state.latency_ms > self._settings.slow_ratio * self._typical_ms()
 
     def _avoid_ms(self, state: ReplicaState, failure: Failure) -> float:
         settings = self._settings
--- a/chestnuthall/services/_directory.py
+++ b/chestnuthall/services/_directory.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 
 from chestnuthall.core.model import PartitionMap, Replica, UpstreamGroup
@@ -35,6 +36,7 @@
         read_map: PartitionMapReader,
         zone: str,
         random: Random,
+        router_settings: RouterSettings | None = None,
     ) -> None:
         self._store = store
         self._caller = caller
@@ -42,6 +44,7 @@
         self._read_map = read_map
         self._zone = zone
         self._random = random
+        self._router_settings = router_settings or RouterSettings()
         self._catalogs: dict[str, SnapshotCatalog] = {}
         self._routers: dict[str, Router] = {}
 
@@ -49,7 +52,9 @@
         """Start to keep replica statistics for a group."""
         if group.name in self._routers:
             return
-        settings = RouterSettings(zone=self._zone, n_slots=group.n_slots)
+        settings = replace(
+            self._router_settings, zone=self._zone, n_slots=group.n_slots
+        )
         self._routers[group.name] = Router(settings, self._random)
         self._catalogs.setdefault(group.name, SnapshotCatalog(group.name))
 
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -253,7 +253,7 @@
         if ticket.account.queued_ms > router.hedge_delay_ms():
             ratio = 1.0
         average = self._utilisation.setdefault(group_name, UtilisationAverage())
-        return average.add(ratio, self._clock.now_ms())
+        return average.add(ratio)
 
     def _finish(self, progress: _Progress, completion: Completion) -> Outcome:
         if completion.failure is not None:
