Divide connections as instances come and go, and test routing rules

Cause: the connection budget followed the document only, not the members of the fleet, and a starting instance that knew no peers took half of a cap. A lowered budget left idle connections open.

Change: ConnectionShare lowers the budget at once, raises it only after ten seconds, and assumes twelve instances until it has known its fleet for as long. Pools close idle connections beyond a lowered budget and open connections ahead of the calls.

--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -17,7 +17,6 @@
     "all policies": BASE,
     "no hedges": replace(BASE, hedge_delay_min_ms=1e9),
     "fixed hedge delay": replace(BASE, hedge_delay_min_ms=50.0, hedge_quantile=0.0),
-    "no sooner hedge": replace(BASE, hedge_sooner_ratio=1.0),
     "random replica": replace(BASE, n_candidates=1),
     "two candidates": replace(BASE, n_candidates=2),
     "no zone preference": replace(BASE, other_zone_cost_ms=0.0),
@@ -26,13 +25,17 @@
 }
 
 
-def main(*, seed: int = 1, duration_ms: float = 8_000.0) -> None:
+def main(
+    *, seed: int = 1, duration_ms: float = 6_000.0, deployment_name: str = ""
+) -> None:
     """Print one line for each deployment, run and policy switched off."""
     runs = {
         "slowed": Run(slowed=True, duration_ms=duration_ms),
         "restarted": Run(load_ratio=0.3, restarted=True, duration_ms=duration_ms),
     }
     for deployment in DEPLOYMENTS:
+        if deployment_name not in ("", deployment.name):
+            continue
         for name, base in runs.items():
             for variant, settings in VARIANTS.items():
                 figures = play(deployment, seed, replace(base, settings=settings))
--- a/chestnuthall/adapters/http/_pool.py
+++ b/chestnuthall/adapters/http/_pool.py
@@ -97,6 +97,29 @@
         if not self._wake_one(connection):
             self._idle.append(connection)
 
+    def set_budget(self, n_connections_max: int) -> None:
+        """Change the budget; idle connections beyond it are closed at once.
+
+        Connections in use beyond it are closed when they are given back.
+        """
+        self.n_connections_max = n_connections_max
+        while self._idle and self._n_open > n_connections_max:
+            self._idle.pop(0).close()
+            self._n_open -= 1
+        for _ in range(n_connections_max - self._n_open):
+            self._wake_one(None)
+
+    async def warm_up(self) -> None:
+        """Open connections up to the budget ahead of the calls that need them.
+
+        A new connection costs a call up to 6 ms.
+        """
+        while self._n_open < self.n_connections_max:
+            connection = await self._open(self._connect_timeout_ms)
+            if isinstance(connection, Failure):
+                return
+            self.release(connection)
+
     def _forget(self) -> None:
         self._n_open -= 1
         if self._n_open < self.n_connections_max:
--- a/chestnuthall/adapters/upstreams/_caller.py
+++ b/chestnuthall/adapters/upstreams/_caller.py
@@ -50,7 +50,8 @@
         self._budgets[group] = n_connections
         for address, pool in self._pools.items():
             if self._group_of_address.get(address) == group:
-                pool.n_connections_max = n_connections
+                pool.set_budget(n_connections)
+                self._spawn(pool.warm_up())
 
     def _pool(self, address: str, group: str) -> ConnectionPool:
         pool = self._pools.get(address)
@@ -61,6 +62,7 @@
             )
             self._pools[address] = pool
             self._group_of_address[address] = group
+            self._spawn(pool.warm_up())
         return pool
 
     async def call(self, call: ShardCall) -> ShardAnswer | Failure:
--- a/chestnuthall/core/fanout/_hedges.py
+++ b/chestnuthall/core/fanout/_hedges.py
@@ -15,14 +15,10 @@
     oldest = progress.oldest
     if oldest is None or not _may_hedge(state, progress):
         return None
-    due_ms = oldest.started_ms + _delay_ms(state, oldest)
+    due_ms = oldest.started_ms + state.context.router.hedge_delay_ms()
     return max(due_ms, progress.hedge_not_before_ms)
 
 
-def _delay_ms(state: FanOutState, running: RunningCall) -> float:
-    return state.context.router.hedge_delay_ms(running.call.replica.name)
-
-
 def _may_hedge(state: FanOutState, progress: ShardProgress) -> bool:
     return (
         progress.answer is None
@@ -70,7 +66,8 @@
     )
     if replica is None:
         return []
-    lateness_ratio = (now_ms - oldest.started_ms) / _delay_ms(state, oldest)
+    delay_ms = state.context.router.hedge_delay_ms()
+    lateness_ratio = (now_ms - oldest.started_ms) / delay_ms
     if not state.context.budget.try_take_hedge(lateness_ratio):
         return []
     progress.is_hedged = True
--- a/chestnuthall/core/routing/_connections.py
+++ b/chestnuthall/core/routing/_connections.py
@@ -5,6 +5,8 @@
 RAISE_DELAY_MS = 10_000.0
 # Room for one instance that a rolling restart starts before the others see it.
 N_INSTANCES_SPARE = 1
+# Assumed by an instance that starts, until it has known its fleet for the delay.
+N_INSTANCES_ASSUMED = 12
 
 
 class ConnectionShare:
@@ -15,27 +17,27 @@
 
     Examples
     --------
-    >>> share = ConnectionShare()
+    >>> share = ConnectionShare(0.0)
     >>> share.observe(9, 0.0), share.budget(30)
-    (True, 3)
+    (12, 2)
+    >>> share.observe(9, 10_001.0), share.budget(30)
+    (9, 3)
     """
 
-    def __init__(self) -> None:
-        self.n_instances = 1
-        self._seen: list[tuple[float, int]] = []
+    def __init__(self, now_ms: float) -> None:
+        self.n_instances = N_INSTANCES_ASSUMED
+        self._seen = [(now_ms, N_INSTANCES_ASSUMED)]
 
-    def observe(self, n_instances: int, now_ms: float) -> bool:
-        """Note the number of live and joining instances; return if it changed.
+    def observe(self, n_instances: int, now_ms: float) -> int:
+        """Note the number of live and joining instances.
 
-        The largest number seen within the delay is the one that counts.
+        Return the number that counts, the largest one seen within the delay.
         """
-        self._seen.append((now_ms, n_instances))
         oldest_ms = now_ms - RAISE_DELAY_MS
         self._seen = [item for item in self._seen if item[0] >= oldest_ms]
-        largest = max(n for _, n in self._seen)
-        changed = largest != self.n_instances
-        self.n_instances = largest
-        return changed
+        self._seen.append((now_ms, n_instances))
+        self.n_instances = max(n for _, n in self._seen)
+        return self.n_instances
 
     def budget(self, n_connections_max: int) -> int:
         """Return this instance's part of an upstream's cap; at least one."""
--- a/chestnuthall/core/routing/_router.py
+++ b/chestnuthall/core/routing/_router.py
@@ -35,7 +35,6 @@
     n_candidates: int = 3
     hedge_quantile: float = 0.97
     slow_ratio: float = 2.0
-    hedge_sooner_ratio: float = 0.6
     hedge_delay_min_ms: float = 2.0
     hedge_delay_unknown_ms: float = 50.0
     avoid_base_ms: float = 200.0
@@ -148,19 +147,12 @@
         """Return whether this instance leaves a slot of the replica unused."""
         return self.state_of(replica.name).n_in_flight < self._settings.n_slots
 
-    def hedge_delay_ms(self, replica_name: str = "") -> float:
-        """Return how long a call may run before a second one is considered.
-
-        A replica that was slow lately is tried again to learn whether it still
-        is; such a call is hedged sooner.
-        """
+    def hedge_delay_ms(self) -> float:
+        """Return how long a call may run before a second one is considered."""
         settings = self._settings
         delay_ms = self._latencies.quantile_ms(settings.hedge_quantile)
         if delay_ms is None or len(self._latencies) < N_SAMPLES_FOR_QUANTILE:
             return settings.hedge_delay_unknown_ms
-        state = self._replicas.get(replica_name)
-        if state is not None and self._is_slow(state):
-            delay_ms *= settings.hedge_sooner_ratio
         return max(settings.hedge_delay_min_ms, delay_ms)
 
     def on_started(self, replica: Replica, now_ms: float) -> None:
--- a/chestnuthall/daemon/_instance.py
+++ b/chestnuthall/daemon/_instance.py
@@ -19,13 +19,13 @@
 from chestnuthall.adapters.settings import InstanceSettings
 from chestnuthall.adapters.upstreams import HttpShardCaller
 from chestnuthall.core.claims import LedgerSettings
-from chestnuthall.core.model import Configuration
 from chestnuthall.core.quarantine import QuarantineRegister, QuarantineSettings
 from chestnuthall.core.results import Failure
 from chestnuthall.ports import MemberUpdate, Metrics
 from chestnuthall.services import (
     ClaimLedger,
     ConfigurationKeeper,
+    ConnectionBudgets,
     Directory,
     Identity,
     Lifecycle,
@@ -94,7 +94,12 @@
             spread=lambda: self.membership.spread_now(N_WARNED_PEERS),
             n_instances=lambda: self.membership.n_instances,
         )
-        self.configuration.on_change(self._divide_connections)
+        self.connections = ConnectionBudgets(
+            self.caller,
+            clock,
+            self.configuration,
+            lambda: self.membership.n_instances,
+        )
         self.frontend = CallerFrontend(
             query=self.query,
             configuration=self.configuration,
@@ -127,13 +132,6 @@
             "peers": [member.name for member in self.membership.members()],
         }
 
-    def _divide_connections(self, configuration: Configuration) -> None:
-        # One more instance than there are leaves room for a rolling restart.
-        n_instances = self.membership.n_instances + 1
-        for group in configuration.document.groups:
-            budget = max(1, group.n_connections_max // n_instances)
-            self.caller.set_connection_budget(group.name, budget)
-
     async def start(self) -> None:
         """Listen for callers and peers and start the background work."""
         self.peer_server = GrpcPeerServer(self.membership)
@@ -144,6 +142,7 @@
         self._tasks = [
             loop.create_task(self.configuration.run()),
             loop.create_task(self.directory.run()),
+            loop.create_task(self.connections.run()),
             loop.create_task(self.membership.run()),
         ]
         _log.info("instance started", extra={"zone": self.settings.zone})
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -6,6 +6,7 @@
     ConfigurationKeeper,
     ConfigurationReader,
 )
+from chestnuthall.services._connections import ConnectionBudgets
 from chestnuthall.services._directory import Directory, PartitionMapReader
 from chestnuthall.services._lifecycle import Lifecycle
 from chestnuthall.services._membership import (
@@ -22,6 +23,7 @@
     "ClaimLedger",
     "ConfigurationKeeper",
     "ConfigurationReader",
+    "ConnectionBudgets",
     "DigestPart",
     "Directory",
     "Identity",
