Test hedges that come late, replans, and credit across revisions

Change: a table of fan-out cases, a check that a mutation refused after its claim never invites the same key again, and one that credit outlives a revision.

--- /dev/null
+++ b/chestnuthall/core/fanout/tests/test_stragglers.py
@@ -0,0 +1,120 @@
+"""Guards hedges, retries and replans of one fan-out."""
+
+import pytest
+
+from chestnuthall.core.fanout import (
+    Begin,
+    CallAnswered,
+    CallFailed,
+    Cancel,
+    MapReplaced,
+    TimerFired,
+)
+from chestnuthall.core.fanout.tests.test_machine import (
+    DEADLINE_MS,
+    answer_to,
+    calls_of,
+    completion_of,
+    make_fan_out,
+    make_map,
+)
+from chestnuthall.core.model import ShardAnswer
+from chestnuthall.core.results import CONNECTION_LOST, NO_REPLICA, SNAPSHOT_GONE
+
+HEDGE_DELAY_MS = 50.0
+
+
+def begin(n_shards=1, n_replicas=3, credit=5.0, **options):
+    fan_out = make_fan_out(partition_map=make_map(n_shards, n_replicas), **options)
+    fan_out.context.budget._credit = credit
+    return fan_out, calls_of(fan_out.handle(Begin(0.0)))
+
+
+def occupy(router, replicas, n_calls):
+    for replica in replicas:
+        for _ in range(n_calls):
+            router.on_started(replica, 0.0)
+
+
+@pytest.mark.parametrize("lacking", ["credit", "slot"])
+def test_hedge_is_made_later_if_it_cannot_be_made_when_due(lacking):
+    """A moment without credit or a free slot must not leave a straggler alone."""
+    fan_out, (call,) = begin(credit=-9.0 if lacking == "credit" else 5.0)
+    router = fan_out.context.router
+    others = [r for r in fan_out.partition_map.shards[0].replicas if r != call.replica]
+    if lacking == "slot":
+        occupy(router, others, 3)
+    assert calls_of(fan_out.handle(TimerFired(HEDGE_DELAY_MS))) == []
+    fan_out.context.budget._credit = 5.0
+    if lacking == "slot":
+        router.on_answered(others[0], 0.0, ShardAnswer("x", "s", 1, (), 1), 55.0)
+    (hedge,) = calls_of(fan_out.handle(TimerFired(HEDGE_DELAY_MS + 10.0)))
+    assert hedge.replica != call.replica
+    assert calls_of(fan_out.handle(TimerFired(HEDGE_DELAY_MS + 60.0))) == []
+
+
+def test_loser_of_a_hedge_is_cancelled():
+    """The losing call must not go on to use a slot."""
+    fan_out, (call, _) = begin(n_shards=2)
+    hedges = calls_of(fan_out.handle(TimerFired(HEDGE_DELAY_MS)))
+    (hedge,) = [item for item in hedges if item.shard_id == call.shard_id]
+    actions = fan_out.handle(CallAnswered(60.0, hedge.call_id, answer_to(hedge)))
+    assert Cancel(call.call_id) in actions
+    assert fan_out.context.router.state_of(call.replica.name).n_in_flight == 0
+
+
+def test_suspected_request_is_not_hedged():
+    """A request that lost a replica must not run on a second one unannounced."""
+    fan_out, (first, _) = begin(n_shards=2)
+    lost = CONNECTION_LOST.because("x")
+    assert calls_of(fan_out.handle(CallFailed(1.0, first.call_id, lost))) == []
+    assert calls_of(fan_out.handle(TimerFired(HEDGE_DELAY_MS))) == []
+
+
+@pytest.mark.parametrize(
+    ("failure", "n_retried"),
+    [
+        pytest.param(NO_REPLICA.because("x"), 1, id="nothing-written-is-free"),
+        pytest.param(SNAPSHOT_GONE.because("x"), 1, id="refused-snapshot-is-free"),
+    ],
+)
+def test_retry_without_upstream_work_needs_no_credit(failure, n_retried):
+    """A call that no replica began must not cost coverage for want of credit."""
+    fan_out, (call,) = begin(credit=-20.0)
+    actions = fan_out.handle(CallFailed(1.0, call.call_id, failure))
+    assert len(calls_of(actions)) == n_retried
+
+
+def test_query_ends_at_its_deadline_while_it_waits_for_a_map():
+    """A slow answer about newer maps must not hold a query past its deadline."""
+    fan_out, (first, second) = begin(n_shards=2, n_replicas=1)
+    fan_out.handle(CallAnswered(1.0, first.call_id, answer_to(first)))
+    gone = SNAPSHOT_GONE.because("swapped")
+    fan_out.handle(CallFailed(2.0, second.call_id, gone))
+    completion = completion_of(fan_out.handle(TimerFired(DEADLINE_MS)))
+    assert completion.coverage.n_documents_covered == 100
+
+
+@pytest.mark.parametrize(
+    ("is_loaded", "now_ms", "n_replanned"),
+    [
+        pytest.param(True, 10.0, 3, id="loaded-in-time"),
+        pytest.param(False, 10.0, 0, id="still-being-loaded"),
+        pytest.param(True, DEADLINE_MS - 10.0, 0, id="too-late-to-start-over"),
+    ],
+)
+def test_good_old_answer_is_kept_unless_a_newer_one_is_better(
+    is_loaded, now_ms, n_replanned
+):
+    """Starting over must not turn two thirds of an answer into less."""
+    fan_out, (first, second, third) = begin(n_shards=3, n_replicas=1, floor=0.5)
+    for call in (first, second):
+        fan_out.handle(CallAnswered(1.0, call.call_id, answer_to(call)))
+    gone = SNAPSHOT_GONE.because("swapped")
+    fan_out.handle(CallFailed(2.0, third.call_id, gone))
+    another = make_map(3, 1, snapshot_id=2)
+    if not is_loaded:
+        for shard in another.shards:
+            fan_out.context.router.state_of(shard.replicas[0].name).note_missing(2, 2.0)
+    actions = fan_out.handle(MapReplaced(now_ms, another))
+    assert len(calls_of(actions)) == n_replanned
--- a/chestnuthall/services/tests/test_fault_matrix.py
+++ b/chestnuthall/services/tests/test_fault_matrix.py
@@ -1,13 +1,14 @@
 """Guards the promises on one request at every step of its life, fault by fault."""
 
 import asyncio
+from dataclasses import replace
 from itertools import combinations
 from random import Random
 
 import pytest
 
 from chestnuthall.core.model import Answer
-from chestnuthall.core.results import RunState
+from chestnuthall.core.results import Repeat, RunState
 from chestnuthall.services.tests._world import (
     DEADLINE_MS,
     FLOOR_RATIO,
@@ -146,6 +147,10 @@
         check_answer(world, kind, outcome)
     elif outcome.run is RunState.NO:
         assert runs == []
+        is_claimed = kind == "mutation" and bool(world.store.objects)
+        # A claimed key is used up, so the same request would be refused for ever.
+        assert not (is_claimed and outcome.repeat is Repeat.SAFE)
+        assert outcome.retry_after_ms is None or outcome.repeat is Repeat.SAFE
     elif outcome.run is RunState.YES:
         assert runs != []
     if kind == "mutation":
@@ -207,3 +212,16 @@
     assert isinstance(answer, Answer)
     assert answer.coverage.ratio == ratio
     assert answer.account.fan_out.n_replans == n_replans
+
+
+def test_credit_outlives_a_revision():
+    """Frequent changes of the document must not grant extra load each time."""
+
+    async def scenario():
+        world = World(1)
+        budget = world.query._budgets["c"]
+        in_force = world.query._configuration.in_force
+        world.query._configuration.offer(replace(in_force, revision=2), "test")
+        assert world.query._budgets["c"] is budget
+
+    run_virtual(scenario())
