--- /dev/null
+++ b/chestnuthall/core/routing/_connections.py
@@ -0,0 +1,44 @@
+"""An instance's part of the connections that an upstream accepts."""
+
+# An instance that has left the view may only be paused or cut off and still
+# hold its connections, so its part is taken over late.
+RAISE_DELAY_MS = 10_000.0
+# Room for one instance that a rolling restart starts before the others see it.
+N_INSTANCES_SPARE = 1
+# Assumed by an instance that starts, until it has known its fleet for the delay.
+N_INSTANCES_ASSUMED = 12
+
+
+class ConnectionShare:
+    """Number of instances that the connections are divided over.
+
+    It rises at once and falls only after the lower number has been seen for
+    ``RAISE_DELAY_MS``, so that the sum over all instances stays within the cap.
+
+    Examples
+    --------
+    >>> share = ConnectionShare(0.0)
+    >>> share.observe(9, 0.0), share.budget(30)
+    (12, 2)
+    >>> share.observe(9, 10_001.0), share.budget(30)
+    (9, 3)
+    """
+
+    def __init__(self, now_ms: float) -> None:
+        self.n_instances = N_INSTANCES_ASSUMED
+        self._seen = [(now_ms, N_INSTANCES_ASSUMED)]
+
+    def observe(self, n_instances: int, now_ms: float) -> int:
+        """Note the number of live and joining instances.
+
+        Return the number that counts, the largest one seen within the delay.
+        """
+        oldest_ms = now_ms - RAISE_DELAY_MS
+        self._seen = [item for item in self._seen if item[0] >= oldest_ms]
+        self._seen.append((now_ms, n_instances))
+        self.n_instances = max(n for _, n in self._seen)
+        return self.n_instances
+
+    def budget(self, n_connections_max: int) -> int:
+        """Return this instance's part of an upstream's cap; at least one."""
+        return max(1, n_connections_max // (self.n_instances + N_INSTANCES_SPARE))
--- a/chestnuthall/daemon/_instance.py
+++ b/chestnuthall/daemon/_instance.py
@@ -35,6 +35,7 @@
     BurnRecorder,
     ClaimLedger,
     ConfigurationKeeper,
+    ConnectionBudgets,
     CountedObjectStore,
     Directory,
     Identity,
@@ -51,6 +52,9 @@
 # Peers that an instance tells of a new revision at once; with three, news
 # crosses 1,900 instances in seven rounds.
 N_PEERS_TOLD = 3
+# Peers that hear at once of a request that lost a replica: all of a small fleet.
+# In a larger one the others hear of it with the probes between instances.
+N_WARNED_PEERS = 16
 
 
 def _metrics(settings: InstanceSettings) -> Metrics:
@@ -142,8 +146,15 @@
             record_outcome=OutcomeRecorder(
                 self.burn, metrics, self.configuration
             ).record,
+            spread=lambda: self.membership.spread_now(N_WARNED_PEERS),
+            n_instances=lambda: self.membership.n_instances,
+        )
+        self.connections = ConnectionBudgets(
+            self.caller,
+            clock,
+            self.configuration,
+            lambda: self.membership.n_instances,
         )
-        self.configuration.on_change(self._divide_connections)
         self.configuration.on_change(self._spread)
         self.frontend = CallerFrontend(
             query=self.query,
@@ -194,13 +205,6 @@
             "peers": [member.name for member in self.membership.members()],
         }
 
-    def _divide_connections(self, configuration: Configuration) -> None:
-        # One more instance than there are leaves room for a rolling restart.
-        n_instances = self.membership.n_instances + 1
-        for group in configuration.document.groups:
-            budget = max(1, group.n_connections_max // n_instances)
-            self.caller.set_connection_budget(group.name, budget)
-
     def _spread(self, configuration: Configuration) -> None:
         """Tell some peers of a new revision before the next probe would."""
         task = asyncio.get_running_loop().create_task(
@@ -219,6 +223,7 @@
         self._tasks = [
             loop.create_task(self.configuration.run()),
             loop.create_task(self.directory.run()),
+            loop.create_task(self.connections.run()),
             loop.create_task(self.membership.run()),
             loop.create_task(self.burn.run()),
             loop.create_task(self._report_dropped_lines()),
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -21,6 +21,9 @@
 from chestnuthall.services._configuration_peers import (
     PeerConfigurations,
 )
+from chestnuthall.services._connections import (
+    ConnectionBudgets,
+)
 from chestnuthall.services._directory import (
     Directory,
     PartitionMapReader,
@@ -67,6 +70,7 @@
     "ClaimLedger",
     "ConfigurationKeeper",
     "ConfigurationReader",
+    "ConnectionBudgets",
     "CountedObjectStore",
     "DigestPart",
     "Directory",
