Detect failed instances by probes with suspicion and incarnations

Cause: the membership view was the platform's list, which lags, and every message carried all members, which does not fit 2 KB/s at 1,900 instances. Change: core/membership is a state machine with one random-order probe an interval, two indirect probes, suspicion with a last direct probe, and incarnations. A message carries at most four updates, the own one, one in turn as repair, and what is said against the recipient. The list is followed by a watch (InstanceList) and is a seed and hint only. A gap between events is a pause of this process and voids its probes. An instance that hears nobody keeps the listed members. FleetCounts keeps condemned instances that are still listed as connection holders, so that the two sides of a partition never share a connection budget twice. The answer to a probe no longer waits for a configuration document. Also: ObjectTable.wait_changes swallowed a cancellation that came together with a change (asyncio.wait_for on 3.11), which hung a test for ever.

--- a/chestnuthall/adapters/documents/_instances.py
+++ b/chestnuthall/adapters/documents/_instances.py
@@ -5,6 +5,7 @@
 from pydantic import BaseModel, ConfigDict, ValidationError
 
 from chestnuthall.core.results import INVALID_REQUEST, Failure
+from chestnuthall.ports import InstanceRole, ListEntry
 
 
 class InstanceModel(BaseModel):
@@ -19,6 +20,17 @@
     peer_address: str = ""
     state: Literal["live", "leaving"] = "live"
 
+    def to_core(self) -> ListEntry:
+        """Return the entry as the services see it."""
+        return ListEntry(
+            name=self.name,
+            role=InstanceRole(self.role),
+            zone=self.zone,
+            address=self.address,
+            peer_address=self.peer_address,
+            is_leaving=self.state == "leaving",
+        )
+
 
 def encode_instance(model: InstanceModel) -> str:
     """Return the text that is stored."""
--- a/chestnuthall/daemon/_instance.py
+++ b/chestnuthall/daemon/_instance.py
@@ -19,15 +19,17 @@
 from chestnuthall.adapters.settings import InstanceSettings
 from chestnuthall.adapters.upstreams import HttpShardCaller
 from chestnuthall.core.claims import LedgerSettings
+from chestnuthall.core.membership import FleetCounts
 from chestnuthall.core.model import Configuration
 from chestnuthall.core.quarantine import QuarantineRegister, QuarantineSettings
 from chestnuthall.core.results import Failure
-from chestnuthall.ports import MemberUpdate, Metrics
+from chestnuthall.ports import ListEntry, Metrics
 from chestnuthall.services import (
     ClaimLedger,
     ConfigurationKeeper,
     Directory,
     Identity,
+    InstanceList,
     Lifecycle,
     Membership,
     QueryService,
@@ -43,12 +45,10 @@
     return StatsdMetrics(statsd.host, statsd.port, statsd.prefix)
 
 
-def _read_entry_instance(text: str) -> MemberUpdate | None:
-    """Return a live entry instance of the platform's list, or None."""
+def _read_list_entry(text: str) -> ListEntry | None:
+    """Return an entry of the platform's list, or None if it is invalid."""
     model = read_instance(text)
-    if isinstance(model, Failure) or model.role != "entry" or model.state != "live":
-        return None
-    return MemberUpdate(model.name, model.peer_address, model.zone, "alive", 0)
+    return None if isinstance(model, Failure) else model.to_core()
 
 
 class EntryInstance:
@@ -69,13 +69,13 @@
         self.directory = Directory(
             store, self.caller, clock, read_partition_map, settings.zone, random
         )
+        self.instances = InstanceList(store, clock, _read_list_entry)
         self.membership = Membership(
             identity,
-            store,
             self.transport,
             clock,
             self.configuration,
-            _read_entry_instance,
+            self.instances,
             random,
         )
         self.query = QueryService(
@@ -89,6 +89,7 @@
             quarantine=QuarantineRegister(QuarantineSettings()),
         )
         self.configuration.on_change(self._divide_connections)
+        self.membership.on_change(self._divide_for_counts)
         self.frontend = CallerFrontend(
             query=self.query,
             configuration=self.configuration,
@@ -121,9 +122,13 @@
             "peers": [member.name for member in self.membership.members()],
         }
 
+    def _divide_for_counts(self, counts: FleetCounts) -> None:
+        if self.configuration.in_force is not None:
+            self._divide_connections(self.configuration.in_force)
+
     def _divide_connections(self, configuration: Configuration) -> None:
         # One more instance than there are leaves room for a rolling restart.
-        n_instances = self.membership.n_instances + 1
+        n_instances = self.membership.counts.n_connection_holders + 1
         for group in configuration.document.groups:
             budget = max(1, group.n_connections_max // n_instances)
             self.caller.set_connection_budget(group.name, budget)
@@ -138,6 +143,7 @@
         self._tasks = [
             loop.create_task(self.configuration.run()),
             loop.create_task(self.directory.run()),
+            loop.create_task(self.instances.run()),
             loop.create_task(self.membership.run()),
         ]
         _log.info("instance started", extra={"zone": self.settings.zone})
--- /dev/null
+++ b/chestnuthall/daemon/tests/virtual_fleet.py
@@ -0,0 +1,169 @@
+"""Entry instances without callers on one virtual-time loop, for failure tests."""
+
+import asyncio
+from dataclasses import dataclass, field
+from random import Random
+
+from chestnuthall.adapters.clock import LoopClock
+from chestnuthall.adapters.documents import (
+    InstanceModel,
+    encode_instance,
+    read_configuration,
+    read_instance,
+)
+from chestnuthall.ports import StoredObject, WatchBatch
+from chestnuthall.services import (
+    ConfigurationKeeper,
+    Identity,
+    InstanceList,
+    Membership,
+)
+from chestnuthall.standins.objectapi import ObjectTable
+from chestnuthall.standins.peers import Host, HostClock, PeerNetwork
+
+ENTRY = "instances"
+
+
+class MemoryStore:
+    """The list of instances of an object table, as the store port."""
+
+    def __init__(self, table: ObjectTable, host: Host) -> None:
+        self._table = table
+        self._host = host
+
+    async def list_kind(self, kind, timeout_ms):
+        return tuple(_stored(entry) for entry in self._table.list_kind(kind))
+
+    async def watch(self, kind, after_version, timeout_ms):
+        changes = await self._table.wait_changes(
+            kind, after_version, timeout_ms / 1000.0
+        )
+        await self._host.wait_running()
+        return WatchBatch(
+            max((change.version for change in changes), default=after_version),
+            tuple(_stored(change.entry) for change in changes if change.entry),
+            tuple(change.name for change in changes if change.entry is None),
+        )
+
+
+def _stored(entry):
+    return StoredObject(entry.kind, entry.name, entry.version, entry.value)
+
+
+def read_entry(text):
+    return read_instance(text).to_core()
+
+
+@dataclass
+class VirtualInstance:
+    """One process: its membership, its host and its background tasks."""
+
+    name: str
+    address: str
+    host: Host
+    membership: Membership
+    tasks: list[asyncio.Task] = field(default_factory=list)
+    parts: dict[str, object] = field(default_factory=dict)
+
+    @property
+    def live_names(self):
+        return {
+            update.name
+            for update in self.membership.members()
+            if update.state in ("alive", "suspect") and update.incarnation > 0
+        }
+
+    def kill(self):
+        for task in self.tasks:
+            task.cancel()
+
+
+class VirtualFleet:
+    """Starts, stops, pauses and cuts instances; ``add_parts`` adds services."""
+
+    def __init__(self, n_instances, seed=1, add_parts=None, settings=None):
+        self.random = Random(seed)
+        self.network = PeerNetwork(Random(seed + 1))
+        self.table = ObjectTable()
+        self.instances = {}
+        self._add_parts = add_parts
+        self._settings = settings
+        for index in range(n_instances):
+            self.start(f"entry-{index}")
+
+    def put_on_list(self, name, address, state="live"):
+        model = InstanceModel(
+            name=name,
+            role="entry",
+            zone="zone-a",
+            address=address,
+            peer_address=address,
+            state=state,
+        )
+        self.table.put(ENTRY, name, encode_instance(model), None)
+
+    def drop_from_list(self, name):
+        self.table.delete(ENTRY, name, None)
+
+    def start(self, name, address=None, *, is_listed=True, wall_offset_ms=1e12):
+        address = address or f"10.0.0.{name.rpartition('-')[2]}:1"
+        host = Host()
+        clock = HostClock(LoopClock(wall_offset_ms, wall_from_loop=True), host)
+        store = MemoryStore(self.table, host)
+        listed = InstanceList(store, clock, read_entry)
+        transport = self.network.transport(address, host)
+        membership = Membership(
+            Identity(name, address, "zone-a"),
+            transport,
+            clock,
+            ConfigurationKeeper("trial", store, clock, read_configuration),
+            listed,
+            Random(self.random.random()),
+            settings=self._settings,
+        )
+        instance = VirtualInstance(name, address, host, membership)
+        if self._add_parts is not None:
+            self._add_parts(instance, clock, listed)
+        self.network.listen(address, membership, host)
+        if is_listed:
+            self.put_on_list(name, address)
+        loop = asyncio.get_running_loop()
+        instance.tasks = [
+            loop.create_task(listed.run()),
+            loop.create_task(membership.run()),
+        ]
+        self.instances[name] = instance
+        return instance
+
+    def kill(self, name, *, is_listed=True):
+        instance = self.instances.pop(name)
+        self.network.stop_listening(instance.address)
+        instance.kill()
+        if not is_listed:
+            self.drop_from_list(name)
+        return instance
+
+    def addresses(self, names):
+        return [self.instances[name].address for name in names]
+
+    async def wait(self, condition, timeout_s=60.0):
+        """Return the virtual seconds until the condition holds, else fail."""
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        while not condition():
+            if loop.time() - started_s > timeout_s:
+                raise AssertionError(f"condition does not hold after {timeout_s} s")
+            await asyncio.sleep(0.05)
+        return loop.time() - started_s
+
+    def all_see(self, names, observers=None):
+        """Return whether each observer counts exactly these instances live."""
+        expected = set(names)
+        return all(
+            instance.live_names == expected - {name}
+            for name, instance in self.instances.items()
+            if observers is None or name in observers
+        )
+
+    async def settle(self):
+        await self.wait(lambda: self.all_see(self.instances))
--- a/chestnuthall/ports/__init__.py
+++ b/chestnuthall/ports/__init__.py
@@ -6,6 +6,7 @@
     RequestHandler,
     RequestTracker,
 )
+from chestnuthall.ports._instances import InstanceRole, ListEntry
 from chestnuthall.ports._metrics import Metrics
 from chestnuthall.ports._objects import ObjectStore, StoredObject, WatchBatch
 from chestnuthall.ports._peers import (
@@ -25,6 +26,8 @@
     "Clock",
     "ConfigurationReceiver",
     "DrainNotice",
+    "InstanceRole",
+    "ListEntry",
     "MemberUpdate",
     "Metrics",
     "ObjectStore",
--- /dev/null
+++ b/chestnuthall/ports/_instances.py
@@ -0,0 +1,27 @@
+"""Entries of the platform's list of instances."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class InstanceRole(Enum):
+    """What an instance of the list does."""
+
+    ENTRY = "entry"
+    UPSTREAM = "upstream"
+
+
+@dataclass(frozen=True, slots=True)
+class ListEntry:
+    """One instance as the platform lists it; the list lags.
+
+    The name of an upstream is the name of its replica. ``peer_address`` is
+    empty for an upstream.
+    """
+
+    name: str
+    role: InstanceRole
+    zone: str
+    address: str
+    peer_address: str
+    is_leaving: bool
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -7,11 +7,11 @@
     ConfigurationReader,
 )
 from chestnuthall.services._directory import Directory, PartitionMapReader
+from chestnuthall.services._instance_list import InstanceList, ListEntryReader
 from chestnuthall.services._lifecycle import Lifecycle
 from chestnuthall.services._membership import (
     DigestPart,
     Identity,
-    InstanceListReader,
     Membership,
 )
 from chestnuthall.services._query import Outcome, QueryService
@@ -25,8 +25,9 @@
     "DigestPart",
     "Directory",
     "Identity",
-    "InstanceListReader",
+    "InstanceList",
     "Lifecycle",
+    "ListEntryReader",
     "Membership",
     "NotAdmitted",
     "Outcome",
--- a/chestnuthall/services/_membership.py
+++ b/chestnuthall/services/_membership.py
@@ -2,31 +2,54 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
+from functools import singledispatchmethod
 from random import Random
 from typing import Protocol
 
+from chestnuthall.core.membership import (
+    AddressTaken,
+    CountsChanged,
+    FleetCounts,
+    LeaveAnnounced,
+    LeaveFinished,
+    ListedInstance,
+    ListRead,
+    MemberNews,
+    MembershipAction,
+    MembershipEvent,
+    MembershipMachine,
+    MembershipSettings,
+    MemberState,
+    NewsReceived,
+    Probe,
+    ProbeAnswered,
+    ProbeFailed,
+    ProbeThrough,
+    Superseded,
+    Tick,
+)
 from chestnuthall.core.results import Failure
 from chestnuthall.ports import (
     Clock,
+    InstanceRole,
+    ListEntry,
     MemberUpdate,
-    ObjectStore,
     PeerConfiguration,
     PeerDigest,
     PeerTransport,
 )
 from chestnuthall.services._configuration import ConfigurationKeeper
+from chestnuthall.services._instance_list import InstanceList
 
 _log = logging.getLogger(__name__)
 
-INSTANCE_KIND = "instances"
-EXCHANGE_INTERVAL_MS = 1_000.0
-EXCHANGE_TIMEOUT_MS = 500.0
-STORE_TIMEOUT_MS = 2_000.0
-LIST_INTERVAL_MS = 5_000.0
+N_LEAVE_PEERS = 3
 
-InstanceListReader = Callable[[str], MemberUpdate | None]
+CountsListener = Callable[[FleetCounts], None]
+SupersededListener = Callable[[], None]
+_STATES = {state.value: state for state in MemberState}
 
 
 class DigestPart(Protocol):
@@ -51,48 +74,92 @@
 
 
 class Membership:
-    """Exchanges digests with peers and keeps the list of live instances."""
+    """Carries out the decisions of the membership machine."""
 
     def __init__(
         self,
         identity: Identity,
-        store: ObjectStore,
         peers: PeerTransport,
         clock: Clock,
         configuration: ConfigurationKeeper,
-        read_instance: InstanceListReader,
+        instances: InstanceList,
         random: Random,
         parts: Sequence[DigestPart] = (),
+        settings: MembershipSettings | None = None,
     ) -> None:
-        self._parts = tuple(parts)
         self._identity = identity
-        self._store = store
         self._peers = peers
         self._clock = clock
         self._configuration = configuration
-        self._read_instance = read_instance
         self._random = random
-        self._members: dict[str, MemberUpdate] = {}
+        self._parts = list(parts)
+        self._settings = settings or MembershipSettings()
+        # The start time makes the incarnation of a restarted instance higher
+        # than that of its predecessor, without any stored state.
+        incarnation = int(clock.wall_ms())
+        self._machine = MembershipMachine(
+            MemberNews(
+                identity.name,
+                identity.peer_address,
+                identity.zone,
+                MemberState.ALIVE,
+                incarnation,
+            ),
+            self._settings,
+            random,
+        )
+        self._listeners: list[CountsListener] = []
+        self._superseded_listeners: list[SupersededListener] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._fetching_revision = 0
+        instances.on_change(self._read_list)
+
+    @property
+    def identity(self) -> Identity:
+        """Name, peer address and zone of this instance."""
+        return self._identity
+
+    @property
+    def incarnation(self) -> int:
+        """Number that only this instance raises; higher after a restart."""
+        return self._machine.own.incarnation
+
+    @property
+    def counts(self) -> FleetCounts:
+        """How many instances there are, this one included."""
+        return self._machine.counts
 
     @property
     def n_instances(self) -> int:
-        """Number of instances of the fleet, this one included."""
-        return 1 + len(self._members)
+        """Number of live instances of the fleet, this one included."""
+        return max(1, self.counts.n_live)
+
+    def add_part(self, part: DigestPart) -> None:
+        """Exchange the news of one more service."""
+        self._parts.append(part)
+
+    def on_change(self, listener: CountsListener) -> None:
+        """Call a listener with the counts after each change."""
+        self._listeners.append(listener)
+
+    def on_superseded(self, listener: SupersededListener) -> None:
+        """Call a listener when another process runs under the same name."""
+        self._superseded_listeners.append(listener)
 
     def members(self) -> tuple[MemberUpdate, ...]:
-        """Return the other instances known."""
-        return tuple(self._members.values())
+        """Return the other instances that are not known to be dead."""
+        return tuple(_update_of(news) for news in self._machine.members())
 
-    def digest(self) -> PeerDigest:
-        """Return what this instance tells a peer."""
+    def digest(self, recipient: str = "") -> PeerDigest:
+        """Return what this instance tells a peer; its size is bounded."""
         in_force = self._configuration.in_force
         digest = PeerDigest(
             sender=self._identity.name,
             sender_address=self._identity.peer_address,
-            incarnation=1,
+            incarnation=self._machine.own.incarnation,
             configuration_revision=self._configuration.revision,
             configuration_digest="" if in_force is None else in_force.digest,
-            members=self.members(),
+            members=tuple(map(_update_of, self._machine.take_news(recipient))),
         )
         for part in self._parts:
             digest = part.fill(digest)
@@ -100,15 +167,18 @@
 
     async def receive(self, digest: PeerDigest) -> PeerDigest:
         """Take in the digest of a peer and return the own one."""
-        await self._take_in(digest)
-        return self.digest()
+        self._take_in(digest)
+        return self.digest(digest.sender)
 
     async def probe_for(self, target_address: str) -> bool:
         """Probe another instance on behalf of a peer."""
         answer = await self._peers.exchange(
-            target_address, self.digest(), EXCHANGE_TIMEOUT_MS
+            target_address, self.digest(), self._settings.probe_timeout_ms
         )
-        return not isinstance(answer, Failure)
+        if isinstance(answer, Failure):
+            return False
+        self._take_in(answer)
+        return True
 
     def configuration(self) -> PeerConfiguration | None:
         """Return the configuration in force, or None before the first one."""
@@ -122,56 +192,150 @@
             in_force.stored_text,
         )
 
-    async def _take_in(self, digest: PeerDigest) -> None:
-        for part in self._parts:
-            part.absorb(digest)
-        if digest.configuration_revision <= self._configuration.revision:
-            return
-        fetched = await self._peers.fetch_configuration(
-            digest.sender_address, EXCHANGE_TIMEOUT_MS
+    async def run(self) -> None:
+        """Probe one peer an interval until cancelled."""
+        try:
+            while True:
+                self._handle(Tick(self._clock.now_ms()))
+                await self._clock.sleep_ms(self._settings.tick_ms)
+        finally:
+            for task in tuple(self._tasks):
+                task.cancel()
+
+    async def spread_now(self, n_peers: int) -> None:
+        """Exchange digests at once with some peers; for urgent news."""
+        peers = [news for news in self._machine.members() if news.incarnation > 0]
+        chosen = self._random.sample(peers, min(n_peers, len(peers)))
+        await asyncio.gather(*(self._exchange_with(peer) for peer in chosen))
+
+    async def announce_leave(self) -> None:
+        """Tell peers that this instance leaves."""
+        self._handle(LeaveAnnounced(self._clock.now_ms()))
+        await self.spread_now(N_LEAVE_PEERS)
+
+    async def finish_leave(self) -> None:
+        """Tell peers that this instance is gone, so that none has to probe it."""
+        self._handle(LeaveFinished(self._clock.now_ms()))
+        await self.spread_now(N_LEAVE_PEERS)
+
+    def _read_list(self, entries: tuple[ListEntry, ...]) -> None:
+        listed = tuple(
+            ListedInstance(item.name, item.peer_address, item.zone, item.is_leaving)
+            for item in entries
+            if item.role is InstanceRole.ENTRY
         )
-        if isinstance(fetched, Failure):
-            return
-        self._configuration.offer_text(fetched.text, f"peer {digest.sender}")
+        self._handle(ListRead(self._clock.now_ms(), listed))
 
-    async def run(self) -> None:
-        """Exchange digests with one peer an interval until cancelled."""
-        await asyncio.gather(self._run_list(), self._run_exchange())
+    def _handle(self, event: MembershipEvent) -> None:
+        for action in self._machine.handle(event):
+            self._perform(action)
 
-    async def _run_list(self) -> None:
-        while True:
-            await self._load_list()
-            await self._clock.sleep_ms(LIST_INTERVAL_MS)
+    @singledispatchmethod
+    def _perform(self, action: MembershipAction) -> None:
+        raise TypeError(f"not a membership action: {type(action).__name__}")
 
-    async def _load_list(self) -> None:
-        listed = await self._store.list_kind(INSTANCE_KIND, STORE_TIMEOUT_MS)
-        if isinstance(listed, Failure):
-            return
-        updates = [self._read_instance(stored.value) for stored in listed]
-        self._members = {
-            update.name: update
-            for update in updates
-            if update is not None and update.name != self._identity.name
-        }
-
-    async def _run_exchange(self) -> None:
-        while True:
-            await self._clock.sleep_ms(EXCHANGE_INTERVAL_MS)
-            if not self._members:
-                continue
-            await self._exchange_with(self._random.choice(list(self._members.values())))
-
-    async def _exchange_with(self, peer: MemberUpdate) -> None:
+    @_perform.register
+    def _(self, action: Probe) -> None:
+        self._spawn(self._probe(action))
+
+    @_perform.register
+    def _(self, action: ProbeThrough) -> None:
+        self._spawn(self._probe_through(action))
+
+    @_perform.register
+    def _(self, action: CountsChanged) -> None:
+        for listener in self._listeners:
+            listener(action.counts)
+
+    @_perform.register
+    def _(self, action: Superseded) -> None:
+        _log.error(
+            "another process runs under this name", extra={"address": action.address}
+        )
+        for listener in self._superseded_listeners:
+            listener()
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _probe(self, action: Probe) -> None:
         answer = await self._peers.exchange(
-            peer.address, self.digest(), EXCHANGE_TIMEOUT_MS
+            action.address, self.digest(action.name), self._settings.probe_timeout_ms
         )
+        now_ms = self._clock.now_ms()
         if isinstance(answer, Failure):
-            _log.warning("peer did not answer", extra={"peer": peer.name})
+            _log.info("peer did not answer", extra={"peer": action.name})
+            self._handle(ProbeFailed(now_ms, action.probe_id))
             return
-        await self._take_in(answer)
+        if answer.sender == action.name:
+            self._handle(ProbeAnswered(now_ms, action.probe_id))
+        else:
+            self._handle(AddressTaken(now_ms, action.probe_id))
+        self._take_in(answer)
 
-    async def spread_now(self, n_peers: int) -> None:
-        """Exchange digests at once with some peers; for urgent news."""
-        peers = list(self._members.values())
-        chosen = self._random.sample(peers, min(n_peers, len(peers)))
-        await asyncio.gather(*(self._exchange_with(peer) for peer in chosen))
+    async def _probe_through(self, action: ProbeThrough) -> None:
+        is_alive = await self._peers.probe_for(
+            action.helper_address,
+            action.target_address,
+            self._settings.indirect_timeout_ms,
+        )
+        outcome = ProbeAnswered if is_alive is True else ProbeFailed
+        self._handle(outcome(self._clock.now_ms(), action.probe_id))
+
+    async def _exchange_with(self, peer: MemberNews) -> None:
+        answer = await self._peers.exchange(
+            peer.address, self.digest(peer.name), self._settings.probe_timeout_ms
+        )
+        if not isinstance(answer, Failure):
+            self._take_in(answer)
+
+    def _take_in(self, digest: PeerDigest) -> None:
+        sender, news = _read_news(digest)
+        self._handle(NewsReceived(self._clock.now_ms(), sender, news))
+        for part in self._parts:
+            part.absorb(digest)
+        # The answer to the peer does not wait for the document, because a slow
+        # answer would look like a failed probe.
+        revision = digest.configuration_revision
+        if revision > max(self._configuration.revision, self._fetching_revision):
+            self._fetching_revision = revision
+            self._spawn(self._fetch_configuration(digest))
+
+    async def _fetch_configuration(self, digest: PeerDigest) -> None:
+        try:
+            fetched = await self._peers.fetch_configuration(
+                digest.sender_address, self._settings.probe_timeout_ms
+            )
+        finally:
+            self._fetching_revision = 0
+        if not isinstance(fetched, Failure):
+            self._configuration.offer_text(fetched.text, f"peer {digest.sender}")
+
+
+def _update_of(news: MemberNews) -> MemberUpdate:
+    return MemberUpdate(
+        news.name, news.address, news.zone, news.state.value, news.incarnation
+    )
+
+
+def _read_news(digest: PeerDigest) -> tuple[MemberNews, tuple[MemberNews, ...]]:
+    """Return what the sender says of itself, and its other news.
+
+    A state that this version does not know is left out.
+    """
+    sender = MemberNews(
+        digest.sender, digest.sender_address, "", MemberState.ALIVE, digest.incarnation
+    )
+    others = []
+    for item in digest.members:
+        state = _STATES.get(item.state)
+        if state is None:
+            continue
+        news = MemberNews(item.name, item.address, item.zone, state, item.incarnation)
+        if news.name == digest.sender:
+            sender = news
+        else:
+            others.append(news)
+    return sender, tuple(others)
--- a/chestnuthall/standins/objectapi/_objects.py
+++ b/chestnuthall/standins/objectapi/_objects.py
@@ -109,6 +109,9 @@
             if changes or remaining_s <= 0.0:
                 return changes
             try:
-                await asyncio.wait_for(self._changed.wait(), remaining_s)
+                # wait_for would swallow a cancellation that comes together
+                # with a change.
+                async with asyncio.timeout(remaining_s):
+                    await self._changed.wait()
             except TimeoutError:
                 return []
--- /dev/null
+++ b/chestnuthall/standins/peers/_network.py
@@ -0,0 +1,145 @@
+"""Peer transport port in memory."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from random import Random
+from typing import TypeVar
+
+from chestnuthall.core.results import CALL_TIMED_OUT, CONNECTION_LOST, Failure
+from chestnuthall.ports import PeerConfiguration, PeerDigest, PeerService
+from chestnuthall.standins.peers._hosts import Host
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True)
+class _Listener:
+    service: PeerService
+    host: Host
+
+
+class PeerNetwork:
+    """Connects the transports and services of a fleet by address.
+
+    ``delay_ms`` is drawn for each direction of each call, uniformly within
+    ``jitter_ratio`` of it. A cut loses messages silently, as a network does;
+    an address without a listener refuses at once.
+    """
+
+    def __init__(
+        self, random: Random, delay_ms: float = 0.5, jitter_ratio: float = 0.5
+    ) -> None:
+        self.delay_ms = delay_ms
+        self.n_messages = 0
+        self._random = random
+        self._jitter_ratio = jitter_ratio
+        self._listeners: dict[str, _Listener] = {}
+        self._cuts: set[tuple[str, str]] = set()
+        self._extra_delays_ms: dict[str, float] = {}
+
+    def listen(self, address: str, service: PeerService, host: Host) -> None:
+        """Hand calls to an address to a service."""
+        self._listeners[address] = _Listener(service, host)
+
+    def stop_listening(self, address: str) -> None:
+        """Refuse calls to an address from now on."""
+        self._listeners.pop(address, None)
+
+    def transport(self, address: str, host: Host) -> "FakePeerTransport":
+        """Return the transport of the instance at an address."""
+        return FakePeerTransport(self, address, host)
+
+    def cut(self, sources: list[str], targets: list[str]) -> None:
+        """Lose every message from a source to a target; one direction only."""
+        self._cuts.update((a, b) for a in sources for b in targets)
+
+    def cut_both(self, one_side: list[str], other_side: list[str]) -> None:
+        """Lose every message between two sides."""
+        self.cut(one_side, other_side)
+        self.cut(other_side, one_side)
+
+    def heal(self) -> None:
+        """Undo all cuts."""
+        self._cuts.clear()
+
+    def set_delay(self, address: str, extra_ms: float) -> None:
+        """Delay every message to and from an address."""
+        self._extra_delays_ms[address] = extra_ms
+
+    def listener(self, address: str) -> _Listener | None:
+        """Return who listens on an address, or None."""
+        return self._listeners.get(address)
+
+    async def carry(self, source: str, target: str) -> None:
+        """Take the time of one message, or for ever if it is lost."""
+        self.n_messages += 1
+        if (source, target) in self._cuts:
+            await asyncio.Event().wait()
+        spread = self._random.uniform(-self._jitter_ratio, self._jitter_ratio)
+        extra_ms = self._extra_delays_ms.get(source, 0.0)
+        extra_ms += self._extra_delays_ms.get(target, 0.0)
+        await asyncio.sleep((self.delay_ms * (1.0 + spread) + extra_ms) / 1000.0)
+
+
+class FakePeerTransport:
+    """The calls of one instance."""
+
+    def __init__(self, network: PeerNetwork, address: str, host: Host) -> None:
+        self._network = network
+        self._address = address
+        self._host = host
+
+    async def exchange(
+        self, address: str, digest: PeerDigest, timeout_ms: float
+    ) -> PeerDigest | Failure:
+        """Probe a peer and exchange digests."""
+        return await self._call(
+            address, timeout_ms, lambda service: service.receive(digest)
+        )
+
+    async def probe_for(
+        self, address: str, target_address: str, timeout_ms: float
+    ) -> bool | Failure:
+        """Ask a peer to probe another one; return whether that one answered."""
+        return await self._call(
+            address, timeout_ms, lambda service: service.probe_for(target_address)
+        )
+
+    async def fetch_configuration(
+        self, address: str, timeout_ms: float
+    ) -> PeerConfiguration | Failure:
+        """Return the configuration that a peer has in force."""
+
+        async def fetch(service: PeerService) -> PeerConfiguration:
+            return service.configuration() or PeerConfiguration("", 0, "", "")
+
+        return await self._call(address, timeout_ms, fetch)
+
+    async def _call(
+        self,
+        address: str,
+        timeout_ms: float,
+        serve: Callable[[PeerService], Awaitable[T]],
+    ) -> T | Failure:
+        result: T | Failure
+        try:
+            async with asyncio.timeout(timeout_ms / 1000.0):
+                result = await self._deliver(address, serve)
+        except TimeoutError:
+            result = CALL_TIMED_OUT.because("the peer did not answer in time")
+        await self._host.wait_running()
+        return result
+
+    async def _deliver(
+        self, address: str, serve: Callable[[PeerService], Awaitable[T]]
+    ) -> T | Failure:
+        await self._network.carry(self._address, address)
+        listener = self._network.listener(address)
+        if listener is None:
+            return CONNECTION_LOST.because("nobody listens on the address")
+        await listener.host.wait_running()
+        answer = await serve(listener.service)
+        await listener.host.wait_running()
+        await self._network.carry(address, self._address)
+        return answer
