Tell all instances of drains and quarantines

Cause: a leaving replica was known only to the instance that an answer had told, and quarantines stayed on one instance. Change: core/drains holds notices with a sequence, a lifetime and the signal that started them; DrainNews takes in the platform's list, answers, health checks, refused connections, operators and peers, and tells three peers at once. QuarantineNews does the same for quarantines and their lifting. Health checks are divided by a hash ring; a drained replica has two checkers. Ruled out: to merge by the latest expiry (each echo adds the time of the message, and instances can give an ended notice back to each other); a healthy check that ends a drain which the platform's list announced (the replica does not know of it yet).

--- a/chestnuthall/adapters/http/_client.py
+++ b/chestnuthall/adapters/http/_client.py
@@ -5,7 +5,12 @@
 import h11
 
 from chestnuthall.adapters.http._messages import HttpRequest, HttpResponse
-from chestnuthall.core.results import CONNECTION_LOST, NO_REPLICA, Failure
+from chestnuthall.core.results import (
+    CONNECTION_LOST,
+    CONNECTION_REFUSED,
+    NO_REPLICA,
+    Failure,
+)
 
 N_BODY_BYTES_MAX = 16 * 1024 * 1024
 
@@ -141,6 +146,8 @@
             )
     except TimeoutError:
         return NO_REPLICA.because(f"no connection to {address} in time")
+    except ConnectionRefusedError:
+        return CONNECTION_REFUSED.because(f"{address} refused the connection")
     except OSError as error:
         return NO_REPLICA.because(f"cannot connect to {address}: {error.strerror}")
     return connection
--- a/chestnuthall/adapters/objectapi/_client.py
+++ b/chestnuthall/adapters/objectapi/_client.py
@@ -12,6 +12,7 @@
     PoolSettings,
 )
 from chestnuthall.core.results import (
+    CONNECTION_REFUSED,
     NO_REPLICA,
     OBJECT_CONFLICT,
     OBJECT_NOT_FOUND,
@@ -144,7 +145,7 @@
         )
         response = await self._exchange(request, timeout_ms)
         if isinstance(response, Failure):
-            if response.kind is NO_REPLICA:
+            if response.kind in (NO_REPLICA, CONNECTION_REFUSED):
                 return STORE_UNAVAILABLE.because(response.reason)
             return STORE_WRITE_UNKNOWN.because(response.reason)
         return _read_object(response)
--- a/chestnuthall/adapters/peers/_convert.py
+++ b/chestnuthall/adapters/peers/_convert.py
@@ -22,7 +22,11 @@
         uses=[_use_to_proto(item) for item in digest.uses],
         drains=[
             pb.DrainNotice(
-                replica_name=item.replica_name, expires_in_ms=item.expires_in_ms
+                replica_name=item.replica_name,
+                expires_in_ms=item.expires_in_ms,
+                sequence=item.sequence,
+                signal=item.signal,
+                is_over=item.is_over,
             )
             for item in digest.drains
         ],
@@ -31,6 +35,7 @@
                 fingerprint=item.fingerprint,
                 replica_names=item.replica_names,
                 expires_in_ms=item.expires_in_ms,
+                sequence=item.sequence,
             )
             for item in digest.quarantines
         ],
@@ -75,12 +80,21 @@
         ),
         uses=tuple(_use_from_proto(item) for item in message.uses),
         drains=tuple(
-            DrainNotice(item.replica_name, item.expires_in_ms)
+            DrainNotice(
+                item.replica_name,
+                item.expires_in_ms,
+                item.sequence,
+                item.signal,
+                item.is_over,
+            )
             for item in message.drains
         ),
         quarantines=tuple(
             QuarantineNotice(
-                item.fingerprint, tuple(item.replica_names), item.expires_in_ms
+                item.fingerprint,
+                tuple(item.replica_names),
+                item.expires_in_ms,
+                item.sequence,
             )
             for item in message.quarantines
         ),
--- a/chestnuthall/adapters/upstreams/_caller.py
+++ b/chestnuthall/adapters/upstreams/_caller.py
@@ -11,7 +11,12 @@
     HttpResponse,
     PoolSettings,
 )
-from chestnuthall.adapters.upstreams._wire import CALL_ID, encode_call, read_answer
+from chestnuthall.adapters.upstreams._wire import (
+    CALL_ID,
+    encode_call,
+    read_answer,
+    read_health,
+)
 from chestnuthall.core.model import (
     PartitionMap,
     Replica,
@@ -166,6 +171,18 @@
             return UPSTREAM_ERROR.because(f"status {response.status}")
         return read_partition_map(response.body)
 
+    async def check_health(
+        self, group: str, replica: Replica, timeout_ms: float
+    ) -> bool | Failure:
+        """Return whether the replica says that it drains."""
+        pool = self._pool(replica.address, group)
+        response = await self._exchange(
+            pool, HttpRequest("GET", "/v1/health"), timeout_ms
+        )
+        if isinstance(response, Failure):
+            return response
+        return read_health(response)
+
     def close(self) -> None:
         """Close the idle connections."""
         for pool in self._pools.values():
--- a/chestnuthall/adapters/upstreams/_wire.py
+++ b/chestnuthall/adapters/upstreams/_wire.py
@@ -44,6 +44,14 @@
     n_documents_searched: Annotated[int, Field(ge=0)]
 
 
+class _HealthModel(BaseModel):
+    """Body of a health report; unknown fields are the upstream's."""
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    draining: bool = False
+
+
 @singledispatch
 def _path_of(request: Request) -> str:
     raise TypeError(f"not a request: {type(request).__name__}")
@@ -136,3 +144,11 @@
     if response.status == 504:
         return CALL_TIMED_OUT.because("the deadline passed at the replica")
     return UPSTREAM_ERROR.because(f"the replica answered with {response.status}")
+
+
+def read_health(response: HttpResponse) -> bool | Failure:
+    """Return whether a health report says draining."""
+    try:
+        return _HealthModel.model_validate_json(response.body).draining
+    except ValidationError:
+        return UPSTREAM_ERROR.because("the response is not a health report")
--- /dev/null
+++ b/chestnuthall/core/drains/tests/test_register.py
@@ -0,0 +1,142 @@
+"""Guards the age, the order and the size of drain notices."""
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from chestnuthall.core.drains import (
+    CameBack,
+    DrainRegister,
+    DrainSettings,
+    DrainSignal,
+    NoticesReceived,
+    ResumeCalls,
+    Signalled,
+    SpreadNews,
+    StopCalls,
+)
+
+N_INSTANCES = 3
+DELAY_MAX_MS = 500.0
+LIFETIME_MS = 30_000.0
+REPLICAS = ("r0", "r1")
+HEALTH, LIST = DrainSignal.HEALTH, DrainSignal.LIST
+instances = st.integers(0, N_INSTANCES - 1)
+replicas = st.sampled_from(REPLICAS)
+
+
+class DrainNewsMachine(RuleBasedStateMachine):
+    """Instances that signal, come back and exchange in any order, with delays."""
+
+    @initialize()
+    def start(self):
+        self.now_ms = 0.0
+        bounds = DrainSettings(n_transmissions_max=10_000)
+        self.registers = [DrainRegister(bounds) for _ in range(N_INSTANCES)]
+        self.last_signal_ms = dict.fromkeys(REPLICAS, float("-inf"))
+        self.in_flight = []
+
+    @rule(index=instances, name=replicas, signal=st.sampled_from([HEALTH, LIST]))
+    def signal(self, index, name, signal):
+        self.registers[index].handle(Signalled(self.now_ms, 1e12, name, signal))
+        self.last_signal_ms[name] = self.now_ms
+
+    @rule(index=instances, name=replicas, signal=st.sampled_from([HEALTH, LIST]))
+    def come_back(self, index, name, signal):
+        self.registers[index].handle(CameBack(self.now_ms, 1e12, name, signal))
+
+    @rule(index=instances)
+    def send(self, index):
+        notices = self.registers[index].take_notices(self.now_ms)
+        assert len(notices) <= DrainSettings().n_notices_max
+        self.in_flight.append((self.now_ms, notices))
+
+    @precondition(lambda self: self.in_flight)
+    @rule(index=instances, data=st.data())
+    def deliver(self, index, data):
+        position = data.draw(st.integers(0, len(self.in_flight) - 1))
+        sent_ms, notices = self.in_flight.pop(position)
+        if self.now_ms - sent_ms <= DELAY_MAX_MS:
+            self.registers[index].handle(NoticesReceived(self.now_ms, notices))
+
+    @rule(duration_ms=st.sampled_from([10.0, 250.0, 499.0, 5_000.0, 14_000.0]))
+    def advance(self, duration_ms):
+        self.now_ms += duration_ms
+
+    @invariant()
+    def no_drain_outlives_its_last_signal(self):
+        drift_ms = N_INSTANCES * DELAY_MAX_MS
+        for register in self.registers:
+            for notice in register.active(self.now_ms):
+                ends_ms = self.now_ms + notice.remaining_ms
+                signalled_ms = self.last_signal_ms[notice.replica_name]
+                assert ends_ms <= signalled_ms + LIFETIME_MS + drift_ms
+
+    def teardown(self):
+        """After two rounds of exchanges all instances must agree."""
+        if not hasattr(self, "registers"):
+            return
+        for _ in range(2):
+            for one in self.registers:
+                for other in self.registers:
+                    notices = one.take_notices(self.now_ms)
+                    other.handle(NoticesReceived(self.now_ms, notices))
+        least_ms = DrainSettings().remaining_min_ms + N_INSTANCES * DELAY_MAX_MS
+        views = [
+            {
+                notice.replica_name
+                for notice in register.active(self.now_ms)
+                if notice.remaining_ms > least_ms
+            }
+            for register in self.registers
+        ]
+        held = [
+            {notice.replica_name for notice in register.active(self.now_ms)}
+            for register in self.registers
+        ]
+        assert set().union(*views) <= set.intersection(*held)
+
+
+DrainNewsMachine.TestCase.settings = settings(
+    max_examples=150, stateful_step_count=40, derandomize=True, deadline=None
+)
+TestDrainNewsMachine = DrainNewsMachine.TestCase
+
+
+@pytest.mark.parametrize(
+    ("started_by", "back_by", "is_back"),
+    [
+        pytest.param(HEALTH, HEALTH, True, id="health"),
+        pytest.param(DrainSignal.ANSWER, HEALTH, True, id="answer-then-health"),
+        pytest.param(DrainSignal.REFUSED, HEALTH, True, id="refused-then-health"),
+        pytest.param(LIST, HEALTH, False, id="list-precedes-the-replica"),
+        pytest.param(LIST, LIST, True, id="list-then-list"),
+        pytest.param(DrainSignal.OPERATOR, HEALTH, False, id="operator-holds"),
+        pytest.param(HEALTH, DrainSignal.OPERATOR, True, id="operator-ends"),
+    ],
+)
+def test_who_may_end_a_drain(started_by, back_by, is_back):
+    """A healthy answer must not undo a drain that the replica does not know of."""
+    register = DrainRegister()
+    register.handle(Signalled(0.0, 1e12, "r", started_by))
+    actions = register.handle(CameBack(100.0, 1e12, "r", back_by))
+    assert (ResumeCalls("r") in actions) is is_back
+    assert (not register.active(100.0)) is is_back
+
+
+def test_only_the_first_notice_is_urgent():
+    """Repeated signals of one drain must not flood the fleet."""
+    register = DrainRegister()
+    first = register.handle(Signalled(0.0, 1e12, "r", HEALTH))
+    again = register.handle(Signalled(5_000.0, 1e12, "r", HEALTH))
+    renewed = register.handle(Signalled(16_000.0, 1e12, "r", HEALTH))
+    assert first == [StopCalls("r", 30_000.0), SpreadNews()]
+    assert again == []
+    assert renewed == [StopCalls("r", 46_000.0)]
--- a/chestnuthall/core/fanout/_machine.py
+++ b/chestnuthall/core/fanout/_machine.py
@@ -37,6 +37,7 @@
     CALL_CANCELLED,
     CALL_MISMATCH,
     CONNECTION_LOST,
+    CONNECTION_REFUSED,
     COVERAGE_BELOW_FLOOR,
     DEADLINE_PASSED,
     NO_REPLICA,
@@ -55,7 +56,7 @@
 
 # Failures that prove that the replica did not begin the call.
 NOT_STARTED_KINDS: frozenset[FailureKind] = frozenset(
-    {NO_REPLICA, SHED_BY_UPSTREAM, SNAPSHOT_GONE}
+    {NO_REPLICA, CONNECTION_REFUSED, SHED_BY_UPSTREAM, SNAPSHOT_GONE}
 )
 
 
--- a/chestnuthall/core/results/_kinds.py
+++ b/chestnuthall/core/results/_kinds.py
@@ -68,6 +68,9 @@
 NO_REPLICA: Final[FailureKind] = _define(
     _CODE.NO_REPLICA, 503, _NO, _SAFE, "No replica of a shard can be called."
 )
+CONNECTION_REFUSED: Final[FailureKind] = _define(
+    _CODE.CONNECTION_REFUSED, 503, _NO, _SAFE, "Nothing listens on the address."
+)
 CONNECTION_LOST: Final[FailureKind] = _define(
     _CODE.CONNECTION_LOST,
     502,
--- a/chestnuthall/core/routing/__init__.py
+++ b/chestnuthall/core/routing/__init__.py
@@ -1,5 +1,6 @@
 """Choice of snapshot and replica, hedging and the extra-load budget."""
 
+from chestnuthall.core.routing._assignment import HashRing, assign_shards
 from chestnuthall.core.routing._budget import ExtraLoadBudget
 from chestnuthall.core.routing._catalog import SnapshotCatalog
 from chestnuthall.core.routing._latency import LatencyWindow
@@ -8,9 +9,11 @@
 
 __all__ = [
     "ExtraLoadBudget",
+    "HashRing",
     "LatencyWindow",
     "ReplicaState",
     "Router",
     "RouterSettings",
     "SnapshotCatalog",
+    "assign_shards",
 ]
--- a/chestnuthall/core/routing/_router.py
+++ b/chestnuthall/core/routing/_router.py
@@ -167,3 +167,7 @@
         """Send no new calls to a replica until its notice runs out."""
         until_ms = now_ms + self._settings.drain_notice_ms
         self.state_of(replica_name).drained_until_ms = until_ms
+
+    def drain_until(self, replica_name: str, until_ms: float) -> None:
+        """Send no new calls to a replica until a time; a past one ends a drain."""
+        self.state_of(replica_name).drained_until_ms = until_ms
--- a/chestnuthall/daemon/_instance.py
+++ b/chestnuthall/daemon/_instance.py
@@ -28,10 +28,14 @@
     ClaimLedger,
     ConfigurationKeeper,
     Directory,
+    DrainNews,
+    DrainWatchingCaller,
+    HealthChecks,
     Identity,
     InstanceList,
     Lifecycle,
     Membership,
+    QuarantineNews,
     QueryService,
 )
 
@@ -78,15 +82,25 @@
             self.instances,
             random,
         )
+        self.drains = DrainNews(
+            self.directory, clock, self.instances, self.membership.spread_now
+        )
+        quarantine = QuarantineRegister(QuarantineSettings())
+        self.quarantines = QuarantineNews(quarantine, clock, self.membership.spread_now)
+        self.membership.add_part(self.drains)
+        self.membership.add_part(self.quarantines)
+        self.health_checks = HealthChecks(
+            self.caller, self.directory, self.drains, self.membership, clock, random
+        )
         self.query = QueryService(
             identity=identity,
             clock=clock,
             metrics=_metrics(settings),
-            caller=self.caller,
+            caller=DrainWatchingCaller(self.caller, self.drains.signal),
             directory=self.directory,
             configuration=self.configuration,
             ledger=ClaimLedger(store, clock, JsonPartitionCodec(), LedgerSettings()),
-            quarantine=QuarantineRegister(QuarantineSettings()),
+            quarantine=quarantine,
         )
         self.configuration.on_change(self._divide_connections)
         self.membership.on_change(self._divide_for_counts)
@@ -145,6 +159,8 @@
             loop.create_task(self.directory.run()),
             loop.create_task(self.instances.run()),
             loop.create_task(self.membership.run()),
+            loop.create_task(self.health_checks.run()),
+            loop.create_task(self.quarantines.run()),
         ]
         _log.info("instance started", extra={"zone": self.settings.zone})
 
--- a/chestnuthall/ports/__init__.py
+++ b/chestnuthall/ports/__init__.py
@@ -19,7 +19,7 @@
     PeerTransport,
     QuarantineNotice,
 )
-from chestnuthall.ports._shards import ShardCaller
+from chestnuthall.ports._shards import ReplicaHealth, ShardCaller
 
 __all__ = [
     "ClassUse",
@@ -36,6 +36,7 @@
     "PeerService",
     "PeerTransport",
     "QuarantineNotice",
+    "ReplicaHealth",
     "RequestHandler",
     "RequestTracker",
     "ShardCaller",
--- a/chestnuthall/ports/_peers.py
+++ b/chestnuthall/ports/_peers.py
@@ -39,19 +39,32 @@
 
 @dataclass(frozen=True, slots=True)
 class DrainNotice:
-    """A replica that takes no new calls until ``expires_in_ms`` has passed."""
+    """A replica that takes no new calls until ``expires_in_ms`` has passed.
+
+    A higher ``sequence`` replaces a lower one. ``signal`` says what showed the
+    drain: list, answer, health, refused or operator. ``is_over`` says that the
+    replica takes calls again.
+    """
 
     replica_name: str
     expires_in_ms: float
+    sequence: int = 0
+    signal: str = "answer"
+    is_over: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class QuarantineNotice:
-    """A request fingerprint with the replicas that were lost to it."""
+    """A request fingerprint with the replicas that were lost to it.
+
+    No replica names say that the quarantine was lifted. A higher ``sequence``
+    replaces a lower one.
+    """
 
     fingerprint: str
     replica_names: tuple[str, ...]
     expires_in_ms: float
+    sequence: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/chestnuthall/ports/_shards.py
+++ b/chestnuthall/ports/_shards.py
@@ -10,7 +10,8 @@
     """Runs shard calls. Cancelling the awaiting task cancels the call.
 
     A failure's kind says whether the replica can have begun the call:
-    ``NO_REPLICA`` (nothing was written), ``SHED_BY_UPSTREAM`` and
+    ``NO_REPLICA`` and ``CONNECTION_REFUSED`` (nothing was written),
+    ``SHED_BY_UPSTREAM`` and
     ``SNAPSHOT_GONE`` say that it did not; any other that it may have.
     """
 
@@ -27,3 +28,13 @@
     def set_connection_budget(self, group: str, n_connections: int) -> None:
         """Set how many connections may be open to each replica of a group."""
         ...
+
+
+class ReplicaHealth(Protocol):
+    """Health checks of replicas; a hint only, since health reports lag."""
+
+    async def check_health(
+        self, group: str, replica: Replica, timeout_ms: float
+    ) -> bool | Failure:
+        """Return whether the replica says that it drains."""
+        ...
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -7,6 +7,8 @@
     ConfigurationReader,
 )
 from chestnuthall.services._directory import Directory, PartitionMapReader
+from chestnuthall.services._drain_news import DrainNews, DrainWatchingCaller
+from chestnuthall.services._health_checks import HealthChecks
 from chestnuthall.services._instance_list import InstanceList, ListEntryReader
 from chestnuthall.services._lifecycle import Lifecycle
 from chestnuthall.services._membership import (
@@ -14,6 +16,7 @@
     Identity,
     Membership,
 )
+from chestnuthall.services._quarantine_news import QuarantineNews
 from chestnuthall.services._query import Outcome, QueryService
 
 __all__ = [
@@ -24,6 +27,9 @@
     "ConfigurationReader",
     "DigestPart",
     "Directory",
+    "DrainNews",
+    "DrainWatchingCaller",
+    "HealthChecks",
     "Identity",
     "InstanceList",
     "Lifecycle",
@@ -33,5 +39,6 @@
     "Outcome",
     "PartitionCodec",
     "PartitionMapReader",
+    "QuarantineNews",
     "QueryService",
 ]
--- a/chestnuthall/services/_directory.py
+++ b/chestnuthall/services/_directory.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from random import Random
 
 from chestnuthall.core.model import PartitionMap, Replica, UpstreamGroup
@@ -57,6 +57,22 @@
         """Return the router of a group that was added."""
         return self._routers[group_name]
 
+    def routers(self) -> tuple[Router, ...]:
+        """Return the routers of all groups that were added."""
+        return tuple(self._routers.values())
+
+    def replicas(self) -> Iterator[tuple[str, Replica]]:
+        """Yield each replica of the newest maps with its group, once."""
+        for name, catalog in self._catalogs.items():
+            for partition_map in catalog.maps()[:1]:
+                unique = {
+                    replica.name: replica
+                    for shard in partition_map.shards
+                    for replica in shard.replicas
+                }
+                for replica in unique.values():
+                    yield name, replica
+
     def has_maps(self) -> bool:
         """Return whether every group that was added has a map."""
         return all(self._catalogs[name].newest_id is not None for name in self._routers)
--- /dev/null
+++ b/chestnuthall/services/_drain_news.py
@@ -0,0 +1,194 @@
+"""Replicas that leave: signals in, routers and peers told."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from functools import singledispatchmethod
+
+from chestnuthall.core.drains import (
+    CameBack,
+    DrainAction,
+    DrainEvent,
+    DrainRegister,
+    DrainSignal,
+    Notice,
+    NoticesReceived,
+    ResumeCalls,
+    Signalled,
+    SpreadNews,
+    StopCalls,
+)
+from chestnuthall.core.model import PartitionMap, Replica, ShardAnswer, ShardCall
+from chestnuthall.core.results import CONNECTION_REFUSED, Failure
+from chestnuthall.ports import (
+    Clock,
+    DrainNotice,
+    InstanceRole,
+    ListEntry,
+    PeerDigest,
+    ShardCaller,
+)
+from chestnuthall.services._directory import Directory
+from chestnuthall.services._instance_list import InstanceList
+
+_log = logging.getLogger(__name__)
+
+# With three peers told by each instance, news reaches 1,900 instances in about
+# seven rounds and leaves out about 5%, which the next probes reach.
+N_SPREAD_PEERS = 3
+_SIGNALS = {signal.value: signal for signal in DrainSignal}
+
+Spreader = Callable[[int], Awaitable[None]]
+
+
+class DrainNews:
+    """Takes every signal of a drain to the routers and to the peers."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        clock: Clock,
+        instances: InstanceList,
+        spread: Spreader,
+        register: DrainRegister | None = None,
+    ) -> None:
+        self._directory = directory
+        self._clock = clock
+        self._spread = spread
+        self._register = register or DrainRegister()
+        self._listed_leaving: set[str] = set()
+        self._spreading: asyncio.Task[None] | None = None
+        self._must_spread = False
+        instances.on_change(self._read_list)
+
+    def signal(self, replica_name: str, signal: DrainSignal) -> None:
+        """Note that this instance saw that a replica leaves."""
+        now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
+        self._handle(Signalled(now_ms, wall_ms, replica_name, signal))
+
+    def note_back(self, replica_name: str, signal: DrainSignal) -> None:
+        """Note that this instance saw that a replica takes calls again."""
+        now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
+        self._handle(CameBack(now_ms, wall_ms, replica_name, signal))
+
+    def is_listed_leaving(self, replica_name: str) -> bool:
+        """Return whether the platform's list says that a replica leaves."""
+        return replica_name in self._listed_leaving
+
+    def active(self) -> tuple[Notice, ...]:
+        """Return the drains that hold now."""
+        return self._register.active(self._clock.now_ms())
+
+    def apply_again(self) -> None:
+        """Tell the routers of all drains; for groups that were added since."""
+        now_ms = self._clock.now_ms()
+        for notice in self._register.active(now_ms):
+            until_ms = now_ms + notice.remaining_ms
+            self._perform(StopCalls(notice.replica_name, until_ms))
+
+    def fill(self, digest: PeerDigest) -> PeerDigest:
+        """Return the digest with the drain notices added."""
+        notices = self._register.take_notices(self._clock.now_ms())
+        return replace(digest, drains=tuple(map(_to_port, notices)))
+
+    def absorb(self, digest: PeerDigest) -> None:
+        """Take in the drain notices of a peer."""
+        notices = tuple(
+            Notice(
+                item.replica_name,
+                item.sequence,
+                _SIGNALS[item.signal],
+                item.is_over,
+                item.expires_in_ms,
+            )
+            for item in digest.drains
+            if item.signal in _SIGNALS
+        )
+        if notices:
+            self._handle(NoticesReceived(self._clock.now_ms(), notices))
+
+    def _read_list(self, entries: tuple[ListEntry, ...]) -> None:
+        upstreams = [item for item in entries if item.role is InstanceRole.UPSTREAM]
+        leaving = {item.name for item in upstreams if item.is_leaving}
+        live = {item.name for item in upstreams} - leaving
+        for name in leaving - self._listed_leaving:
+            self.signal(name, DrainSignal.LIST)
+        for name in live & self._listed_leaving:
+            self.note_back(name, DrainSignal.LIST)
+        self._listed_leaving = leaving
+
+    def _handle(self, event: DrainEvent) -> None:
+        for action in self._register.handle(event):
+            self._perform(action)
+
+    @singledispatchmethod
+    def _perform(self, action: DrainAction) -> None:
+        raise TypeError(f"not a drain action: {type(action).__name__}")
+
+    @_perform.register
+    def _(self, action: StopCalls) -> None:
+        for router in self._directory.routers():
+            router.drain_until(action.replica_name, action.until_ms)
+
+    @_perform.register
+    def _(self, action: ResumeCalls) -> None:
+        _log.info("replica is back", extra={"replica": action.replica_name})
+        for router in self._directory.routers():
+            router.drain_until(action.replica_name, float("-inf"))
+
+    @_perform.register
+    def _(self, action: SpreadNews) -> None:
+        # One spread at a time bounds the traffic when many replicas drain.
+        self._must_spread = True
+        if self._spreading is None:
+            loop = asyncio.get_running_loop()
+            self._spreading = loop.create_task(self._spread_pending())
+
+    async def _spread_pending(self) -> None:
+        try:
+            while self._must_spread:
+                self._must_spread = False
+                await self._spread(N_SPREAD_PEERS)
+        finally:
+            self._spreading = None
+
+
+def _to_port(notice: Notice) -> DrainNotice:
+    return DrainNotice(
+        notice.replica_name,
+        notice.remaining_ms,
+        notice.sequence,
+        notice.signal.value,
+        notice.is_over,
+    )
+
+
+class DrainWatchingCaller:
+    """A shard caller that notes the drains that its calls show."""
+
+    def __init__(
+        self, caller: ShardCaller, on_signal: Callable[[str, DrainSignal], None]
+    ) -> None:
+        self._caller = caller
+        self._on_signal = on_signal
+
+    async def call(self, call: ShardCall) -> ShardAnswer | Failure:
+        """Run one call and note a drain that its outcome shows."""
+        result = await self._caller.call(call)
+        if isinstance(result, Failure):
+            if result.kind is CONNECTION_REFUSED:
+                self._on_signal(call.replica.name, DrainSignal.REFUSED)
+        elif result.is_draining:
+            self._on_signal(call.replica.name, DrainSignal.ANSWER)
+        return result
+
+    async def fetch_partition_map(
+        self, replica: Replica, timeout_ms: float
+    ) -> PartitionMap | Failure:
+        """Return the newest partition map that a replica knows."""
+        return await self._caller.fetch_partition_map(replica, timeout_ms)
+
+    def set_connection_budget(self, group: str, n_connections: int) -> None:
+        """Set how many connections may be open to each replica of a group."""
+        self._caller.set_connection_budget(group, n_connections)
--- /dev/null
+++ b/chestnuthall/services/_health_checks.py
@@ -0,0 +1,101 @@
+"""Health checks of replicas, divided over the instances."""
+
+import asyncio
+from random import Random
+
+from chestnuthall.core.drains import DrainSignal
+from chestnuthall.core.model import Replica
+from chestnuthall.core.results import CONNECTION_REFUSED, Failure
+from chestnuthall.core.routing import HashRing
+from chestnuthall.ports import Clock, ReplicaHealth
+from chestnuthall.services._directory import Directory
+from chestnuthall.services._drain_news import DrainNews
+from chestnuthall.services._membership import Membership
+
+# 13,000 replicas over 1,900 instances are 7 for each, which makes 1.4 checks
+# a second.
+CHECK_INTERVAL_MS = 5_000.0
+DRAINED_CHECK_INTERVAL_MS = 1_000.0
+HEALTH_TIMEOUT_MS = 500.0
+# The ring is asked about so many replicas before other work gets its turn.
+N_REPLICAS_PER_TURN = 500
+# A drained replica is checked by two instances, because the end of its drain
+# must not depend on one of them.
+N_CHECKERS_OF_DRAINED = 2
+
+
+class HealthChecks:
+    """Checks the replicas that fall to this instance by the hash ring."""
+
+    def __init__(
+        self,
+        health: ReplicaHealth,
+        directory: Directory,
+        drains: DrainNews,
+        membership: Membership,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self._health = health
+        self._directory = directory
+        self._drains = drains
+        self._membership = membership
+        self._clock = clock
+        self._random = random
+
+    async def run(self) -> None:
+        """Check replicas until cancelled."""
+        await asyncio.gather(self._run_all(), self._run_drained())
+
+    async def _run_all(self) -> None:
+        while True:
+            duty = await self._duty(tuple(self._directory.replicas()), 1)
+            for group, replica in duty:
+                # The checks are spread over the interval.
+                await self._clock.sleep_ms(CHECK_INTERVAL_MS / len(duty))
+                await self._check(group, replica)
+            if not duty:
+                await self._clock.sleep_ms(CHECK_INTERVAL_MS)
+
+    async def _run_drained(self) -> None:
+        while True:
+            jitter = self._random.uniform(0.9, 1.1)
+            await self._clock.sleep_ms(DRAINED_CHECK_INTERVAL_MS * jitter)
+            self._drains.apply_again()
+            names = {notice.replica_name for notice in self._drains.active()}
+            if names:
+                await self._check_drained(names)
+
+    async def _check_drained(self, names: set[str]) -> None:
+        drained = tuple(
+            item for item in self._directory.replicas() if item[1].name in names
+        )
+        duty = await self._duty(drained, N_CHECKERS_OF_DRAINED)
+        await asyncio.gather(*(self._check(group, item) for group, item in duty))
+
+    async def _duty(
+        self, replicas: tuple[tuple[str, Replica], ...], n_checkers: int
+    ) -> list[tuple[str, Replica]]:
+        """Return those of the replicas that this instance has to check."""
+        own_name = self._membership.identity.name
+        peers = (member.name for member in self._membership.members())
+        ring = HashRing([own_name, *peers])
+        duty = []
+        for index, (group, replica) in enumerate(replicas):
+            if own_name in ring.owners(replica.name, n_checkers):
+                duty.append((group, replica))
+            if index % N_REPLICAS_PER_TURN == N_REPLICAS_PER_TURN - 1:
+                await self._clock.sleep_ms(0.0)
+        return duty
+
+    async def _check(self, group: str, replica: Replica) -> None:
+        result = await self._health.check_health(group, replica, HEALTH_TIMEOUT_MS)
+        if self._drains.is_listed_leaving(replica.name):
+            self._drains.signal(replica.name, DrainSignal.LIST)
+        elif isinstance(result, Failure):
+            if result.kind is CONNECTION_REFUSED:
+                self._drains.signal(replica.name, DrainSignal.REFUSED)
+        elif result:
+            self._drains.signal(replica.name, DrainSignal.HEALTH)
+        else:
+            self._drains.note_back(replica.name, DrainSignal.HEALTH)
