Stop an instance without cutting off a request, and report its status

Cause: the stop closed the listener's connections as soon as the handlers had ended: a response that a slow caller had not read yet was cut off, a request that had arrived in part was dropped, and answers during the notice kept their connections alive. Change: answers carry Connection: close from the first moment; idle connections stay open through the notice; the stop then waits for running requests without limit and for the rest for at most 10 s. The leave goes to peers, to the platform's list and to the status object. StatusPart lets other services add to it. A process whose name was given to another one leaves.

--- a/chestnuthall/adapters/callers/__init__.py
+++ b/chestnuthall/adapters/callers/__init__.py
@@ -1,5 +1,6 @@
 """The HTTP interface towards callers and operators."""
 
+from chestnuthall.adapters.callers._admin import AdminRoutes
 from chestnuthall.adapters.callers._encode import encode_account, encode_outcome
 from chestnuthall.adapters.callers._frontend import (
     CallerFrontend,
@@ -8,6 +9,7 @@
 from chestnuthall.adapters.callers._models import read_request
 
 __all__ = [
+    "AdminRoutes",
     "CallerFrontend",
     "encode_account",
     "encode_outcome",
--- a/chestnuthall/adapters/callers/_frontend.py
+++ b/chestnuthall/adapters/callers/_frontend.py
@@ -1,6 +1,6 @@
 """Routes of the HTTP interface of an instance."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 from chestnuthall.adapters.callers._encode import encode_json, encode_outcome
 from chestnuthall.adapters.callers._models import read_request
@@ -37,6 +37,7 @@
         clock: Clock,
         is_ready: Callable[[], bool],
         read_status: StatusReader,
+        extra_routes: Mapping[tuple[str, str], Route] | None = None,
     ) -> None:
         self._query = query
         self._configuration = configuration
@@ -51,6 +52,7 @@
             ("GET", "/v1/health"): self._serve_health,
             ("GET", "/v1/admin/status"): self._serve_status,
             ("POST", "/v1/admin/configuration"): self._serve_configuration,
+            **(extra_routes or {}),
         }
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
--- a/chestnuthall/adapters/documents/__init__.py
+++ b/chestnuthall/adapters/documents/__init__.py
@@ -13,6 +13,7 @@
 from chestnuthall.adapters.documents._instances import (
     InstanceModel,
     encode_instance,
+    mark_leaving,
     read_instance,
 )
 from chestnuthall.adapters.documents._ledger import JsonPartitionCodec
@@ -21,8 +22,11 @@
     encode_partition_map,
     read_partition_map,
 )
+from chestnuthall.adapters.documents._status import encode_status
 
 __all__ = [
+    "encode_status",
+    "mark_leaving",
     "ConfigurationModel",
     "EnvironmentModel",
     "InstanceModel",
--- a/chestnuthall/adapters/documents/_instances.py
+++ b/chestnuthall/adapters/documents/_instances.py
@@ -1,5 +1,6 @@
 """Entries of the platform's list of instances."""
 
+import json
 from typing import Literal
 
 from pydantic import BaseModel, ConfigDict, ValidationError
@@ -37,6 +38,14 @@
     return model.model_dump_json()
 
 
+def mark_leaving(text: str) -> str | Failure:
+    """Return an entry with the state ``leaving``; other fields stay as they are."""
+    model = read_instance(text)
+    if isinstance(model, Failure):
+        return model
+    return json.dumps({**json.loads(text), "state": "leaving"})
+
+
 def read_instance(text: str) -> InstanceModel | Failure:
     """Check one entry of the list."""
     try:
--- a/chestnuthall/adapters/http/_server.py
+++ b/chestnuthall/adapters/http/_server.py
@@ -45,6 +45,7 @@
         self.is_closing = False
         self._connections: set[_ServerConnection] = set()
         self._server: asyncio.Server | None = None
+        self._quieter = asyncio.Event()
 
     async def start(self, host: str, port: int) -> int:
         """Listen; return the port, which the system chooses for port 0."""
@@ -70,18 +71,39 @@
     def discard(self, connection: "_ServerConnection") -> None:
         """Forget a closed connection."""
         self._connections.discard(connection)
+        self._quieter.set()
+
+    def note_request_ended(self) -> None:
+        """Note that a connection has one running request less."""
+        self._quieter.set()
 
     def announce_close(self) -> None:
-        """End each connection with its next response; close the idle ones."""
+        """End each connection with its next response."""
         self.is_closing = True
-        for connection in tuple(self._connections):
-            connection.close_if_idle()
 
     async def stop_listening(self) -> None:
-        """Accept no further connections."""
+        """Accept no further connections and close the idle ones."""
         self.announce_close()
         if self._server is not None:
             self._server.close()
+        for connection in tuple(self._connections):
+            connection.close_if_idle()
+
+    async def wait_closed(self, linger_ms: float) -> None:
+        """Wait for all requests that run, then at most a while for the rest.
+
+        The rest are responses that a slow client has not read yet, and
+        requests of which a part has arrived.
+        """
+        while self._connections:
+            self._quieter.clear()
+            is_serving = any(item.is_serving for item in self._connections)
+            timeout_s = None if is_serving else linger_ms / 1000.0
+            try:
+                async with asyncio.timeout(timeout_s):
+                    await self._quieter.wait()
+            except TimeoutError:
+                return
 
     async def close(self) -> None:
         """Stop listening and close all connections."""
@@ -202,6 +224,7 @@
         self._task = None
         self._send(response)
         self._next_cycle()
+        self._server.note_request_ended()
 
     def _send(self, response: HttpResponse) -> None:
         transport = self._transport
@@ -241,6 +264,11 @@
             self._send(self._server.error_responder(status, reason))
         self.close()
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether a request runs or its response waits to be written."""
+        return self._task is not None
+
     def close_if_idle(self) -> None:
         """Close a connection that has no request."""
         if self._task is None and self._h11.their_state is h11.IDLE:
--- a/chestnuthall/daemon/_instance.py
+++ b/chestnuthall/daemon/_instance.py
@@ -4,10 +4,16 @@
 import logging
 from random import Random
 
-from chestnuthall.adapters.callers import CallerFrontend, respond_to_http_error
+from chestnuthall.adapters.callers import (
+    AdminRoutes,
+    CallerFrontend,
+    respond_to_http_error,
+)
 from chestnuthall.adapters.clock import LoopClock
 from chestnuthall.adapters.documents import (
     JsonPartitionCodec,
+    encode_status,
+    mark_leaving,
     read_configuration,
     read_instance,
     read_partition_map,
@@ -25,20 +31,28 @@
 from chestnuthall.core.results import Failure
 from chestnuthall.ports import ListEntry, Metrics
 from chestnuthall.services import (
+    Administration,
     ClaimLedger,
     ConfigurationKeeper,
+    ConfigurationStatus,
     Directory,
     DrainNews,
     DrainWatchingCaller,
+    FleetStatus,
     HealthChecks,
     Identity,
     InstanceList,
     Lifecycle,
     Membership,
+    NewsStatus,
     QuarantineNews,
     QueryService,
+    StatusReporter,
 )
 
+# The exit does not wait longer for a store that is down.
+REPORT_TIMEOUT_MS = 3_000.0
+
 _log = logging.getLogger(__name__)
 
 
@@ -104,6 +118,22 @@
         )
         self.configuration.on_change(self._divide_connections)
         self.membership.on_change(self._divide_for_counts)
+        self.administration = Administration(
+            identity, self.lifecycle, self.drains, self.quarantines, clock
+        )
+        self.status = StatusReporter(
+            self.membership,
+            store,
+            clock,
+            encode_status,
+            random,
+            (
+                ConfigurationStatus(self.configuration, clock),
+                FleetStatus(self.lifecycle, self.membership),
+                NewsStatus(self.drains, self.quarantines),
+            ),
+        )
+        self.membership.on_superseded(self.lifecycle.announce_leave)
         self.frontend = CallerFrontend(
             query=self.query,
             configuration=self.configuration,
@@ -111,10 +141,12 @@
             clock=clock,
             is_ready=self.is_ready,
             read_status=self.read_status,
+            extra_routes=AdminRoutes(self.administration).routes(),
         )
         self.http_server = HttpServer(
             self.frontend.handle, _server_limits(settings), respond_to_http_error
         )
+        self.peer_server = GrpcPeerServer(self.membership)
         self._tasks: list[asyncio.Task[None]] = []
 
     def is_ready(self) -> bool:
@@ -133,6 +165,7 @@
             "n_in_flight": self.lifecycle.n_in_flight,
             "configuration_revision": self.configuration.revision,
             "configuration_digest": "" if in_force is None else in_force.digest,
+            "status": self.status.read(),
             "peers": [member.name for member in self.membership.members()],
         }
 
@@ -149,7 +182,6 @@
 
     async def start(self) -> None:
         """Listen for callers and peers and start the background work."""
-        self.peer_server = GrpcPeerServer(self.membership)
         await self.peer_server.start(self.settings.peer_address)
         host, _, port = self.settings.caller_address.rpartition(":")
         await self.http_server.start(host, int(port))
@@ -161,18 +193,38 @@
             loop.create_task(self.membership.run()),
             loop.create_task(self.health_checks.run()),
             loop.create_task(self.quarantines.run()),
+            loop.create_task(self.status.run()),
         ]
         _log.info("instance started", extra={"zone": self.settings.zone})
 
     async def run(self) -> None:
         """Serve until a stop is announced, then finish what is in flight."""
-        await self.start()
-        await self.lifecycle.wait_leave()
-        _log.info("instance is leaving")
-        await self.lifecycle.drain(self.http_server.stop_listening)
-        await self.close()
+        try:
+            await self.start()
+            await self.lifecycle.wait_leave()
+            _log.info("instance is leaving")
+            await asyncio.gather(
+                self.lifecycle.drain(self.http_server, self.is_ready()),
+                self._report_leave(),
+            )
+            await self.membership.finish_leave()
+        finally:
+            await self.close()
         _log.info("instance stopped")
 
+    async def _report_leave(self) -> None:
+        """Tell peers, operators and the platform; a failure stops nothing."""
+        work = asyncio.gather(
+            self.membership.announce_leave(),
+            self.status.write(),
+            self.instances.report_leaving(self.settings.name, mark_leaving),
+        )
+        try:
+            async with asyncio.timeout(REPORT_TIMEOUT_MS / 1000.0):
+                await work
+        except TimeoutError:
+            _log.warning("the store did not take the leave report in time")
+
     async def close(self) -> None:
         """Stop the background work and close everything."""
         for task in self._tasks:
--- a/chestnuthall/ports/__init__.py
+++ b/chestnuthall/ports/__init__.py
@@ -2,7 +2,10 @@
 
 from chestnuthall.ports._clock import Clock
 from chestnuthall.ports._driving import (
+    CallerListener,
     ConfigurationReceiver,
+    InstanceAdministration,
+    QuarantineView,
     RequestHandler,
     RequestTracker,
 )
@@ -22,6 +25,9 @@
 from chestnuthall.ports._shards import ReplicaHealth, ShardCaller
 
 __all__ = [
+    "CallerListener",
+    "InstanceAdministration",
+    "QuarantineView",
     "ClassUse",
     "Clock",
     "ConfigurationReceiver",
--- a/chestnuthall/ports/_driving.py
+++ b/chestnuthall/ports/_driving.py
@@ -1,5 +1,6 @@
 """What the front ends call: the services, as seen from outside."""
 
+from dataclasses import dataclass
 from typing import Protocol
 
 from chestnuthall.core.configuration import RevisionDecision
@@ -43,3 +44,53 @@
     def end_request(self) -> None:
         """Note a request that has ended."""
         ...
+
+
+class CallerListener(Protocol):
+    """The listener for callers, as a graceful stop uses it."""
+
+    def announce_close(self) -> None:
+        """Tell each caller with its next response to close its connection."""
+        ...
+
+    async def stop_listening(self) -> None:
+        """Accept no further connections and close the idle ones."""
+        ...
+
+    async def wait_closed(self, linger_ms: float) -> None:
+        """Wait for all requests that run, then at most a while for the rest."""
+        ...
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QuarantineView:
+    """One request that has cost replicas, as operators see it."""
+
+    fingerprint: str
+    replica_names: tuple[str, ...]
+    expires_in_ms: float
+    is_quarantined: bool
+
+
+class InstanceAdministration(Protocol):
+    """What operators do to one instance."""
+
+    def drain_instance(self, name: str) -> Failure | None:
+        """Begin a graceful stop, if the name is that of this instance."""
+        ...
+
+    def drain_replica(self, name: str) -> None:
+        """Stop new calls to a replica over the whole fleet."""
+        ...
+
+    def resume_replica(self, name: str) -> None:
+        """End the drain of a replica, whatever began it."""
+        ...
+
+    def quarantines(self) -> tuple[QuarantineView, ...]:
+        """Return the requests that have cost replicas."""
+        ...
+
+    async def lift_quarantine(self, fingerprint: str) -> Failure | None:
+        """Let a request run again over the whole fleet."""
+        ...
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -1,5 +1,6 @@
 """Use cases of an entry instance, which join the decisions to the ports."""
 
+from chestnuthall.services._administration import Administration
 from chestnuthall.services._admission import Admission, Admitted, NotAdmitted
 from chestnuthall.services._claims import ClaimLedger, PartitionCodec
 from chestnuthall.services._configuration import (
@@ -18,8 +19,21 @@
 )
 from chestnuthall.services._quarantine_news import QuarantineNews
 from chestnuthall.services._query import Outcome, QueryService
+from chestnuthall.services._status import (
+    ConfigurationStatus,
+    FleetStatus,
+    NewsStatus,
+    StatusPart,
+    StatusReporter,
+)
 
 __all__ = [
+    "Administration",
+    "ConfigurationStatus",
+    "FleetStatus",
+    "NewsStatus",
+    "StatusPart",
+    "StatusReporter",
     "Admission",
     "Admitted",
     "ClaimLedger",
--- /dev/null
+++ b/chestnuthall/services/_administration.py
@@ -0,0 +1,61 @@
+"""What operators do to one instance."""
+
+from chestnuthall.core.drains import DrainSignal
+from chestnuthall.core.results import NOT_FOUND, Failure
+from chestnuthall.ports import Clock, QuarantineView
+from chestnuthall.services._drain_news import DrainNews
+from chestnuthall.services._lifecycle import Lifecycle
+from chestnuthall.services._membership import Identity
+from chestnuthall.services._quarantine_news import QuarantineNews
+
+
+class Administration:
+    """Drains this instance or a replica, and shows and lifts quarantines."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        lifecycle: Lifecycle,
+        drains: DrainNews,
+        quarantines: QuarantineNews,
+        clock: Clock,
+    ) -> None:
+        self._identity = identity
+        self._lifecycle = lifecycle
+        self._drains = drains
+        self._quarantines = quarantines
+        self._clock = clock
+
+    def drain_instance(self, name: str) -> Failure | None:
+        """Begin a graceful stop, if the name is that of this instance."""
+        if name != self._identity.name:
+            return NOT_FOUND.because(f"this instance is {self._identity.name}")
+        self._lifecycle.announce_leave()
+        return None
+
+    def drain_replica(self, name: str) -> None:
+        """Stop new calls to a replica over the whole fleet."""
+        self._drains.signal(name, DrainSignal.OPERATOR)
+
+    def resume_replica(self, name: str) -> None:
+        """End the drain of a replica, whatever began it."""
+        self._drains.note_back(name, DrainSignal.OPERATOR)
+
+    def quarantines(self) -> tuple[QuarantineView, ...]:
+        """Return the requests that have cost replicas."""
+        now_ms = self._clock.now_ms()
+        return tuple(
+            QuarantineView(
+                fingerprint=item.fingerprint,
+                replica_names=tuple(sorted(item.replica_names)),
+                expires_in_ms=item.expires_ms - now_ms,
+                is_quarantined=self._quarantines.is_quarantined(item.fingerprint),
+            )
+            for item in self._quarantines.suspicions()
+        )
+
+    async def lift_quarantine(self, fingerprint: str) -> Failure | None:
+        """Let a request run again over the whole fleet."""
+        if await self._quarantines.lift(fingerprint):
+            return None
+        return NOT_FOUND.because("no quarantine has this fingerprint here")
--- a/chestnuthall/services/_instance_list.py
+++ b/chestnuthall/services/_instance_list.py
@@ -17,7 +17,10 @@
 # is read once an hour.
 RELOAD_INTERVAL_MS = 3_600_000.0
 
+N_REPORT_ATTEMPTS = 3
+
 ListEntryReader = Callable[[str], ListEntry | None]
+LeavingMarker = Callable[[str], str | Failure]
 ListListener = Callable[[tuple[ListEntry, ...]], None]
 
 
@@ -52,6 +55,22 @@
             while self._clock.now_ms() < reload_at_ms:
                 version = await self._follow(version)
 
+    async def report_leaving(self, name: str, mark: LeavingMarker) -> None:
+        """Enter in the platform's list that an instance leaves."""
+        for _ in range(N_REPORT_ATTEMPTS):
+            stored = await self._store.get(INSTANCE_KIND, name, STORE_TIMEOUT_MS)
+            if isinstance(stored, Failure):
+                break
+            text = mark(stored.value)
+            if isinstance(text, Failure):
+                break
+            written = await self._store.update(
+                INSTANCE_KIND, name, text, stored.version, STORE_TIMEOUT_MS
+            )
+            if not isinstance(written, Failure):
+                return
+        _log.warning("cannot report the leave to the platform")
+
     async def _load(self) -> int | None:
         listed = await self._store.list_kind(INSTANCE_KIND, STORE_TIMEOUT_MS)
         if isinstance(listed, Failure):
--- a/chestnuthall/services/_lifecycle.py
+++ b/chestnuthall/services/_lifecycle.py
@@ -1,9 +1,12 @@
 """Start and graceful stop of an instance."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
 
-from chestnuthall.ports import Clock
+from chestnuthall.ports import CallerListener, Clock
+
+# How long the last bytes of an answer may take to reach a slow caller, and the
+# rest of a request to arrive, after all other requests have ended.
+LINGER_MS = 10_000.0
 
 
 class Lifecycle:
@@ -50,8 +53,15 @@
         if self._n_in_flight == 0:
             self._idle.set()
 
-    async def drain(self, close_listeners: Callable[[], Awaitable[None]]) -> None:
-        """Serve on for the notice, then stop listening and wait until idle."""
-        await self._clock.sleep_ms(self._leave_notice_ms)
-        await close_listeners()
+    async def drain(self, listener: CallerListener, was_ready: bool = True) -> None:
+        """Serve on for the notice, then stop listening and finish all requests.
+
+        An instance that was never ready has no callers to move away. There is
+        no time limit on requests: each one has its own deadline.
+        """
+        listener.announce_close()
+        if was_ready:
+            await self._clock.sleep_ms(self._leave_notice_ms)
+        await listener.stop_listening()
         await self._idle.wait()
+        await listener.wait_closed(LINGER_MS)
--- a/chestnuthall/services/_membership.py
+++ b/chestnuthall/services/_membership.py
@@ -204,7 +204,7 @@
 
     async def spread_now(self, n_peers: int) -> None:
         """Exchange digests at once with some peers; for urgent news."""
-        peers = [news for news in self._machine.members() if news.incarnation > 0]
+        peers = self._machine.members()
         chosen = self._random.sample(peers, min(n_peers, len(peers)))
         await asyncio.gather(*(self._exchange_with(peer) for peer in chosen))
 
