--- a/chestnuthall/adapters/peers/_server.py
+++ b/chestnuthall/adapters/peers/_server.py
@@ -4,6 +4,10 @@
 import grpc.aio
 
 from chestnuthall.adapters.peers._convert import digest_from_proto, digest_to_proto
+from chestnuthall.adapters.peers._convert_shards import (
+    answer_to_proto,
+    call_from_proto,
+)
 from chestnuthall.adapters.peers._generated import peers_pb2 as pb
 from chestnuthall.adapters.peers._generated import peers_pb2_grpc as pb_grpc
 from chestnuthall.ports import PeerService
@@ -40,6 +44,12 @@
             text=found.text,
         )
 
+    async def QueryShards(
+        self, request: pb.ShardSetCall, context: grpc.aio.ServicerContext
+    ) -> pb.ShardSetAnswer:
+        answer = await self._service.query_shards(call_from_proto(request))
+        return answer_to_proto(request.call_id, answer)
+
 
 class GrpcPeerServer:
     """Listens for peers on one address."""
--- a/chestnuthall/core/fanout/__init__.py
+++ b/chestnuthall/core/fanout/__init__.py
@@ -17,6 +17,11 @@
 )
 from chestnuthall.core.fanout._machine import FanOut, FanOutContext
 from chestnuthall.core.fanout._merge import coverage_of, merge_hits
+from chestnuthall.core.fanout._partial import (
+    PartialAnswer,
+    merge_partials,
+    sum_coverage,
+)
 from chestnuthall.core.fanout._targets import target_shards
 
 __all__ = [
@@ -32,10 +37,13 @@
     "FanOut",
     "FanOutContext",
     "MapReplaced",
+    "PartialAnswer",
     "Replan",
     "SetTimer",
     "TimerFired",
     "coverage_of",
     "merge_hits",
+    "merge_partials",
+    "sum_coverage",
     "target_shards",
 ]
--- a/chestnuthall/ports/__init__.py
+++ b/chestnuthall/ports/__init__.py
@@ -21,6 +21,7 @@
     PeerService,
     PeerTransport,
     QuarantineNotice,
+    ShardSetCall,
 )
 from chestnuthall.ports._shards import ReplicaHealth, ShardCaller
 
@@ -46,6 +47,7 @@
     "RequestHandler",
     "RequestTracker",
     "ShardCaller",
+    "ShardSetCall",
     "StoredObject",
     "WatchBatch",
 ]
--- a/chestnuthall/ports/_peers.py
+++ b/chestnuthall/ports/_peers.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from chestnuthall.core.fanout import PartialAnswer
 from chestnuthall.core.results import Failure
 
 
@@ -92,6 +93,25 @@
     text: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ShardSetCall:
+    """A search of some shards of one snapshot, run by a peer.
+
+    ``remaining_ms`` is what is left of the caller's deadline, because clocks
+    of instances differ.
+    """
+
+    call_id: str
+    group: str
+    class_name: str
+    snapshot_id: int
+    shard_ids: tuple[str, ...]
+    remaining_ms: float
+    query: str
+    n_hits_max: int
+    fingerprint: str
+
+
 class PeerTransport(Protocol):
     """Calls to other entry instances; every failure is returned."""
 
@@ -113,6 +133,12 @@
         """Return the configuration that a peer has in force."""
         ...
 
+    async def query_shards(
+        self, address: str, call: ShardSetCall, timeout_ms: float
+    ) -> PartialAnswer | Failure:
+        """Ask a peer to answer for a set of shards."""
+        ...
+
 
 class PeerService(Protocol):
     """What the server for peers calls on this instance."""
@@ -128,3 +154,7 @@
     def configuration(self) -> PeerConfiguration | None:
         """Return the configuration in force, or None before the first one."""
         ...
+
+    async def query_shards(self, call: ShardSetCall) -> PartialAnswer | Failure:
+        """Answer for a set of shards; the sum of such answers is the whole one."""
+        ...
--- a/chestnuthall/services/_membership.py
+++ b/chestnuthall/services/_membership.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from dataclasses import dataclass
 from functools import singledispatchmethod
 from random import Random
 from typing import Protocol
 
+from chestnuthall.core.fanout import PartialAnswer
 from chestnuthall.core.membership import (
     AddressTaken,
     CountsChanged,
@@ -30,7 +31,7 @@
     Superseded,
     Tick,
 )
-from chestnuthall.core.results import Failure
+from chestnuthall.core.results import NOT_READY, Failure
 from chestnuthall.ports import (
     Clock,
     InstanceRole,
@@ -39,6 +40,7 @@
     PeerConfiguration,
     PeerDigest,
     PeerTransport,
+    ShardSetCall,
 )
 from chestnuthall.services._configuration import ConfigurationKeeper
 from chestnuthall.services._instance_list import InstanceList
@@ -49,6 +51,7 @@
 
 CountsListener = Callable[[FleetCounts], None]
 SupersededListener = Callable[[], None]
+ShardSetHandler = Callable[[ShardSetCall], Awaitable[PartialAnswer | Failure]]
 _STATES = {state.value: state for state in MemberState}
 
 
@@ -112,6 +115,7 @@
         self._superseded_listeners: list[SupersededListener] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._fetching_revision = 0
+        self._shard_set_handler: ShardSetHandler | None = None
         instances.on_change(self._read_list)
 
     @property
@@ -192,6 +196,16 @@
             in_force.stored_text,
         )
 
+    async def query_shards(self, call: ShardSetCall) -> PartialAnswer | Failure:
+        """Answer for a set of shards, if a two-level fan-out is set up."""
+        if self._shard_set_handler is None:
+            return NOT_READY.because("the two-level fan-out is off")
+        return await self._shard_set_handler(call)
+
+    def set_shard_set_handler(self, handler: ShardSetHandler) -> None:
+        """Answer for sets of shards from now on."""
+        self._shard_set_handler = handler
+
     async def run(self) -> None:
         """Probe one peer an interval until cancelled."""
         try:
--- a/chestnuthall/standins/peers/_network.py
+++ b/chestnuthall/standins/peers/_network.py
@@ -6,8 +6,9 @@
 from random import Random
 from typing import TypeVar
 
+from chestnuthall.core.fanout import PartialAnswer
 from chestnuthall.core.results import CALL_TIMED_OUT, CONNECTION_LOST, Failure
-from chestnuthall.ports import PeerConfiguration, PeerDigest, PeerService
+from chestnuthall.ports import PeerConfiguration, PeerDigest, PeerService, ShardSetCall
 from chestnuthall.standins.peers._hosts import Host
 
 T = TypeVar("T")
@@ -116,11 +117,19 @@
 
         return await self._call(address, timeout_ms, fetch)
 
+    async def query_shards(
+        self, address: str, call: ShardSetCall, timeout_ms: float
+    ) -> PartialAnswer | Failure:
+        """Ask a peer to answer for a set of shards."""
+        return await self._call(
+            address, timeout_ms, lambda service: service.query_shards(call)
+        )
+
     async def _call(
         self,
         address: str,
         timeout_ms: float,
-        serve: Callable[[PeerService], Awaitable[T]],
+        serve: Callable[[PeerService], Awaitable[T | Failure]],
     ) -> T | Failure:
         result: T | Failure
         try:
@@ -132,7 +141,7 @@
         return result
 
     async def _deliver(
-        self, address: str, serve: Callable[[PeerService], Awaitable[T]]
+        self, address: str, serve: Callable[[PeerService], Awaitable[T | Failure]]
     ) -> T | Failure:
         await self._network.carry(self._address, address)
         listener = self._network.listener(address)
