--- /dev/null
+++ b/chestnuthall/core/membership/tests/test_machine.py
@@ -0,0 +1,69 @@
+"""Guards the size of messages and the life of news."""
+
+from random import Random
+
+import pytest
+
+from chestnuthall.core.membership import (
+    MemberNews,
+    MembershipMachine,
+    MembershipSettings,
+    MemberState,
+    NewsReceived,
+    Tick,
+)
+
+SETTINGS = MembershipSettings()
+
+
+def _news(index, state=MemberState.ALIVE, incarnation=1):
+    return MemberNews(f"entry-{index}", f"10.0.0.{index}:1", "z", state, incarnation)
+
+
+@pytest.mark.parametrize("n_members", [3, 50, 1_900])
+def test_messages_and_repeats_are_bounded(n_members):
+    """A burst of news must fit the traffic of an instance, and must die out."""
+    machine = MembershipMachine(_news(0), SETTINGS, Random(1))
+    news = tuple(_news(index) for index in range(2, n_members))
+    machine.handle(NewsReceived(0.0, _news(1), news))
+    sizes = [len(machine.take_news("entry-1")) for _ in range(20 * n_members)]
+    assert max(sizes) <= SETTINGS.n_updates_max + 3
+    # What is left is the own news and one other in turn.
+    assert sizes[-1] == 2
+
+
+@pytest.mark.parametrize(
+    ("held", "offered", "is_replaced"),
+    [
+        (("alive", 5), ("suspect", 5), True),
+        (("suspect", 5), ("alive", 5), False),
+        (("suspect", 5), ("alive", 6), True),
+        (("dead", 5), ("alive", 5), False),
+        (("dead", 5), ("suspect", 5), False),
+        (("dead", 5), ("alive", 6), True),
+        (("alive", 6), ("dead", 5), False),
+        (("leaving", 5), ("alive", 5), False),
+    ],
+)
+def test_newer_news_wins(held, offered, is_replaced):
+    """Old news that arrives late must not bring back an earlier state."""
+    machine = MembershipMachine(_news(0), SETTINGS, Random(1))
+    for state, incarnation in (held, offered):
+        item = _news(2, MemberState(state), incarnation)
+        machine.handle(NewsReceived(0.0, _news(1), (item,)))
+    expected = offered if is_replaced else held
+    found = machine.news_of("entry-2")
+    assert (found.state.value, found.incarnation) == expected
+
+
+@pytest.mark.parametrize(
+    ("n_instances", "interval_ms"), [(2, 1_000), (64, 1_000), (1_900, 1_815)]
+)
+def test_probes_cost_the_same_at_any_size(n_instances, interval_ms):
+    """One probe an interval, and a longer interval where messages are longer."""
+    assert SETTINGS.interval_ms(n_instances) == pytest.approx(interval_ms, abs=1)
+    machine = MembershipMachine(_news(0), SETTINGS, Random(1))
+    for index in range(1, n_instances):
+        machine.handle(NewsReceived(0.0, _news(index), ()))
+    n_probes = sum(len(machine.handle(Tick(step * 100.0))) for step in range(200))
+    assert 20_000 / interval_ms <= n_probes <= 20_000 / interval_ms / 0.85 + 1
--- a/chestnuthall/daemon/tests/test_membership.py
+++ b/chestnuthall/daemon/tests/test_membership.py
@@ -85,6 +85,29 @@
     return None
 
 
+async def _address_is_reused(fleet):
+    """Another instance starts at the address of one that was killed."""
+    address = fleet.kill(LAST).address
+    fleet.start("entry-77", address)
+    return (_names() - {LAST}) | {"entry-77"}
+
+
+async def _is_killed_in_store_outage(fleet):
+    fleet.is_store_down = True
+    fleet.kill(LAST)
+    return _names() - {LAST}
+
+
+async def _returns_while_listed_as_leaving(fleet):
+    """The list still shows how the predecessor left."""
+    fleet.put_on_list(LAST, fleet.instances[LAST].address, "leaving")
+    await asyncio.sleep(1.0)
+    fleet.kill(LAST)
+    await asyncio.sleep(1.0)
+    fleet.start(LAST, is_listed=False)
+    return _names()
+
+
 async def _falls_off_the_list(fleet):
     fleet.drop_from_list(LAST)
     await asyncio.sleep(5.0)
@@ -107,6 +130,9 @@
     "paused": _is_paused,
     "cut-off": _is_cut_off,
     "not-heard": _hears_but_is_not_heard,
+    "address-reused": _address_is_reused,
+    "killed-in-store-outage": _is_killed_in_store_outage,
+    "returns-listed-leaving": _returns_while_listed_as_leaving,
     "unlisted": _falls_off_the_list,
     "stranger-listed": _store_lists_a_stranger,
 }
@@ -124,12 +150,18 @@
         expected = await FAULTS[fault](fleet)
         if expected is None:
             expected = _names() - ({LAST} if step == "leaving" else set())
-        await fleet.wait(lambda: fleet.all_see(expected), 40.0)
-        counts = fleet.instances["entry-0"].membership.counts
-        return counts.n_live, counts.n_joining, len(expected)
+        await fleet.wait(
+            lambda: fleet.all_see(expected) and not fleet.n_joining(), 40.0
+        )
+        n_live = {
+            item.membership.counts.n_live
+            for name, item in fleet.instances.items()
+            if name in expected
+        }
+        return n_live, {len(expected)}
 
-    n_live, n_joining, n_expected = run_virtual(scenario())
-    assert (n_live, n_joining) == (n_expected, 0)
+    n_live, n_expected = run_virtual(scenario())
+    assert n_live == n_expected
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -221,3 +253,50 @@
         return told
 
     assert run_virtual(scenario()) == ["old"]
+
+
+def test_cut_off_instance_keeps_its_view():
+    """One that hears nobody must not take the whole fleet for lost."""
+
+    async def scenario():
+        fleet = VirtualFleet(N)
+        await fleet.settle()
+        alone = fleet.instances[LAST]
+        others = fleet.addresses(_names() - {LAST})
+        fleet.network.cut_both([alone.address], others)
+        await asyncio.sleep(60.0)
+        return alone.membership.n_instances
+
+    assert run_virtual(scenario()) == N
+
+
+def test_one_broken_path_raises_no_suspicion():
+    """Helpers must vouch for an instance that one other cannot reach."""
+
+    async def scenario():
+        fleet = VirtualFleet(N)
+        await fleet.settle()
+        one, other = fleet.addresses(["entry-0", LAST])
+        fleet.network.cut_both([one], [other])
+        n_suspected = 0
+        for _ in range(600):
+            await asyncio.sleep(0.1)
+            states = fleet.instances["entry-1"].membership.members()
+            n_suspected += any(item.state != "alive" for item in states)
+        return n_suspected
+
+    assert run_virtual(scenario()) == 0
+
+
+def test_listed_as_leaving_is_counted_as_leaving():
+    """The platform's word counts before the instance has said anything."""
+
+    async def scenario():
+        fleet = VirtualFleet(N)
+        await fleet.settle()
+        fleet.put_on_list(LAST, fleet.instances[LAST].address, "leaving")
+        await asyncio.sleep(0.5)
+        counts = fleet.instances["entry-0"].membership.counts
+        return counts.n_live, counts.n_leaving
+
+    assert run_virtual(scenario()) == (N - 1, 1)
--- a/chestnuthall/daemon/tests/test_urgent_news.py
+++ b/chestnuthall/daemon/tests/test_urgent_news.py
@@ -1,6 +1,7 @@
 """Drain and quarantine notices over nine instances in virtual time."""
 
 import asyncio
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -61,6 +62,7 @@
         instance.parts.update(
             clock=clock,
             drains=drains,
+            directory=directory,
             router=directory.router("g"),
             register=register,
             quarantines=quarantines,
@@ -237,3 +239,20 @@
         )
 
     assert run_virtual(scenario()) == 0
+
+
+def test_drain_known_before_its_group():
+    """A notice that precedes the configuration must hold for its routers too."""
+
+    async def scenario():
+        fleet = make_fleet(Upstream())
+        await fleet.settle()
+        fleet.instances["entry-1"].parts["drains"].signal("r0", DrainSignal.OPERATOR)
+        await asyncio.sleep(BOUND_S)
+        parts = fleet.instances["entry-2"].parts
+        parts["directory"].add_group(replace(GROUP, name="late"))
+        await asyncio.sleep(BOUND_S)
+        now_ms = parts["clock"].now_ms()
+        return parts["directory"].router("late").holds(REPLICA, 1, now_ms)
+
+    assert not run_virtual(scenario())
--- a/chestnuthall/daemon/tests/virtual_fleet.py
+++ b/chestnuthall/daemon/tests/virtual_fleet.py
@@ -11,6 +11,7 @@
     read_configuration,
     read_instance,
 )
+from chestnuthall.core.results import STORE_UNAVAILABLE
 from chestnuthall.ports import StoredObject, WatchBatch
 from chestnuthall.services import (
     ConfigurationKeeper,
@@ -27,11 +28,14 @@
 class MemoryStore:
     """The list of instances of an object table, as the store port."""
 
-    def __init__(self, table: ObjectTable, host: Host) -> None:
-        self._table = table
+    def __init__(self, fleet, host):
+        self._fleet = fleet
+        self._table = fleet.table
         self._host = host
 
     async def list_kind(self, kind, timeout_ms):
+        if self._fleet.is_store_down:
+            return STORE_UNAVAILABLE.because("down")
         return tuple(_stored(entry) for entry in self._table.list_kind(kind))
 
     async def watch(self, kind, after_version, timeout_ms):
@@ -39,6 +43,8 @@
             kind, after_version, timeout_ms / 1000.0
         )
         await self._host.wait_running()
+        if self._fleet.is_store_down:
+            return STORE_UNAVAILABLE.because("down")
         return WatchBatch(
             max((change.version for change in changes), default=after_version),
             tuple(_stored(change.entry) for change in changes if change.entry),
@@ -85,6 +91,7 @@
         self.random = Random(seed)
         self.network = PeerNetwork(Random(seed + 1))
         self.table = ObjectTable()
+        self.is_store_down = False
         self.instances = {}
         self._add_parts = add_parts
         self._settings = settings
@@ -109,7 +116,7 @@
         address = address or f"10.0.0.{name.rpartition('-')[2]}:1"
         host = Host()
         clock = HostClock(LoopClock(wall_offset_ms, wall_from_loop=True), host)
-        store = MemoryStore(self.table, host)
+        store = MemoryStore(self, host)
         listed = InstanceList(store, clock, read_entry)
         transport = self.network.transport(address, host)
         membership = Membership(
@@ -165,5 +172,9 @@
             if observers is None or name in observers
         )
 
+    def n_joining(self):
+        counts = (item.membership.counts for item in self.instances.values())
+        return sum(item.n_joining for item in counts)
+
     async def settle(self):
         await self.wait(lambda: self.all_see(self.instances))
