Merge membership, drains, lifecycle, status and the two-level fan-out interface

Conflicts: the operators' routes (those through the administration port are kept, and the tool's client follows them), exports, and the daemon's composition. Adding up without regard to zones would quarantine a popular search when a zone is lost. Change: losses that instances saw in different zones are added up; a request that was cleared is told to peers as a lift.

--- a/chestnuthall/adapters/callers/_admin.py
+++ b/chestnuthall/adapters/callers/_admin.py
@@ -1,45 +1,53 @@
-"""Routes of the operators' interface: drains and quarantines."""
+"""Routes for operators: drains and quarantines."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from dataclasses import asdict
+from typing import Annotated
 from urllib.parse import parse_qs
 
-from pydantic import BaseModel, ConfigDict, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
 from chestnuthall.adapters.callers._encode import encode_json, encode_outcome
 from chestnuthall.adapters.http import HttpRequest, HttpResponse
-from chestnuthall.core.quarantine import QuarantineRegister
-from chestnuthall.core.results import INVALID_REQUEST, NOT_FOUND
-from chestnuthall.ports import Clock
+from chestnuthall.core.results import INVALID_REQUEST, Failure
+from chestnuthall.ports import InstanceAdministration
 
-_JSON = {b"content-type": b"application/json"}
+Route = Callable[[HttpRequest], Awaitable[HttpResponse]]
+Name = Annotated[str, Field(min_length=1, max_length=128)]
 
-UpstreamDrainer = Callable[[str], bool]
+_JSON = {b"content-type": b"application/json"}
 
 
 class DrainModel(BaseModel):
-    """Body of ``POST /v1/admin/drain``; without a name the instance leaves."""
+    """Body of ``POST /v1/admin/drain``: an instance or a replica.
+
+    ``drain`` false ends the drain of a replica.
+    """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
 
-    upstream: str = ""
+    instance: Name | None = None
+    replica: Name | None = None
+    drain: bool = True
+
+    @model_validator(mode="after")
+    def _check_target(self) -> "DrainModel":
+        if (self.instance is None) == (self.replica is None):
+            raise ValueError("give either an instance or a replica")
+        if self.instance is not None and not self.drain:
+            raise ValueError("the drain of an instance cannot be ended")
+        return self
 
 
 class AdminRoutes:
-    """Serves operators' requests that change what the instance does."""
-
-    def __init__(
-        self,
-        *,
-        quarantine: QuarantineRegister,
-        clock: Clock,
-        drain_upstream: UpstreamDrainer,
-        announce_leave: Callable[[], None],
-    ) -> None:
-        self._quarantine = quarantine
-        self._clock = clock
-        self._drain_upstream = drain_upstream
-        self._announce_leave = announce_leave
-        self.table = {
+    """Turns operators' HTTP requests into calls of the administration."""
+
+    def __init__(self, administration: InstanceAdministration) -> None:
+        self._administration = administration
+
+    def routes(self) -> dict[tuple[str, str], Route]:
+        """Return the routes by method and path."""
+        return {
             ("POST", "/v1/admin/drain"): self._serve_drain,
             ("GET", "/v1/admin/quarantines"): self._serve_quarantines,
             ("DELETE", "/v1/admin/quarantines"): self._serve_lift,
@@ -47,33 +55,36 @@
 
     async def _serve_drain(self, request: HttpRequest) -> HttpResponse:
         try:
-            model = DrainModel.model_validate_json(request.body or b"{}")
+            model = DrainModel.model_validate_json(request.body)
         except ValidationError as error:
             return encode_outcome(INVALID_REQUEST.because(str(error)))
-        if not model.upstream:
-            self._announce_leave()
-        elif not self._drain_upstream(model.upstream):
-            reason = f"no upstream named {model.upstream!r}"
-            return encode_outcome(NOT_FOUND.because(reason))
-        return HttpResponse(200, dict(_JSON), encode_json({"drained": True}))
+        failure = self._drain(model)
+        if failure is not None:
+            return encode_outcome(failure)
+        return _respond(model.model_dump(exclude_none=True))
+
+    def _drain(self, model: DrainModel) -> Failure | None:
+        if model.instance is not None:
+            return self._administration.drain_instance(model.instance)
+        assert model.replica is not None
+        if model.drain:
+            return self._administration.drain_replica(model.replica)
+        self._administration.resume_replica(model.replica)
+        return None
 
     async def _serve_quarantines(self, request: HttpRequest) -> HttpResponse:
-        now_ms = self._clock.now_ms()
-        entries = [
-            {
-                "fingerprint": item.fingerprint,
-                "replica_names": sorted(item.replica_names),
-                "expires_in_ms": item.expires_ms - now_ms,
-                "is_refused": self._quarantine.is_quarantined(item.fingerprint, now_ms),
-            }
-            for item in self._quarantine.suspicions(now_ms)
-        ]
-        return HttpResponse(200, dict(_JSON), encode_json({"quarantines": entries}))
+        views = self._administration.quarantines()
+        return _respond({"quarantines": [asdict(view) for view in views]})
 
     async def _serve_lift(self, request: HttpRequest) -> HttpResponse:
-        fingerprint = parse_qs(request.query).get("fingerprint", [""])[0]
-        if not fingerprint:
-            reason = "the query string has no fingerprint"
-            return encode_outcome(INVALID_REQUEST.because(reason))
-        lifted = self._quarantine.lift(fingerprint)
-        return HttpResponse(200, dict(_JSON), encode_json({"lifted": lifted}))
+        fingerprints = parse_qs(request.query).get("fingerprint", [])
+        if len(fingerprints) != 1:
+            return encode_outcome(INVALID_REQUEST.because("give one fingerprint"))
+        failure = await self._administration.lift_quarantine(fingerprints[0])
+        if failure is not None:
+            return encode_outcome(failure)
+        return _respond({"lifted": fingerprints[0]})
+
+
+def _respond(body: object) -> HttpResponse:
+    return HttpResponse(200, dict(_JSON), encode_json(body))
--- a/chestnuthall/adapters/documents/__init__.py
+++ b/chestnuthall/adapters/documents/__init__.py
@@ -1,7 +1,11 @@
 """Texts that operators and the platform store, checked by models."""
 
-from chestnuthall.adapters.documents._accounts import read_account
-from chestnuthall.adapters.documents._burn import JsonBurnCodec
+from chestnuthall.adapters.documents._accounts import (
+    read_account,
+)
+from chestnuthall.adapters.documents._burn import (
+    JsonBurnCodec,
+)
 from chestnuthall.adapters.documents._configuration import (
     ConfigurationModel,
     encode_configuration,
@@ -16,16 +20,26 @@
 from chestnuthall.adapters.documents._instances import (
     InstanceModel,
     encode_instance,
+    mark_leaving,
     read_instance,
 )
-from chestnuthall.adapters.documents._ledger import JsonPartitionCodec
+from chestnuthall.adapters.documents._ledger import (
+    JsonPartitionCodec,
+)
 from chestnuthall.adapters.documents._partition_map import (
     PartitionMapModel,
     encode_partition_map,
     read_partition_map,
 )
-from chestnuthall.adapters.documents._revisions import JsonRevisionCodec
-from chestnuthall.adapters.documents._rules import CROSS_CHECKS
+from chestnuthall.adapters.documents._revisions import (
+    JsonRevisionCodec,
+)
+from chestnuthall.adapters.documents._rules import (
+    CROSS_CHECKS,
+)
+from chestnuthall.adapters.documents._status import (
+    encode_status,
+)
 
 __all__ = [
     "CROSS_CHECKS",
@@ -41,6 +55,8 @@
     "encode_configuration",
     "encode_instance",
     "encode_partition_map",
+    "encode_status",
+    "mark_leaving",
     "read_account",
     "read_configuration",
     "read_environment",
--- a/chestnuthall/adapters/documents/_instances.py
+++ b/chestnuthall/adapters/documents/_instances.py
@@ -1,10 +1,12 @@
 """Entries of the platform's list of instances."""
 
+import json
 from typing import Literal
 
 from pydantic import BaseModel, ConfigDict, ValidationError
 
 from chestnuthall.core.results import INVALID_REQUEST, Failure
+from chestnuthall.ports import InstanceRole, ListEntry
 
 
 class InstanceModel(BaseModel):
@@ -19,12 +21,31 @@
     peer_address: str = ""
     state: Literal["live", "leaving"] = "live"
 
+    def to_core(self) -> ListEntry:
+        """Return the entry as the services see it."""
+        return ListEntry(
+            name=self.name,
+            role=InstanceRole(self.role),
+            zone=self.zone,
+            address=self.address,
+            peer_address=self.peer_address,
+            is_leaving=self.state == "leaving",
+        )
+
 
 def encode_instance(model: InstanceModel) -> str:
     """Return the text that is stored."""
     return model.model_dump_json()
 
 
+def mark_leaving(text: str) -> str | Failure:
+    """Return an entry with the state ``leaving``; other fields stay as they are."""
+    model = read_instance(text)
+    if isinstance(model, Failure):
+        return model
+    return json.dumps({**json.loads(text), "state": "leaving"})
+
+
 def read_instance(text: str) -> InstanceModel | Failure:
     """Check one entry of the list."""
     try:
--- a/chestnuthall/adapters/instances/_client.py
+++ b/chestnuthall/adapters/instances/_client.py
@@ -10,6 +10,7 @@
 from chestnuthall.adapters.http import HttpRequest, HttpResponse, connect
 from chestnuthall.core.results import (
     CALL_TIMED_OUT,
+    NOT_FOUND,
     UPSTREAM_ERROR,
     Failure,
     failure_kind_of,
@@ -59,7 +60,7 @@
     fingerprint: str
     replica_names: tuple[str, ...]
     expires_in_ms: float
-    is_refused: bool
+    is_quarantined: bool
 
 
 class _QuarantinesModel(_Model):
@@ -67,11 +68,11 @@
 
 
 class _LiftedModel(_Model):
-    lifted: bool
+    lifted: str
 
 
 class _DrainedModel(_Model):
-    drained: bool
+    drain: bool
 
 
 class _HealthModel(_Model):
@@ -114,11 +115,22 @@
         read = await self._ask(address, request, _AnnouncedModel, timeout_ms)
         return read if isinstance(read, Failure) else read.configuration_revision
 
-    async def drain(
-        self, address: str, upstream_name: str, timeout_ms: float
+    async def drain_instance(
+        self, address: str, name: str, timeout_ms: float
     ) -> Failure | None:
-        """Drain an upstream, or the instance itself for an empty name."""
-        request = _post("/v1/admin/drain", json.dumps({"upstream": upstream_name}))
+        """Let an instance leave; the name must be its own."""
+        return await self._drain(address, {"instance": name}, timeout_ms)
+
+    async def drain_replica(
+        self, address: str, name: str, timeout_ms: float
+    ) -> Failure | None:
+        """Stop new calls to a replica; the instance tells its peers."""
+        return await self._drain(address, {"replica": name}, timeout_ms)
+
+    async def _drain(
+        self, address: str, target: dict[str, str], timeout_ms: float
+    ) -> Failure | None:
+        request = _post("/v1/admin/drain", json.dumps(target))
         read = await self._ask(address, request, _DrainedModel, timeout_ms)
         return read if isinstance(read, Failure) else None
 
@@ -132,7 +144,7 @@
             return read
         return tuple(
             QuarantineEntry(
-                x.fingerprint, x.replica_names, x.expires_in_ms, x.is_refused
+                x.fingerprint, x.replica_names, x.expires_in_ms, x.is_quarantined
             )
             for x in read.quarantines
         )
@@ -144,7 +156,9 @@
         target = f"/v1/admin/quarantines?fingerprint={quote(fingerprint, safe='')}"
         request = HttpRequest("DELETE", target)
         read = await self._ask(address, request, _LiftedModel, timeout_ms)
-        return read if isinstance(read, Failure) else read.lifted
+        if isinstance(read, Failure):
+            return False if read.kind is NOT_FOUND else read
+        return read.lifted == fingerprint
 
     async def _ask(
         self, address: str, request: HttpRequest, model: type[Model], timeout_ms: float
--- a/chestnuthall/core/fanout/__init__.py
+++ b/chestnuthall/core/fanout/__init__.py
@@ -18,10 +18,24 @@
     Warn,
     Warned,
 )
-from chestnuthall.core.fanout._machine import FanOut
-from chestnuthall.core.fanout._merge import coverage_of, merge_hits
-from chestnuthall.core.fanout._state import FanOutContext
-from chestnuthall.core.fanout._targets import target_shards
+from chestnuthall.core.fanout._machine import (
+    FanOut,
+)
+from chestnuthall.core.fanout._merge import (
+    coverage_of,
+    merge_hits,
+)
+from chestnuthall.core.fanout._partial import (
+    PartialAnswer,
+    merge_partials,
+    sum_coverage,
+)
+from chestnuthall.core.fanout._state import (
+    FanOutContext,
+)
+from chestnuthall.core.fanout._targets import (
+    target_shards,
+)
 
 __all__ = [
     "Action",
@@ -36,6 +50,7 @@
     "FanOut",
     "FanOutContext",
     "MapReplaced",
+    "PartialAnswer",
     "Replan",
     "SetTimer",
     "TimerFired",
@@ -44,5 +59,7 @@
     "Warned",
     "coverage_of",
     "merge_hits",
+    "merge_partials",
+    "sum_coverage",
     "target_shards",
 ]
--- a/chestnuthall/core/fanout/_state.py
+++ b/chestnuthall/core/fanout/_state.py
@@ -20,6 +20,7 @@
 from chestnuthall.core.quarantine import QuarantineRegister
 from chestnuthall.core.results import (
     CALL_CANCELLED,
+    CONNECTION_REFUSED,
     DEADLINE_PASSED,
     NO_REPLICA,
     SHED_BY_UPSTREAM,
@@ -35,7 +36,13 @@
 
 # Failures that prove that the replica did not begin the call.
 NOT_STARTED_KINDS: frozenset[FailureKind] = frozenset(
-    {NO_REPLICA, SHED_BY_UPSTREAM, SNAPSHOT_GONE, DEADLINE_PASSED}
+    {
+        NO_REPLICA,
+        CONNECTION_REFUSED,
+        SHED_BY_UPSTREAM,
+        SNAPSHOT_GONE,
+        DEADLINE_PASSED,
+    }
 )
 
 
--- a/chestnuthall/core/routing/__init__.py
+++ b/chestnuthall/core/routing/__init__.py
@@ -1,20 +1,41 @@
 """Choice of snapshot and replica, hedging and the extra-load budget."""
 
-from chestnuthall.core.routing._budget import ExtraLoadBudget
-from chestnuthall.core.routing._catalog import SnapshotCatalog
-from chestnuthall.core.routing._connections import ConnectionShare
-from chestnuthall.core.routing._latency import LatencyWindow
-from chestnuthall.core.routing._replicas import ReplicaState
-from chestnuthall.core.routing._router import Router, RouterSettings
-from chestnuthall.core.routing._utilisation import UtilisationAverage
+from chestnuthall.core.routing._assignment import (
+    HashRing,
+    assign_shards,
+)
+from chestnuthall.core.routing._budget import (
+    ExtraLoadBudget,
+)
+from chestnuthall.core.routing._catalog import (
+    SnapshotCatalog,
+)
+from chestnuthall.core.routing._connections import (
+    ConnectionShare,
+)
+from chestnuthall.core.routing._latency import (
+    LatencyWindow,
+)
+from chestnuthall.core.routing._replicas import (
+    ReplicaState,
+)
+from chestnuthall.core.routing._router import (
+    Router,
+    RouterSettings,
+)
+from chestnuthall.core.routing._utilisation import (
+    UtilisationAverage,
+)
 
 __all__ = [
     "ConnectionShare",
     "ExtraLoadBudget",
+    "HashRing",
     "LatencyWindow",
     "ReplicaState",
     "Router",
     "RouterSettings",
     "SnapshotCatalog",
     "UtilisationAverage",
+    "assign_shards",
 ]
--- a/chestnuthall/daemon/_instance.py
+++ b/chestnuthall/daemon/_instance.py
@@ -14,6 +14,8 @@
 from chestnuthall.adapters.documents import (
     JsonBurnCodec,
     JsonPartitionCodec,
+    encode_status,
+    mark_leaving,
     read_configuration,
     read_instance,
     read_partition_map,
@@ -30,22 +32,35 @@
 from chestnuthall.core.model import Configuration
 from chestnuthall.core.quarantine import QuarantineRegister, QuarantineSettings
 from chestnuthall.core.results import Failure
-from chestnuthall.ports import MemberUpdate, Metrics
+from chestnuthall.ports import ListEntry, Metrics
 from chestnuthall.services import (
+    Administration,
     BurnRecorder,
     ClaimLedger,
     ConfigurationKeeper,
+    ConfigurationStatus,
     ConnectionBudgets,
     CountedObjectStore,
     Directory,
+    DrainNews,
+    DrainWatchingCaller,
+    FleetStatus,
+    HealthChecks,
     Identity,
+    InstanceList,
     Lifecycle,
     Membership,
+    NewsStatus,
     OutcomeRecorder,
     PeerConfigurations,
+    QuarantineNews,
     QueryService,
+    StatusReporter,
 )
 
+# The exit does not wait longer for a store that is down.
+REPORT_TIMEOUT_MS = 3_000.0
+
 _log = logging.getLogger(__name__)
 
 LOG_REPORT_INTERVAL_MS = 10_000.0
@@ -64,12 +79,10 @@
     return StatsdMetrics(statsd.host, statsd.port, statsd.prefix)
 
 
-def _read_entry_instance(text: str) -> MemberUpdate | None:
-    """Return a live entry instance of the platform's list, or None."""
+def _read_list_entry(text: str) -> ListEntry | None:
+    """Return an entry of the platform's list, or None if it is invalid."""
     model = read_instance(text)
-    if isinstance(model, Failure) or model.role != "entry" or model.state != "live":
-        return None
-    return MemberUpdate(model.name, model.peer_address, model.zone, "alive", 0)
+    return None if isinstance(model, Failure) else model.to_core()
 
 
 class EntryInstance:
@@ -105,16 +118,30 @@
         self.directory = Directory(
             store, self.caller, clock, read_partition_map, settings.zone, random
         )
+        self.instances = InstanceList(store, clock, _read_list_entry)
         self.membership = Membership(
             identity,
-            store,
             self.transport,
             clock,
             self.configuration,
-            _read_entry_instance,
+            self.instances,
             random,
         )
+        self.drains = DrainNews(
+            self.directory, clock, self.instances, self.membership.spread_now
+        )
         quarantine = QuarantineRegister(QuarantineSettings())
+        self.quarantines = QuarantineNews(
+            quarantine,
+            clock,
+            self.membership.spread_now,
+            self.directory.zone_of,
+        )
+        self.membership.add_part(self.drains)
+        self.membership.add_part(self.quarantines)
+        self.health_checks = HealthChecks(
+            self.caller, self.directory, self.drains, self.membership, clock, random
+        )
         self.burn = BurnRecorder(
             # Each run of the process numbers its changes from 1.
             writer=f"{settings.name}.{token_hex(4)}",
@@ -138,7 +165,7 @@
             identity=identity,
             clock=clock,
             metrics=metrics,
-            caller=self.caller,
+            caller=DrainWatchingCaller(self.caller, self.drains.signal),
             directory=self.directory,
             configuration=self.configuration,
             ledger=self.ledger,
@@ -153,9 +180,30 @@
             self.caller,
             clock,
             self.configuration,
-            lambda: self.membership.n_instances,
+            lambda: self.membership.counts.n_connection_holders,
         )
         self.configuration.on_change(self._spread)
+        self.administration = Administration(
+            identity,
+            self.lifecycle,
+            self.directory,
+            self.drains,
+            self.quarantines,
+            clock,
+        )
+        self.status = StatusReporter(
+            self.membership,
+            store,
+            clock,
+            encode_status,
+            random,
+            (
+                ConfigurationStatus(self.configuration, clock),
+                FleetStatus(self.lifecycle, self.membership),
+                NewsStatus(self.drains, self.quarantines),
+            ),
+        )
+        self.membership.on_superseded(self.lifecycle.announce_leave)
         self.frontend = CallerFrontend(
             query=self.query,
             configuration=self.configuration,
@@ -163,16 +211,12 @@
             clock=clock,
             is_ready=self.is_ready,
             read_status=self.read_status,
-            admin_routes=AdminRoutes(
-                quarantine=quarantine,
-                clock=clock,
-                drain_upstream=self.directory.drain,
-                announce_leave=self.lifecycle.announce_leave,
-            ).table,
+            admin_routes=AdminRoutes(self.administration).routes(),
         )
         self.http_server = HttpServer(
             self.frontend.handle, _server_limits(settings), respond_to_http_error
         )
+        self.peer_server = GrpcPeerServer(self.membership)
         self._tasks: list[asyncio.Task[None]] = []
         self._spreading: set[asyncio.Task[None]] = set()
 
@@ -202,6 +246,7 @@
             "configuration_since_wall_ms": self.burn.since_wall_ms,
             "n_by_result": self.burn.n_by_result,
             "store_calls_in_last_minute": self.store.calls_in_last_minute(),
+            "status": self.status.read(),
             "peers": [member.name for member in self.membership.members()],
         }
 
@@ -215,7 +260,6 @@
 
     async def start(self) -> None:
         """Listen for callers and peers and start the background work."""
-        self.peer_server = GrpcPeerServer(self.membership)
         await self.peer_server.start(self.settings.peer_address)
         host, _, port = self.settings.caller_address.rpartition(":")
         await self.http_server.start(host, int(port))
@@ -224,7 +268,11 @@
             loop.create_task(self.configuration.run()),
             loop.create_task(self.directory.run()),
             loop.create_task(self.connections.run()),
+            loop.create_task(self.instances.run()),
             loop.create_task(self.membership.run()),
+            loop.create_task(self.health_checks.run()),
+            loop.create_task(self.quarantines.run()),
+            loop.create_task(self.status.run()),
             loop.create_task(self.burn.run()),
             loop.create_task(self._report_dropped_lines()),
         ]
@@ -237,16 +285,35 @@
 
     async def run(self) -> None:
         """Serve until a stop is announced, then finish what is in flight."""
-        await self.start()
-        await self.lifecycle.wait_leave()
-        _log.info("instance is leaving")
-        await self.lifecycle.drain(self.http_server.stop_listening)
-        await self.burn.flush()
-        await self.close()
+        try:
+            await self.start()
+            await self.lifecycle.wait_leave()
+            _log.info("instance is leaving")
+            await asyncio.gather(
+                self.lifecycle.drain(self.http_server, self.is_ready()),
+                self._report_leave(),
+            )
+            await self.membership.finish_leave()
+            await self.burn.flush()
+        finally:
+            await self.close()
         if self._log_limit is not None:
             self._log_limit.report_dropped()
         _log.info("instance stopped")
 
+    async def _report_leave(self) -> None:
+        """Tell peers, operators and the platform; a failure stops nothing."""
+        work = asyncio.gather(
+            self.membership.announce_leave(),
+            self.status.write(),
+            self.instances.report_leaving(self.settings.name, mark_leaving),
+        )
+        try:
+            async with asyncio.timeout(REPORT_TIMEOUT_MS / 1000.0):
+                await work
+        except TimeoutError:
+            _log.warning("the store did not take the leave report in time")
+
     async def close(self) -> None:
         """Stop the background work and close everything."""
         for task in (*self._tasks, *self._spreading):
--- a/chestnuthall/ports/__init__.py
+++ b/chestnuthall/ports/__init__.py
@@ -1,13 +1,28 @@
 """Protocols through which the services reach the outside."""
 
-from chestnuthall.ports._clock import Clock
+from chestnuthall.ports._clock import (
+    Clock,
+)
 from chestnuthall.ports._driving import (
+    CallerListener,
     ConfigurationReceiver,
+    InstanceAdministration,
+    QuarantineView,
     RequestHandler,
     RequestTracker,
 )
-from chestnuthall.ports._metrics import Metrics
-from chestnuthall.ports._objects import ObjectStore, StoredObject, WatchBatch
+from chestnuthall.ports._instances import (
+    InstanceRole,
+    ListEntry,
+)
+from chestnuthall.ports._metrics import (
+    Metrics,
+)
+from chestnuthall.ports._objects import (
+    ObjectStore,
+    StoredObject,
+    WatchBatch,
+)
 from chestnuthall.ports._operators import (
     InstanceAdmin,
     InstanceStatus,
@@ -24,16 +39,24 @@
     PeerService,
     PeerTransport,
     QuarantineNotice,
+    ShardSetCall,
+)
+from chestnuthall.ports._shards import (
+    ReplicaHealth,
+    ShardCaller,
 )
-from chestnuthall.ports._shards import ShardCaller
 
 __all__ = [
+    "CallerListener",
     "ClassUse",
     "Clock",
     "ConfigurationReceiver",
     "DrainNotice",
     "InstanceAdmin",
+    "InstanceAdministration",
+    "InstanceRole",
     "InstanceStatus",
+    "ListEntry",
     "ListedInstance",
     "MemberUpdate",
     "Metrics",
@@ -44,10 +67,13 @@
     "PeerTransport",
     "QuarantineEntry",
     "QuarantineNotice",
+    "QuarantineView",
+    "ReplicaHealth",
     "RequestHandler",
     "RequestTracker",
     "RevisionCodec",
     "ShardCaller",
+    "ShardSetCall",
     "StoredObject",
     "WatchBatch",
 ]
--- a/chestnuthall/ports/_operators.py
+++ b/chestnuthall/ports/_operators.py
@@ -65,10 +65,16 @@
         """Offer an accepted configuration; return the revision then in force."""
         ...
 
-    async def drain(
-        self, address: str, upstream_name: str, timeout_ms: float
+    async def drain_instance(
+        self, address: str, name: str, timeout_ms: float
     ) -> Failure | None:
-        """Drain an upstream, or the instance itself for an empty name."""
+        """Let an instance leave; the name must be its own."""
+        ...
+
+    async def drain_replica(
+        self, address: str, name: str, timeout_ms: float
+    ) -> Failure | None:
+        """Stop new calls to a replica; the instance tells its peers."""
         ...
 
     async def quarantines(
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -1,5 +1,8 @@
 """Use cases of an entry instance, which join the decisions to the ports."""
 
+from chestnuthall.services._administration import (
+    Administration,
+)
 from chestnuthall.services._admission import (
     Admission,
     Admitted,
@@ -28,18 +31,28 @@
     Directory,
     PartitionMapReader,
 )
+from chestnuthall.services._drain_news import (
+    DrainNews,
+    DrainWatchingCaller,
+)
 from chestnuthall.services._fleet_view import (
     FleetView,
     Seen,
     SeenUpstream,
 )
+from chestnuthall.services._health_checks import (
+    HealthChecks,
+)
+from chestnuthall.services._instance_list import (
+    InstanceList,
+    ListEntryReader,
+)
 from chestnuthall.services._lifecycle import (
     Lifecycle,
 )
 from chestnuthall.services._membership import (
     DigestPart,
     Identity,
-    InstanceListReader,
     Membership,
 )
 from chestnuthall.services._outcomes import (
@@ -48,6 +61,9 @@
 from chestnuthall.services._publication import (
     Publication,
 )
+from chestnuthall.services._quarantine_news import (
+    QuarantineNews,
+)
 from chestnuthall.services._query import (
     Outcome,
     QueryService,
@@ -57,12 +73,20 @@
     RaceLost,
     RevisionBook,
 )
+from chestnuthall.services._status import (
+    ConfigurationStatus,
+    FleetStatus,
+    NewsStatus,
+    StatusPart,
+    StatusReporter,
+)
 from chestnuthall.services._store_calls import (
     CountedObjectStore,
 )
 
 __all__ = [
     "Accepted",
+    "Administration",
     "Admission",
     "Admitted",
     "BurnCodec",
@@ -70,15 +94,22 @@
     "ClaimLedger",
     "ConfigurationKeeper",
     "ConfigurationReader",
+    "ConfigurationStatus",
     "ConnectionBudgets",
     "CountedObjectStore",
     "DigestPart",
     "Directory",
+    "DrainNews",
+    "DrainWatchingCaller",
+    "FleetStatus",
     "FleetView",
+    "HealthChecks",
     "Identity",
-    "InstanceListReader",
+    "InstanceList",
     "Lifecycle",
+    "ListEntryReader",
     "Membership",
+    "NewsStatus",
     "NotAdmitted",
     "Outcome",
     "OutcomeRecorder",
@@ -86,10 +117,13 @@
     "PartitionMapReader",
     "PeerConfigurations",
     "Publication",
+    "QuarantineNews",
     "QueryService",
     "RaceLost",
     "RevisionBook",
     "Seen",
     "SeenUpstream",
+    "StatusPart",
+    "StatusReporter",
     "read_burn",
 ]
--- a/chestnuthall/services/_directory.py
+++ b/chestnuthall/services/_directory.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import replace
 from random import Random
 
@@ -62,18 +62,34 @@
         """Return the router of a group that was added."""
         return self._routers[group_name]
 
-    def drain(self, replica_name: str) -> bool:
-        """Send no new calls to a replica for a while; return whether it is known."""
-        known = [
-            catalog.group
-            for catalog in self._catalogs.values()
-            if _names_replica(catalog, replica_name)
-        ]
-        for group_name in known:
-            if group_name in self._routers:
-                router = self._routers[group_name]
-                router.drain(replica_name, self._clock.now_ms())
-        return bool(known)
+    def zone_of(self, replica_name: str) -> str:
+        """Return the availability zone of a replica, or its name if unknown."""
+        for _, replica in self.replicas():
+            if replica.name == replica_name:
+                return replica.zone
+        return replica_name
+
+    def knows_replica(self, replica_name: str) -> bool:
+        """Return whether a kept map of any group names the replica."""
+        return any(
+            _names_replica(catalog, replica_name) for catalog in self._catalogs.values()
+        )
+
+    def routers(self) -> tuple[Router, ...]:
+        """Return the routers of all groups that were added."""
+        return tuple(self._routers.values())
+
+    def replicas(self) -> Iterator[tuple[str, Replica]]:
+        """Yield each replica of the newest maps with its group, once."""
+        for name, catalog in self._catalogs.items():
+            for partition_map in catalog.maps()[:1]:
+                unique = {
+                    replica.name: replica
+                    for shard in partition_map.shards
+                    for replica in shard.replicas
+                }
+                for replica in unique.values():
+                    yield name, replica
 
     def has_maps(self) -> bool:
         """Return whether every group that was added has a map."""
--- a/chestnuthall/services/_fleet_view.py
+++ b/chestnuthall/services/_fleet_view.py
@@ -190,7 +190,9 @@
             return instances
         for item in instances:
             if item.name == name:
-                return await self._admin.drain(item.address, "", ADMIN_TIMEOUT_MS)
+                return await self._admin.drain_instance(
+                    item.address, name, ADMIN_TIMEOUT_MS
+                )
         known = ", ".join(item.name for item in instances)
         return NOT_FOUND.because(f"no live instance named {name!r}; there are {known}")
 
@@ -201,7 +203,7 @@
             return instances
         results = await asyncio.gather(
             *(
-                self._admin.drain(item.address, name, ADMIN_TIMEOUT_MS)
+                self._admin.drain_replica(item.address, name, ADMIN_TIMEOUT_MS)
                 for item in instances
             )
         )
--- a/chestnuthall/standins/objectapi/_objects.py
+++ b/chestnuthall/standins/objectapi/_objects.py
@@ -146,6 +146,8 @@
             if changes or remaining_s <= 0.0:
                 return changes
             try:
+                # wait_for would swallow a cancellation that comes together
+                # with a change.
                 async with asyncio.timeout(remaining_s):
                     await self._changed.wait()
             except TimeoutError:
