Announce an accepted revision before the history entry is written

Cause: after the acceptance the tool wrote the history entry first. With the store down from that moment, the entry's timeouts (up to 18 s) would have delayed the announcement past the 8 s in which a revision is to be in force.

Ruled out: writing the entry in the background; the tool might end before it. The entry is not needed for safety, as the next writer adds it.

Change: accept, announce, then write the entry; the tool waits for the instances that were listed before the write. Ctrl-C says that a write may have taken effect; in `watch` it ends normally. Adding burn counts no longer builds the set of class names for each slot.

Figures: new test with the store down after the acceptance: announced after 0 ms of the fake clock; with the entry first it fails.

Conclusion: an outage right after the acceptance no longer delays it.

--- a/chestnuthall/cli/_fleet_commands.py
+++ b/chestnuthall/cli/_fleet_commands.py
@@ -192,7 +192,19 @@
     """
     session = open_session(common)
     interval_s = max(0.5, interval_s)
-    return asyncio.run(_watch(session, upstreams, interval_s, n_rounds))
+    return asyncio.run(
+        _watch_until_interrupted(session, upstreams, interval_s, n_rounds)
+    )
+
+
+async def _watch_until_interrupted(
+    session: Session, upstreams: bool, interval_s: float, n_rounds: int
+) -> ExitCode:
+    try:
+        return await _watch(session, upstreams, interval_s, n_rounds)
+    except asyncio.CancelledError:
+        # Ctrl-C is the usual way to end this command.
+        return ExitCode.OK
 
 
 async def _watch(
--- a/chestnuthall/cli/_main.py
+++ b/chestnuthall/cli/_main.py
@@ -42,6 +42,7 @@
         help_format="markdown",
         version=__version__,
         result_action="return_value",
+        suppress_keyboard_interrupt=False,
     )
     _document_commands.register(app)
     _fleet_commands.register(app)
@@ -63,7 +64,11 @@
     except UsageError as error:
         code = Output(is_json).fail(error.code, str(error))
     except KeyboardInterrupt:
-        code = ExitCode.INTERRUPTED
+        code = Output(is_json).fail(
+            ExitCode.INTERRUPTED,
+            "interrupted; a write that had begun may have taken effect, see"
+            " `chestnuthall history`",
+        )
     else:
         code = ExitCode.OK if result is None else ExitCode(result)
     raise SystemExit(int(code))
--- a/chestnuthall/cli/_publishing.py
+++ b/chestnuthall/cli/_publishing.py
@@ -26,7 +26,7 @@
     )
     if outcome.replaced_by is not None:
         return _report_replaced(output, record, outcome.replaced_by)
-    return await _wait_in_force(session, record)
+    return await _wait_in_force(session, outcome)
 
 
 def _report_race(output: Output, lost: RaceLost) -> ExitCode:
@@ -56,9 +56,10 @@
     return ExitCode.OK
 
 
-async def _wait_in_force(session: Session, record: RevisionRecord) -> ExitCode:
+async def _wait_in_force(session: Session, accepted: Accepted) -> ExitCode:
     output = session.output
-    instances = await session.fleet.entries()
+    record = accepted.record
+    instances = accepted.instances or await session.fleet.entries()
     if isinstance(instances, Failure):
         message = f"accepted, but the list of instances: {instances.reason}"
         return output.fail(ExitCode.NOT_IN_FORCE, message, revision=record.revision)
--- a/chestnuthall/cli/tests/test_publication.py
+++ b/chestnuthall/cli/tests/test_publication.py
@@ -19,7 +19,7 @@
     status_of,
 )
 from chestnuthall.core.configuration import PromotionPolicy, PromotionVerdict
-from chestnuthall.core.results import STORE_WRITE_UNKNOWN
+from chestnuthall.core.results import STORE_UNAVAILABLE, STORE_WRITE_UNKNOWN
 from chestnuthall.ports import ListedInstance
 from chestnuthall.services import (
     Accepted,
@@ -153,7 +153,7 @@
             fault(world) if callable(fault) else fault for fault in faults
         ]
         # The two reads of the history before the write must succeed.
-        await world.book._record(base.record)
+        await world.book.record_in_history(base.record)
         text = document(2)
         draft = world.publication.draft("trial", text, digest_of(text), "ada", "why")
         if n_failing_reads:
@@ -183,6 +183,43 @@
     world.store._write = failing
 
 
+def test_outage_right_after_the_acceptance_does_not_delay_the_announcement():
+    """Guards the 8 s in which an accepted revision is in force everywhere."""
+
+    async def scenario():
+        world = World()
+        await world.publish(1)
+        announced_ms = []
+        announce = world.admin.announce
+
+        async def announce_noting_time(*arguments):
+            announced_ms.append(world.clock.now_ms())
+            return await announce(*arguments)
+
+        async def time_out(*arguments):
+            world.clock.at_ms += 2_000.0
+            return STORE_UNAVAILABLE.because("down")
+
+        write = world.store._write
+
+        def write_then_go_down(*arguments):
+            result = write(*arguments)
+            if arguments[0] == "environments":
+                world.store.get = world.store.list_kind = time_out
+                world.store.update = world.store.create = time_out
+            return result
+
+        world.admin.announce = announce_noting_time
+        world.store._write = write_then_go_down
+        began_ms = world.clock.now_ms()
+        result = await world.publish(2)
+        return result, [at_ms - began_ms for at_ms in announced_ms]
+
+    result, delays_ms = asyncio.run(scenario())
+    assert isinstance(result, Accepted)
+    assert delays_ms == [0.0, 0.0]
+
+
 def test_history_has_no_gap_when_a_writer_ends_after_its_write():
     """Guards against a revision of which nobody knows who made it."""
 
--- a/chestnuthall/core/burn/_counts.py
+++ b/chestnuthall/core/burn/_counts.py
@@ -65,19 +65,15 @@
     def plus(self, other: "BurnCounts") -> "BurnCounts":
         """Return the sum of two counts, with old slots left out."""
         tallies = dict(self.tallies)
+        names = {key.class_name for key in tallies}
         for key, tally in other.tallies.items():
-            kept = self._within_class_bound(key, tallies)
-            tallies[kept] = tallies.get(kept, Tally()).plus(tally)
+            if key.class_name not in names:
+                if len(names) >= N_CLASSES_MAX:
+                    key = SlotKey(OTHER_CLASSES, key.slot_ms, key.index)
+                names.add(key.class_name)
+            tallies[key] = tallies.get(key, Tally()).plus(tally)
         return BurnCounts(_without_old_slots(tallies))
 
-    def _within_class_bound(
-        self, key: SlotKey, tallies: dict[SlotKey, Tally]
-    ) -> SlotKey:
-        names = {item.class_name for item in tallies}
-        if key.class_name in names or len(names) < N_CLASSES_MAX:
-            return key
-        return SlotKey(OTHER_CLASSES, key.slot_ms, key.index)
-
     def class_names(self) -> tuple[str, ...]:
         """Return the classes that have counts."""
         return tuple(sorted({key.class_name for key in self.tallies}))
--- a/chestnuthall/services/_publication.py
+++ b/chestnuthall/services/_publication.py
@@ -1,6 +1,7 @@
 """Puts documents in force and promotes them."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from chestnuthall.core.configuration import (
     Draft,
@@ -12,7 +13,6 @@
     promotion_draft,
 )
 from chestnuthall.core.results import OBJECT_CONFLICT, Failure
-from chestnuthall.ports import ListedInstance
 from chestnuthall.services._fleet_view import FleetView
 from chestnuthall.services._revisions import Accepted, RaceLost, RevisionBook
 
@@ -45,16 +45,16 @@
             return self._book.race_lost(base.record, draft.text)
         listed = await self._fleet.entries()
         outcome = await self._book.accept(draft, base)
-        if isinstance(outcome, Accepted) and outcome.replaced_by is None:
-            await self._announce(listed, outcome)
+        if not isinstance(outcome, Accepted):
+            return outcome
+        if outcome.replaced_by is None and not isinstance(listed, Failure):
+            await self._fleet.announce(listed, outcome.stored_text)
+            outcome = replace(outcome, instances=listed)
+        # After the announcement, which an outage of the store must not delay.
+        # The next writer adds the entry if this write fails.
+        await self._book.record_in_history(outcome.record)
         return outcome
 
-    async def _announce(
-        self, listed: tuple[ListedInstance, ...] | Failure, accepted: Accepted
-    ) -> None:
-        if not isinstance(listed, Failure):
-            await self._fleet.announce(listed, accepted.stored_text)
-
     def draft(
         self, environment: str, text: str, digest: str, author: str, reason: str
     ) -> Draft:
--- a/chestnuthall/services/_revisions.py
+++ b/chestnuthall/services/_revisions.py
@@ -22,7 +22,13 @@
     STORE_WRITE_UNKNOWN,
     Failure,
 )
-from chestnuthall.ports import Clock, ObjectStore, RevisionCodec, StoredObject
+from chestnuthall.ports import (
+    Clock,
+    ListedInstance,
+    ObjectStore,
+    RevisionCodec,
+    StoredObject,
+)
 
 ENVIRONMENT_KIND = "environments"
 HISTORY_KIND = "environment-history"
@@ -37,11 +43,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Accepted:
-    """The write took effect; ``replaced_by`` is a later revision, if any."""
+    """The write took effect; ``replaced_by`` is a later revision, if any.
+
+    ``instances`` are those that it was announced to.
+    """
 
     record: RevisionRecord
     stored_text: str
     replaced_by: RevisionRecord | None = None
+    instances: tuple[ListedInstance, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,7 +111,7 @@
         history = self._codec.decode_history(stored.value)
         return history if isinstance(history, Failure) else (history, stored.version)
 
-    async def _record(self, record: RevisionRecord) -> History | Failure:
+    async def record_in_history(self, record: RevisionRecord) -> History | Failure:
         """Add a record to the history; adding it twice changes nothing."""
         failure = STORE_WRITE_UNKNOWN.because("the history changed too often")
         for _ in range(N_HISTORY_TRIES_MAX):
@@ -139,18 +149,14 @@
             read = await self._read_history(draft.environment)
             history: History | Failure = read if isinstance(read, Failure) else read[0]
         else:
-            history = await self._record(base.record)
+            history = await self.record_in_history(base.record)
         if isinstance(history, Failure):
             return history
         last_revision = max(
             history.last_revision, 0 if base is None else base.record.revision
         )
         record = next_record(draft, last_revision, self._clock.wall_ms())
-        outcome = await self._write_and_settle(record, base)
-        if isinstance(outcome, Accepted):
-            # The next writer adds the entry if this write fails.
-            await self._record(record)
-        return outcome
+        return await self._write_and_settle(record, base)
 
     async def _write_and_settle(
         self, record: RevisionRecord, base: InForce | None
