Bound documents and the history in bytes as they are stored

Cause: the history was bounded in characters and entries. Texts of four-byte or control characters would have exceeded the store's 1 MB per value, and a document of that size was refused by the store without a usable message.

Ruled out: counting characters with a larger reserve; one control character is stored in six bytes.

--- a/chestnuthall/adapters/documents/_environment.py
+++ b/chestnuthall/adapters/documents/_environment.py
@@ -20,6 +20,9 @@
 )
 from chestnuthall.core.results import CONFIGURATION_REJECTED, Failure
 
+# Escaped and with its record, a document still fits the store's 1 MB per value.
+N_DOCUMENT_BYTES_MAX = 256 * 1024
+
 Name = Annotated[str, Field(pattern=r"^[a-z][a-z0-9-]{0,62}$")]
 Ratio = Annotated[float, Field(ge=0.0, le=1.0)]
 PositiveMs = Annotated[float, Field(gt=0.0, le=600_000.0)]
@@ -152,6 +155,11 @@
     text: str, file_name: str = "document"
 ) -> EnvironmentDocument | tuple[Problem, ...]:
     """Return the document for the decisions, or all its problems."""
+    n_bytes = len(text.encode())
+    if n_bytes > N_DOCUMENT_BYTES_MAX:
+        rule = f"the document has {n_bytes} bytes"
+        right = f"write at most {N_DOCUMENT_BYTES_MAX} bytes"
+        return (Problem(file_name, 1, 1, "", rule, right),)
     model = check_text(text, EnvironmentModel, file_name, CROSS_CHECKS)
     return model if isinstance(model, tuple) else model.to_core()
 
--- a/chestnuthall/cli/_document_commands.py
+++ b/chestnuthall/cli/_document_commands.py
@@ -4,7 +4,7 @@
 from collections.abc import Coroutine
 from dataclasses import asdict
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, Literal
 
 from cyclopts import App, Parameter
 
@@ -14,6 +14,7 @@
     digest_of,
     read_environment,
 )
+from chestnuthall.adapters.settings import read_profile, read_settings
 from chestnuthall.cli._commands import add_command
 from chestnuthall.cli._exits import ExitCode
 from chestnuthall.cli._output import Output, shown_time
@@ -58,8 +59,13 @@
     return output.fail(ExitCode.INVALID, describe_problems(checked), problems=problems)
 
 
-def check(file: Path, *, common: Common = COMMON) -> ExitCode:
-    """Check a document without touching the store.
+def check(
+    file: Path,
+    *,
+    kind: Literal["environment", "settings", "profile"] = "environment",
+    common: Common = COMMON,
+) -> ExitCode:
+    """Check a document, or a settings or profile file, without the store.
 
     Each error names the file, line, column, path, the rule and what would be
     right; all errors are shown at once.
@@ -67,13 +73,19 @@
     Examples
     --------
         chestnuthall check environment.jsonc
+        chestnuthall check entry-0.jsonc --kind settings
 
     Parameters
     ----------
     file
-        Environment document, JSON with comments.
+        File to check, JSON with comments.
+    kind
+        What the file is: an environment document, the settings of an instance,
+        or a profile of this tool.
     """
     output = Output(common.json)
+    if kind != "environment":
+        return _check_settings(file, kind, output)
     checked = _checked(file, output)
     if isinstance(checked, ExitCode):
         return checked
@@ -86,6 +98,16 @@
     return ExitCode.OK
 
 
+def _check_settings(file: Path, kind: str, output: Output) -> ExitCode:
+    read = read_settings if kind == "settings" else read_profile
+    checked = read(read_file(file), str(file))
+    if isinstance(checked, Failure):
+        return output.fail(ExitCode.INVALID, checked.reason)
+    output.data({"problems": []})
+    output.say(f"{file} is valid")
+    return ExitCode.OK
+
+
 def diff(file: Path, *, env: Environment = None, common: Common = COMMON) -> ExitCode:
     """Show what a document would change against the one in force.
 
--- a/chestnuthall/cli/tests/test_tool.py
+++ b/chestnuthall/cli/tests/test_tool.py
@@ -21,6 +21,13 @@
     ("help of a command", ["trial", "--help"], 0, "--expect-revision 7"),
     ("version", ["--version"], 0, "0.1.0"),
     ("valid document", ["check", str(DOCUMENT)], 0, "3 classes, 2 groups"),
+    (
+        "wrong settings",
+        ["check", "s.jsonc", "--kind", "settings"],
+        1,
+        "s.jsonc:2:2: nam",
+    ),
+    ("valid profile", ["check", "p.jsonc", "--kind", "profile"], 0, "p.jsonc is valid"),
     ("no such file", ["check", "/nowhere"], 2, "cannot read /nowhere: No such file"),
     ("unknown command", ["chek"], 2, 'Did you mean "check"?'),
     ("missing argument", ["trial"], 2, "--file"),
@@ -40,6 +47,8 @@
     arguments, code, part, capsys, monkeypatch, tmp_path
 ):
     monkeypatch.chdir(tmp_path)
+    (tmp_path / "s.jsonc").write_text('{\n "name": "Entry 0" // no\n}')
+    (tmp_path / "p.jsonc").write_text('{"store_address": "[::1]:1", "operator": "a"}')
     monkeypatch.delenv("CHESTNUTHALL_PROFILE", raising=False)
     with pytest.raises(SystemExit) as stopped:
         main(arguments)
--- a/chestnuthall/core/configuration/_records.py
+++ b/chestnuthall/core/configuration/_records.py
@@ -1,13 +1,16 @@
 """What is recorded about each accepted revision of an environment."""
 
+import re
 from dataclasses import dataclass, replace
 from typing import Final
 
+_CONTROL: Final = re.compile("[\\x00-\\x1f]")
 # The two bounds keep the history of an environment below the store's limit of
-# 1 MB per value: an entry without its text takes at most about 1.2 KB, and the
-# texts take up to 1.2 times their size once they are escaped.
-N_HISTORY_ENTRIES_MAX: Final = 500
-N_HISTORY_TEXT_CHARACTERS_MAX: Final = 250_000
+# 1 MB per value. They count bytes as JSON stores them.
+N_HISTORY_ENTRY_BYTES_MAX: Final = 600_000
+N_HISTORY_TEXT_BYTES_MAX: Final = 300_000
+# Names of fields, numbers and punctuation of one entry.
+N_ENTRY_BYTES_FIXED: Final = 350
 N_REASON_CHARACTERS_MAX: Final = 300
 N_EVIDENCE_CHARACTERS_MAX: Final = 600
 
@@ -99,15 +102,44 @@
     if history.of_revision(record.revision) is not None:
         return history
     records = sorted((*history.records, record), key=lambda item: item.revision)
-    return History(tuple(_without_old_texts(records[-N_HISTORY_ENTRIES_MAX:])))
+    return History(tuple(_without_old_entries(_without_old_texts(records))))
+
+
+def _stored_bytes(text: str) -> int:
+    """Return the length of a text as JSON stores it, escapes included."""
+    n_bytes = len(text.encode())
+    n_short = sum(text.count(mark) for mark in ('"', "\\", "\n", "\r", "\t"))
+    n_control = len(_CONTROL.findall(text))
+    return n_bytes + n_short + 5 * n_control
 
 
 def _without_old_texts(records: list[RevisionRecord]) -> list[RevisionRecord]:
     kept: list[RevisionRecord] = []
-    n_characters = 0
+    n_bytes = 0
     for record in reversed(records):
-        n_characters += len(record.text)
-        if n_characters > N_HISTORY_TEXT_CHARACTERS_MAX:
+        n_bytes += _stored_bytes(record.text)
+        if n_bytes > N_HISTORY_TEXT_BYTES_MAX:
             record = replace(record, text="")
         kept.append(record)
     return kept[::-1]
+
+
+def _without_old_entries(records: list[RevisionRecord]) -> list[RevisionRecord]:
+    kept: list[RevisionRecord] = []
+    n_bytes = 0
+    for record in reversed(records):
+        fields = (
+            record.environment,
+            record.source_environment,
+            record.digest,
+            record.write_token,
+            record.author,
+            record.reason,
+            record.override_reason,
+            record.evidence,
+        )
+        n_bytes += N_ENTRY_BYTES_FIXED + sum(_stored_bytes(item) for item in fields)
+        if n_bytes > N_HISTORY_ENTRY_BYTES_MAX:
+            break
+        kept.append(record)
+    return kept[::-1]
