Grant turns for writes in order, and refuse claims that would come too late

Change: turns are granted from one queue and cost nothing without work; after a wait a contended partition is read again before the write; claims that would wait more than about 300 ms for a turn are refused as RATE_LIMITED, not run. Printable ASCII keys are measured without a loop. A hanging outage of the emulator also swallows the calls under way, which the test of a hung watch needs.

--- a/chestnuthall/core/claims/_ledger.py
+++ b/chestnuthall/core/claims/_ledger.py
@@ -128,7 +128,10 @@
     >>> entry_size_bytes("hold-17")
     87
     """
-    n_escaped = sum(1 for letter in key if not _is_plain(letter))
+    if key.isascii() and key.isprintable():
+        n_escaped = key.count('"') + key.count("\\")
+    else:
+        n_escaped = sum(1 for letter in key if not _is_plain(letter))
     return N_ENTRY_BYTES + len(key) + (N_ESCAPED_BYTES - 1) * n_escaped
 
 
--- a/chestnuthall/core/claims/_machine.py
+++ b/chestnuthall/core/claims/_machine.py
@@ -57,6 +57,8 @@
 N_ABANDON_ROUNDS_MAX = 6
 # Writes in a row that the store may refuse for load before the claims fail.
 N_RATE_LIMITED_MAX = 3
+# Age up to which a read is written from where other instances write as well.
+FRESH_MS = 10.0
 BACKOFF_FIRST_MS = 5.0
 BACKOFF_MAX_MS = 250.0
 
@@ -97,6 +99,9 @@
         # by what it returned, since a key may be abandoned between two reads.
         self.read_for: frozenset[str] = frozenset()
         self.needs_read = False
+        # The turn for a write was granted before the read that is under way.
+        self.has_turn = False
+        self.read_wall_ms = 0.0
         self.is_cache_trusted = True
         self.n_retries = 0
         self.n_rate_limited = 0
@@ -112,7 +117,7 @@
 
     def advance(self) -> list[ClaimAction]:
         """Begin the next read or write if there is work."""
-        if not self.waiting and not self.abandons:
+        if not self.has_work:
             return self.rest()
         if not self.waiting and self.n_retries > N_ABANDON_ROUNDS_MAX:
             self.abandons.clear()
@@ -122,10 +127,16 @@
         self.phase = Phase.AWAITING_TURN
         return [AwaitTurn()]
 
+    @property
+    def has_work(self) -> bool:
+        """Whether anything waits for a read or a write."""
+        return bool(self.waiting or self.abandons)
+
     def rest(self) -> list[ClaimAction]:
         """Wait for the next request; nothing is retried without one."""
         self.phase = Phase.IDLE
         self.n_retries = 0
+        self.has_turn = False
         return []
 
     def begin_read(self) -> list[ClaimAction]:
@@ -225,6 +236,8 @@
         claims.doubtful.clear()
         _drop_absent_abandons(event.partition, claims)
     refused = _refuse_read_for(event, claims)
+    if claims.has_turn and claims.has_work:
+        return [*settled, *refused, *_write(event.wall_ms, claims)]
     return [*settled, *refused, *claims.advance()]
 
 
@@ -232,6 +245,7 @@
     if claims.cached is not None:
         claims.is_cache_trusted = claims.cached[0] == event.version
     claims.cached = (event.version, event.partition)
+    claims.read_wall_ms = event.wall_ms
     claims.min_version = event.version
     if claims.lost_version is not None and event.version > claims.lost_version:
         # The lost write took effect before this read or never will.
@@ -286,11 +300,24 @@
 
 @_apply.register
 def _(event: TurnGranted, claims: PartitionClaims) -> list[ClaimAction]:
+    if not claims.has_work:
+        return claims.rest()
+    age_ms = event.wall_ms - claims.read_wall_ms
+    if not claims.is_cache_trusted and age_ms > FRESH_MS:
+        # Another writer has probably moved the version during the wait.
+        claims.has_turn = True
+        return claims.begin_read()
+    return _write(event.wall_ms, claims)
+
+
+def _write(wall_ms: float, claims: PartitionClaims) -> list[ClaimAction]:
+    """Write everything that can be claimed, on condition of the cached version."""
     assert claims.cached is not None
+    claims.has_turn = False
     version, partition = claims.cached
     base = remove_claims(partition, claims.abandons.values())
     group = _first_of_each_key(claims)
-    changed, decisions = add_claims(base, group, claims.settings, event.wall_ms)
+    changed, decisions = add_claims(base, group, claims.settings, wall_ms)
     accepted = [c for c in group if decisions[c.token] is ClaimDecision.CLAIMED]
     claims.needs_read = len(accepted) < len(group)
     is_same = base is partition and not accepted
--- a/chestnuthall/core/claims/tests/test_machine.py
+++ b/chestnuthall/core/claims/tests/test_machine.py
@@ -39,6 +39,11 @@
 ASK_B = ClaimRequested(WALL_MS, B)
 READ_EMPTY = PartitionRead(WALL_MS, 0, EMPTY_PARTITION)
 TURN = TurnGranted(WALL_MS)
+READ_BOTH_HELD = PartitionRead(
+    WALL_MS,
+    1,
+    LedgerPartition(0.0, {k: ClaimEntry("other", 9_900.0) for k in ("key-a", "key-b")}),
+)
 READ_A = PartitionRead(WALL_MS, 1, HELD_A)
 WRITTEN = WriteSucceeded(WALL_MS, 1)
 LOST = WriteLost(WALL_MS)
@@ -105,6 +110,23 @@
         [ASK, ASK_AGAIN, READ_EMPTY, TURN, WRITTEN, TURN, READ_A],
         ["KEY_ALREADY_CLAIMED"],
     ),
+    "read-refuses-only-what-it-was-for": (
+        [ASK, ASK_B, READ_BOTH_HELD],
+        ["KEY_ALREADY_CLAIMED", "AwaitTurn"],
+    ),
+    "contended-cache-is-not-trusted": (
+        [*WRITE_A, WriteConflicted(WALL_MS, 0.5), READ_A, ASK_B],
+        ["ReadPartition"],
+    ),
+    "contended-cache-is-read-again": (
+        [
+            *WRITE_A,
+            WriteConflicted(WALL_MS, 0.5),
+            READ_EMPTY,
+            TurnGranted(WALL_MS + 50.0),
+        ],
+        ["ReadPartition"],
+    ),
     "cached-refusal-needs-fresh-read": ([*HOLD_A, ASK_AGAIN, TURN], ["ReadPartition"]),
     "abandon-then-claim-in-one-write": (
         [*HOLD_A, AbandonRequested(WALL_MS, A), ASK_AGAIN, TURN],
--- a/chestnuthall/services/_claims.py
+++ b/chestnuthall/services/_claims.py
@@ -1,6 +1,7 @@
 """Claims of idempotency keys in the object store."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable, Coroutine
 from functools import singledispatchmethod
 from random import Random
@@ -55,6 +56,9 @@
 # second, and the instances' status objects need some of them.
 N_FLEET_WRITES_PER_S = 250.0
 N_BURST_WRITES = 8
+# Claims that would wait longer for a write are refused at once, so that those
+# that are written have time left to run.
+TURN_WAIT_MAX_MS = 300.0
 # An instance of a fleet that is too large for the budget still makes progress.
 N_WRITES_PER_S_MIN = 1.0
 # Entries of all cached partitions together; each takes about 300 bytes.
@@ -97,6 +101,8 @@
         self._random = random or Random()
         self._budget = WriteBudget(N_BURST_WRITES)
         self._breaker = StoreBreaker()
+        self._turns: deque[str] = deque()
+        self._is_pacing = False
         self._partitions: dict[str, PartitionClaims] = {}
         self._waiters: dict[str, asyncio.Future[Failure | None]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -106,11 +112,14 @@
         claim = KeyClaim(
             request.idempotency_key, token_hex(8), float(request.issued_at_ms)
         )
+        name = self._name_of(claim)
+        if self._is_overloaded(name):
+            return RATE_LIMITED.because("too many claims wait to be written")
         waiter: asyncio.Future[Failure | None]
         waiter = asyncio.get_running_loop().create_future()
         self._waiters[claim.token] = waiter
         wall_ms = self._clock.wall_ms()
-        self._handle(self._name_of(claim), ClaimRequested(wall_ms, claim))
+        self._handle(name, ClaimRequested(wall_ms, claim))
         try:
             failure = await self._wait(claim, waiter, request.deadline_ms)
         except asyncio.CancelledError:
@@ -206,11 +215,41 @@
 
     @_perform.register
     def _(self, action: AwaitTurn, name: str) -> None:
+        self._turns.append(name)
+        if not self._is_pacing:
+            self._is_pacing = True
+            self._start(self._grant_turns())
+
+    def _rate_per_s(self) -> float:
         rate_per_s = N_FLEET_WRITES_PER_S / max(1, self._n_instances())
-        wait_ms = self._budget.reserve(
-            self._clock.now_ms(), max(rate_per_s, N_WRITES_PER_S_MIN)
+        return max(rate_per_s, N_WRITES_PER_S_MIN)
+
+    async def _grant_turns(self) -> None:
+        """Grant turns in order, spaced by the budget; idle waits cost none."""
+        try:
+            while self._turns:
+                await self._grant_turn(self._turns.popleft())
+        finally:
+            self._is_pacing = False
+
+    async def _grant_turn(self, name: str) -> None:
+        if self._partitions[name].has_work:
+            now_ms = self._clock.now_ms()
+            wait_ms = self._budget.reserve(now_ms, self._rate_per_s())
+            if wait_ms > 0.0:
+                await self._clock.sleep_ms(wait_ms)
+        self._handle(name, TurnGranted(self._clock.wall_ms()))
+
+    def _is_overloaded(self, name: str) -> bool:
+        """Return whether a new turn would come too late to be of use."""
+        partition = self._partitions.get(name)
+        if partition is not None and partition.phase is not Phase.IDLE:
+            return False
+        n_busy = sum(
+            1 for item in self._partitions.values() if item.phase is not Phase.IDLE
         )
-        self._start(self._sleep(name, wait_ms, TurnGranted))
+        n_max = N_BURST_WRITES + self._rate_per_s() * TURN_WAIT_MAX_MS / 1000.0
+        return n_busy > n_max
 
     @_perform.register
     def _(self, action: Delay, name: str) -> None:
--- a/chestnuthall/standins/objectapi/_service.py
+++ b/chestnuthall/standins/objectapi/_service.py
@@ -93,12 +93,14 @@
         self.faults = StoreFaults()
         self.n_calls: dict[str, int] = {}
         self._outage_ends_s = 0.0
+        self._n_hangs = 0
         self._served_s: deque[float] = deque()
         self._late_writes: set[asyncio.Task[None]] = set()
 
     def set_faults(self, faults: StoreFaults) -> None:
         """Replace the faults; an outage starts now."""
         self.faults = faults
+        self._n_hangs += faults.outage is Outage.HANGING
         now_s = asyncio.get_running_loop().time()
         self._outage_ends_s = now_s + faults.outage_ms / 1000.0
 
@@ -116,11 +118,15 @@
         if failed is not None:
             return failed
         self._count(call)
+        n_hangs = self._n_hangs
         if self.faults.delay_ms:
             await asyncio.sleep(self.faults.delay_ms / 1000.0)
         if self._is_over_rate():
             return Reply(429, {"error": "too many calls"})
         reply = await self._answer(call)
+        if self._n_hangs != n_hangs:
+            # A call that was under way when the store hung is never answered.
+            await asyncio.sleep(WITHHELD_S)
         return await self._fail_in_outage() or reply
 
     async def _answer(self, call: Call) -> Reply | Drop:
