--- a/chestnuthall/core/claims/_machine.py
+++ b/chestnuthall/core/claims/_machine.py
@@ -57,6 +57,9 @@
 N_ABANDON_ROUNDS_MAX = 6
 # Writes in a row that the store may refuse for load before the claims fail.
 N_RATE_LIMITED_MAX = 3
+# Reads in a row that must find the cached version before it is trusted again;
+# a conflict costs a write, which is scarcer than a read.
+N_AGREEING_READS = 3
 # Age up to which a read is written from where other instances write as well.
 FRESH_MS = 10.0
 BACKOFF_FIRST_MS = 5.0
@@ -78,7 +81,7 @@
 
     ``cached`` is the last known version with its content; it saves the read
     before a write. It is trusted until a write from it conflicts, and again
-    once a read shows that it would have been right.
+    once several reads in a row showed that it would have been right.
     """
 
     def __init__(self, settings: LedgerSettings) -> None:
@@ -103,6 +106,7 @@
         self.has_turn = False
         self.read_wall_ms = 0.0
         self.is_cache_trusted = True
+        self.n_agreeing_reads = 0
         self.n_retries = 0
         self.n_rate_limited = 0
 
@@ -243,7 +247,10 @@
 
 def _note_read(event: PartitionRead, claims: PartitionClaims) -> None:
     if claims.cached is not None:
-        claims.is_cache_trusted = claims.cached[0] == event.version
+        is_same = claims.cached[0] == event.version
+        claims.n_agreeing_reads = claims.n_agreeing_reads + 1 if is_same else 0
+        if claims.n_agreeing_reads >= N_AGREEING_READS:
+            claims.is_cache_trusted = True
     claims.cached = (event.version, event.partition)
     claims.read_wall_ms = event.wall_ms
     claims.min_version = event.version
@@ -356,6 +363,7 @@
     claims.min_version = claims.cached[0] + 1
     claims.cached = None
     claims.is_cache_trusted = False
+    claims.n_agreeing_reads = 0
     claims.take_back_written()
     return claims.retry(claims.backoff_ms() * event.jitter_ratio)
 
