Test pairs of faults for configuration, and a store outage over processes

Conclusion: the whole-path test with the store's port closed refuses a mutation as STORE_UNAVAILABLE, run no, and a search is answered; afterwards the key is run once and a new revision reaches both instances within 2 s.

--- a/benchmarks/store_calls.py
+++ b/benchmarks/store_calls.py
@@ -70,7 +70,10 @@
 async def measure_fleet() -> None:
     """Print the calls of a minute without and with mutations."""
     plan = FleetPlan(
-        groups=(GroupPlan(name="booking-ledger", n_shards=1, n_replicas=2),),
+        groups=(
+            GroupPlan(name="planner-desk", n_shards=1, n_replicas=1),
+            GroupPlan(name="booking-ledger", n_shards=1, n_replicas=2),
+        ),
         document_text=DOCUMENT.read_text(),
         n_instances=N_FLEET,
     )
@@ -178,12 +181,12 @@
 
 def main() -> None:
     """Run every measurement, or all but the fleet of processes."""
+    if "--no-fleet" not in sys.argv:
+        asyncio.run(measure_fleet())
     for n_entries in (100, 1_000, 5_900):
         print(json.dumps(measure_codec(n_entries)), flush=True)
     for n_per_s in (20.0, 100.0, 400.0, 800.0):
         print(json.dumps(run_virtual(measure_claims(n_per_s, 64))), flush=True)
-    if "--no-fleet" not in sys.argv:
-        asyncio.run(measure_fleet())
 
 
 if __name__ == "__main__":
--- a/chestnuthall/daemon/tests/test_configuration_on_store.py
+++ b/chestnuthall/daemon/tests/test_configuration_on_store.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from contextlib import suppress
+from itertools import combinations
 
 import pytest
 
@@ -56,21 +57,18 @@
     return logs, result
 
 
-@pytest.mark.parametrize("watchers", [(0, 1, 2), (1,)], ids=["all-watch", "one"])
-@pytest.mark.parametrize("fault", FAULTS)
-@pytest.mark.parametrize("step", STEPS)
-def test_fault_at_step(step, fault, watchers):
-    """Revisions must not revert under a fault, and arrive in time after it."""
+def run_fault_case(step, faults, watchers):
+    """Accept a revision under a fault, or after an outage, and check its way."""
 
     async def scenario(world):
         await world.accept(1)
         if STEPS[step] < 0.0:
-            world.service.set_faults(StoreFaults(**FAULTS[fault]))
+            world.service.set_faults(StoreFaults(**faults))
 
         async def act():
             await asyncio.sleep(max(0.0, STEPS[step]))
-            world.service.set_faults(StoreFaults(**FAULTS[fault]))
-            await asyncio.sleep(21.0 if fault in OUTAGES else 0.5)
+            world.service.set_faults(StoreFaults(**faults))
+            await asyncio.sleep(21.0 if "outage" in faults else 0.5)
             accepted_ms = world.clock.now_ms()
             await world.accept(2)
             await asyncio.sleep(BOUND_MS / 1000.0)
@@ -84,6 +82,27 @@
         assert log[-1][1] - accepted_ms <= BOUND_MS
 
 
+@pytest.mark.parametrize("watchers", [(0, 1, 2), (1,)], ids=["all-watch", "one"])
+@pytest.mark.parametrize("fault", FAULTS)
+@pytest.mark.parametrize("step", STEPS)
+def test_fault_at_step(step, fault, watchers):
+    """Revisions must not revert under a fault, and arrive in time after it."""
+    run_fault_case(step, FAULTS[fault], watchers)
+
+
+@pytest.mark.parametrize(
+    ("first", "second"),
+    [
+        pytest.param(a, b, id=f"{a}+{b}")
+        for a, b in combinations(FAULTS, 2)
+        if a != "calm" and b not in OUTAGES
+    ],
+)
+def test_pair_of_faults(first, second):
+    """Two faults together must not break what each alone keeps."""
+    run_fault_case("during-watch", {**FAULTS[first], **FAULTS[second]}, (0, 1))
+
+
 @pytest.mark.parametrize("watchers", [(0,), ()], ids=["watcher", "not-a-watcher"])
 @pytest.mark.parametrize("offset_s", [0.0, 0.7, 1.9, 3.3, 4.9])
 def test_hung_call_does_not_delay(offset_s, watchers):
--- a/chestnuthall/daemon/tests/test_whole_path.py
+++ b/chestnuthall/daemon/tests/test_whole_path.py
@@ -1,6 +1,7 @@
 """Guards the whole path over separate processes on loopback."""
 
 import asyncio
+import time
 from pathlib import Path
 
 import pytest
@@ -59,3 +60,49 @@
     ]
     assert replies[0].body["coverage"]["ratio"] == 1.0
     assert "class: Field required" in replies[2].body["reason"]
+
+
+@pytest.mark.processes
+def test_store_down():
+    """While the store is down, mutations are refused as not run, nothing else."""
+
+    async def scenario():
+        plan = FleetPlan(
+            groups=(
+                GroupPlan(name="planner-desk", n_shards=1, n_replicas=1),
+                GroupPlan(name="booking-ledger", n_shards=1, n_replicas=1),
+            ),
+            document_text=DOCUMENT.read_text(),
+            n_instances=2,
+        )
+        hold = {**HOLD, "issued_at_ms": time.time() * 1000.0, "payload": "hold"}
+        search = {"class": "planner", "group": "planner-desk", "query": "x"}
+        async with LocalFleet(plan) as fleet:
+            first, second = (item.client for item in fleet.instances)
+            faults = {"outage": "refused", "outage_ms": 1_500.0}
+            await fleet.store.send("PUT", "/faults", faults)
+            await asyncio.sleep(0.3)
+            down = [
+                await first.send("POST", "/v1/mutate", {**hold, "request_id": "m1"}),
+                await first.send("POST", "/v1/search", {**search, "request_id": "s1"}),
+            ]
+            await asyncio.sleep(2.5)
+            up = [
+                await first.send("POST", "/v1/mutate", {**hold, "request_id": "m2"}),
+                await second.send("POST", "/v1/mutate", {**hold, "request_id": "m3"}),
+            ]
+            await fleet.put_document(plan.document_text, revision=2)
+            await asyncio.sleep(2.0)
+            revisions = [
+                (await client.send("GET", "/v1/admin/status")).body[
+                    "configuration_revision"
+                ]
+                for client in (first, second)
+            ]
+            return down, up, revisions
+
+    down, up, revisions = asyncio.run(scenario())
+    names = [reply.body["result"] for reply in (*down, *up)]
+    assert names == ["STORE_UNAVAILABLE", "OK", "OK", "KEY_ALREADY_CLAIMED"]
+    assert down[0].body["run"] == "no"
+    assert revisions == [2, 2]
