--- a/chestnuthall/core/claims/_machine.py
+++ b/chestnuthall/core/claims/_machine.py
@@ -29,6 +29,7 @@
     WritePartition,
     WriteSucceeded,
 )
+from chestnuthall.core.claims._failures import failure_of_decision
 from chestnuthall.core.claims._ledger import (
     ClaimDecision,
     KeyClaim,
@@ -40,10 +41,6 @@
 from chestnuthall.core.results import (
     CLAIM_UNSETTLED,
     DEADLINE_PASSED,
-    INVALID_REQUEST,
-    KEY_ALREADY_CLAIMED,
-    KEY_EXPIRED,
-    LEDGER_FULL,
     RATE_LIMITED,
     Failure,
     RunState,
@@ -57,6 +54,11 @@
 N_ABANDON_ROUNDS_MAX = 6
 # Writes in a row that the store may refuse for load before the claims fail.
 N_RATE_LIMITED_MAX = 3
+# Reads in a row that must find the cached version before it is trusted again;
+# a conflict costs a write, which is scarcer than a read.
+N_AGREEING_READS = 3
+# Age up to which a read is written from where other instances write as well.
+FRESH_MS = 10.0
 BACKOFF_FIRST_MS = 5.0
 BACKOFF_MAX_MS = 250.0
 
@@ -76,7 +78,7 @@
 
     ``cached`` is the last known version with its content; it saves the read
     before a write. It is trusted until a write from it conflicts, and again
-    once a read shows that it would have been right.
+    once several reads in a row showed that it would have been right.
     """
 
     def __init__(self, settings: LedgerSettings) -> None:
@@ -97,7 +99,11 @@
         # by what it returned, since a key may be abandoned between two reads.
         self.read_for: frozenset[str] = frozenset()
         self.needs_read = False
+        # The turn for a write was granted before the read that is under way.
+        self.has_turn = False
+        self.read_wall_ms = 0.0
         self.is_cache_trusted = True
+        self.n_agreeing_reads = 0
         self.n_retries = 0
         self.n_rate_limited = 0
 
@@ -112,7 +118,7 @@
 
     def advance(self) -> list[ClaimAction]:
         """Begin the next read or write if there is work."""
-        if not self.waiting and not self.abandons:
+        if not self.has_work:
             return self.rest()
         if not self.waiting and self.n_retries > N_ABANDON_ROUNDS_MAX:
             self.abandons.clear()
@@ -122,10 +128,16 @@
         self.phase = Phase.AWAITING_TURN
         return [AwaitTurn()]
 
+    @property
+    def has_work(self) -> bool:
+        """Whether anything waits for a read or a write."""
+        return bool(self.waiting or self.abandons)
+
     def rest(self) -> list[ClaimAction]:
         """Wait for the next request; nothing is retried without one."""
         self.phase = Phase.IDLE
         self.n_retries = 0
+        self.has_turn = False
         return []
 
     def begin_read(self) -> list[ClaimAction]:
@@ -225,13 +237,19 @@
         claims.doubtful.clear()
         _drop_absent_abandons(event.partition, claims)
     refused = _refuse_read_for(event, claims)
+    if claims.has_turn and claims.has_work:
+        return [*settled, *refused, *_write(event.wall_ms, claims)]
     return [*settled, *refused, *claims.advance()]
 
 
 def _note_read(event: PartitionRead, claims: PartitionClaims) -> None:
     if claims.cached is not None:
-        claims.is_cache_trusted = claims.cached[0] == event.version
+        is_same = claims.cached[0] == event.version
+        claims.n_agreeing_reads = claims.n_agreeing_reads + 1 if is_same else 0
+        if claims.n_agreeing_reads >= N_AGREEING_READS:
+            claims.is_cache_trusted = True
     claims.cached = (event.version, event.partition)
+    claims.read_wall_ms = event.wall_ms
     claims.min_version = event.version
     if claims.lost_version is not None and event.version > claims.lost_version:
         # The lost write took effect before this read or never will.
@@ -286,11 +304,24 @@
 
 @_apply.register
 def _(event: TurnGranted, claims: PartitionClaims) -> list[ClaimAction]:
+    if not claims.has_work:
+        return claims.rest()
+    age_ms = event.wall_ms - claims.read_wall_ms
+    if not claims.is_cache_trusted and age_ms > FRESH_MS:
+        # Another writer has probably moved the version during the wait.
+        claims.has_turn = True
+        return claims.begin_read()
+    return _write(event.wall_ms, claims)
+
+
+def _write(wall_ms: float, claims: PartitionClaims) -> list[ClaimAction]:
+    """Write everything that can be claimed, on condition of the cached version."""
     assert claims.cached is not None
+    claims.has_turn = False
     version, partition = claims.cached
     base = remove_claims(partition, claims.abandons.values())
     group = _first_of_each_key(claims)
-    changed, decisions = add_claims(base, group, claims.settings, event.wall_ms)
+    changed, decisions = add_claims(base, group, claims.settings, wall_ms)
     accepted = [c for c in group if decisions[c.token] is ClaimDecision.CLAIMED]
     claims.needs_read = len(accepted) < len(group)
     is_same = base is partition and not accepted
@@ -329,6 +360,7 @@
     claims.min_version = claims.cached[0] + 1
     claims.cached = None
     claims.is_cache_trusted = False
+    claims.n_agreeing_reads = 0
     claims.take_back_written()
     return claims.retry(claims.backoff_ms() * event.jitter_ratio)
 
@@ -359,16 +391,3 @@
 @_apply.register
 def _(event: DelayEnded, claims: PartitionClaims) -> list[ClaimAction]:
     return claims.advance()
-
-
-def failure_of_decision(decision: ClaimDecision) -> Failure | None:
-    """Return the refusal that a decision stands for, or None for a claim held."""
-    if decision is ClaimDecision.CLAIMED:
-        return None
-    if decision is ClaimDecision.HELD_BY_OTHER:
-        return KEY_ALREADY_CLAIMED.because("another request claimed the key")
-    if decision is ClaimDecision.EXPIRED:
-        return KEY_EXPIRED.because("the key was issued before the ledger's floor")
-    if decision is ClaimDecision.ISSUED_IN_FUTURE:
-        return INVALID_REQUEST.because("issued_at_ms lies in the future")
-    return LEDGER_FULL.because("the key's ledger partition is full")
--- a/chestnuthall/daemon/tests/test_configuration_on_store.py
+++ b/chestnuthall/daemon/tests/test_configuration_on_store.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from contextlib import suppress
+from itertools import combinations
 
 import pytest
 
@@ -15,6 +16,7 @@
     StoreWorld,
     configuration_text,
 )
+from chestnuthall.ports import WatchBatch
 from chestnuthall.standins.objectapi import Outage, StoreFaults
 from chestnuthall.standins.virtual_time import run_virtual
 
@@ -55,21 +57,18 @@
     return logs, result
 
 
-@pytest.mark.parametrize("watchers", [(0, 1, 2), (1,)], ids=["all-watch", "one"])
-@pytest.mark.parametrize("fault", FAULTS)
-@pytest.mark.parametrize("step", STEPS)
-def test_fault_at_step(step, fault, watchers):
-    """Revisions must not revert under a fault, and arrive in time after it."""
+def run_fault_case(step, faults, watchers):
+    """Accept a revision under a fault, or after an outage, and check its way."""
 
     async def scenario(world):
         await world.accept(1)
         if STEPS[step] < 0.0:
-            world.service.set_faults(StoreFaults(**FAULTS[fault]))
+            world.service.set_faults(StoreFaults(**faults))
 
         async def act():
             await asyncio.sleep(max(0.0, STEPS[step]))
-            world.service.set_faults(StoreFaults(**FAULTS[fault]))
-            await asyncio.sleep(21.0 if fault in OUTAGES else 0.5)
+            world.service.set_faults(StoreFaults(**faults))
+            await asyncio.sleep(21.0 if "outage" in faults else 0.5)
             accepted_ms = world.clock.now_ms()
             await world.accept(2)
             await asyncio.sleep(BOUND_MS / 1000.0)
@@ -83,9 +82,31 @@
         assert log[-1][1] - accepted_ms <= BOUND_MS
 
 
+@pytest.mark.parametrize("watchers", [(0, 1, 2), (1,)], ids=["all-watch", "one"])
+@pytest.mark.parametrize("fault", FAULTS)
+@pytest.mark.parametrize("step", STEPS)
+def test_fault_at_step(step, fault, watchers):
+    """Revisions must not revert under a fault, and arrive in time after it."""
+    run_fault_case(step, FAULTS[fault], watchers)
+
+
+@pytest.mark.parametrize(
+    ("first", "second"),
+    [
+        pytest.param(a, b, id=f"{a}+{b}")
+        for a, b in combinations(FAULTS, 2)
+        if a != "calm" and b not in OUTAGES
+    ],
+)
+def test_pair_of_faults(first, second):
+    """Two faults together must not break what each alone keeps."""
+    run_fault_case("during-watch", {**FAULTS[first], **FAULTS[second]}, (0, 1))
+
+
+@pytest.mark.parametrize("watchers", [(0,), ()], ids=["watcher", "not-a-watcher"])
 @pytest.mark.parametrize("offset_s", [0.0, 0.7, 1.9, 3.3, 4.9])
-def test_hung_watch_does_not_delay(offset_s):
-    """A watch that hangs when a store recovers must not hold news back."""
+def test_hung_call_does_not_delay(offset_s, watchers):
+    """A call that hangs when a store recovers must not hold news back."""
 
     async def scenario(world):
         await world.accept(1)
@@ -101,10 +122,28 @@
 
         return await run_keepers(world, act)
 
-    logs, _ = run_virtual(scenario(StoreWorld(n=1, watchers=(0,))))
+    logs, _ = run_virtual(scenario(StoreWorld(n=1, watchers=watchers)))
     assert logs[0][-1][0] == 2
 
 
+def test_watch_that_ends_at_once_is_not_repeated_at_once():
+    """A store that ends watches early must not be asked in a tight loop."""
+
+    async def scenario(world):
+        await world.accept(1)
+
+        async def end_at_once(kind, after_version, timeout_ms):
+            return WatchBatch(after_version, ())
+
+        world.clients[0].watch = end_at_once
+        task = asyncio.ensure_future(world.keepers[0].run())
+        await asyncio.sleep(60.0)
+        task.cancel()
+        return sum(world.stores[0].calls_in_last_minute().values())
+
+    assert run_virtual(scenario(StoreWorld(n=1))) <= 65
+
+
 def test_cut_off_instance_learns_from_peers():
     """An instance that reaches peers but not the store must follow them."""
 
@@ -240,6 +279,41 @@
     assert revision == (4 if expected is RevisionDecision.APPLY else 3)
 
 
+@pytest.mark.parametrize(
+    ("in_force", "confirmed", "is_confirmed"),
+    [(2, 2, True), (2, 1, True), (1, 2, False), (None, 1, False)],
+    ids=["same", "older", "behind", "none-in-force"],
+)
+def test_confirmation_by_a_peer(in_force, confirmed, is_confirmed):
+    """An instance that is behind must not count as up to date."""
+
+    async def scenario(world):
+        keeper = world.keepers[0]
+        if in_force is not None:
+            keeper.offer_text(configuration_text(in_force), "test")
+        keeper.confirm(confirmed, 300.0)
+        return keeper.confirmation_age_ms
+
+    age_ms = run_virtual(scenario(StoreWorld()))
+    assert age_ms == (300.0 if is_confirmed else float("inf"))
+
+
+def test_stale_read_confirms_nothing():
+    """A read that is provably from the past must not count as up to date."""
+
+    async def scenario(world):
+        await world.accept(1)
+        keeper = world.keepers[0]
+        keeper.offer_text(configuration_text(2), "peer")
+        task = asyncio.ensure_future(keeper.run())
+        await asyncio.sleep(0.6)
+        task.cancel()
+        return keeper.confirmation_age_ms, keeper.revision
+
+    age_ms, revision = run_virtual(scenario(StoreWorld(watchers=())))
+    assert (age_ms, revision) == (float("inf"), 2)
+
+
 def test_failing_listener_does_not_stop_the_others():
     """A defect in one listener must not keep others on an old revision."""
 
