Refuse observations and notices that are older than the drain they meet

Cause: in one run of the new whole-process test, on a busy machine, a draining replica got 4 calls in the 4 s after the bound. A health check that began before the drain and ended after it can end the drain; whether it did in that run was not recorded. The state machine found a second fault: a new signal of an instance whose clock is behind was refused for as long as an expired notice was remembered. Change: the end of a drain states when its observation began, and does not end a drain that was learnt later. Once a notice has expired only its own echo is refused. Sequences of two instances in one millisecond differ. Ruled out: to forget ended notices at once (echoes bring them back).

--- a/chestnuthall/core/drains/_events.py
+++ b/chestnuthall/core/drains/_events.py
@@ -47,11 +47,16 @@
 
 @dataclass(frozen=True, slots=True)
 class CameBack(DrainEvent):
-    """This instance itself saw that a replica takes calls again."""
+    """This instance itself saw that a replica takes calls again.
+
+    ``observed_ms`` is the earliest time that the observation can stand for,
+    such as the start of a health check.
+    """
 
     wall_ms: float
     replica_name: str
     signal: DrainSignal
+    observed_ms: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnuthall/core/drains/_register.py
+++ b/chestnuthall/core/drains/_register.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 from heapq import nsmallest
+from random import Random
 
 from chestnuthall.core.drains._events import (
     CameBack,
@@ -24,6 +25,9 @@
 )
 
 
+N_ORIGINS = 1_024
+
+
 def _lifetimes() -> dict[DrainSignal, float]:
     return {
         DrainSignal.LIST: 30_000.0,
@@ -40,9 +44,11 @@
     """Durations in milliseconds; counts bound messages and memory."""
 
     lifetimes_ms: dict[DrainSignal, float] = field(default_factory=_lifetimes)
-    # Longer than any message takes, so that instances which forget a notice
-    # at slightly different times cannot give it back to each other.
+    # Longer than any message takes; a notice that ends sooner is not sent.
     remaining_min_ms: float = 1_000.0
+    # Each message that passes a notice on delays its end by the time it took.
+    # An ended notice is remembered for longer than these delays add up to, so
+    # that instances cannot give it back to each other.
     remembered_ms: float = 10_000.0
     n_notices_max: int = 8
     n_transmissions_max: int = 24
@@ -55,6 +61,7 @@
     signal: DrainSignal
     is_over: bool
     expires_ms: float
+    since_ms: float
     n_sent: int = 0
 
 
@@ -65,8 +72,12 @@
     echoes cannot prolong it; only a new signal at some instance can.
     """
 
-    def __init__(self, settings: DrainSettings | None = None) -> None:
+    def __init__(
+        self, settings: DrainSettings | None = None, origin_name: str = ""
+    ) -> None:
         self._settings = settings or DrainSettings()
+        # Keeps apart the sequences of two instances in the same millisecond.
+        self._origin = Random(origin_name).randrange(N_ORIGINS)
         self._records: dict[str, _Record] = {}
 
     def handle(self, event: DrainEvent) -> list[DrainAction]:
@@ -90,7 +101,7 @@
         expires_ms = event.now_ms + lifetime_ms
         was_held = record is not None and not self._is_ended(record, event.now_ms)
         self._records[event.replica_name] = _Record(
-            sequence, event.signal, False, expires_ms
+            sequence, event.signal, False, expires_ms, event.now_ms
         )
         stop = StopCalls(event.replica_name, expires_ms)
         # A renewal is not urgent: every instance still holds the old notice.
@@ -101,7 +112,9 @@
         record = self._records.get(event.replica_name)
         if record is None or self._is_ended(record, event.now_ms):
             return []
-        if not _is_ended_by(record.signal, event.signal):
+        # An observation that began before the drain was known may be older.
+        is_older = event.observed_ms <= record.since_ms
+        if is_older or not _is_ended_by(record.signal, event.signal):
             return []
         # The end is told for as long as any instance can hold the drain.
         longest_ms = max(
@@ -112,6 +125,7 @@
             event.signal,
             True,
             event.now_ms + longest_ms,
+            event.now_ms,
         )
         return [ResumeCalls(event.replica_name)]
 
@@ -126,14 +140,14 @@
 
     def _take_in(self, notice: Notice, now_ms: float) -> list[DrainAction]:
         record = self._records.get(notice.replica_name)
-        if record is not None and notice.sequence <= record.sequence:
+        if record is not None and not _replaces(notice, record, now_ms):
             return []
         if notice.remaining_ms <= 0.0:
             return []
         longest_ms = self._settings.lifetimes_ms[notice.signal]
         expires_ms = now_ms + min(notice.remaining_ms, longest_ms)
         self._records[notice.replica_name] = _Record(
-            notice.sequence, notice.signal, notice.is_over, expires_ms
+            notice.sequence, notice.signal, notice.is_over, expires_ms, now_ms
         )
         if notice.is_over:
             return [ResumeCalls(notice.replica_name)]
@@ -142,7 +156,7 @@
     def _next_sequence(self, record: _Record | None, wall_ms: float) -> int:
         """Return a number above the known one; the clock sorts the others."""
         known = 0 if record is None else record.sequence
-        return max(known + 1, int(wall_ms))
+        return max(known + 1, int(wall_ms) * N_ORIGINS + self._origin)
 
     def _is_ended(self, record: _Record, now_ms: float) -> bool:
         return record.is_over or record.expires_ms <= now_ms
@@ -190,6 +204,17 @@
         )
 
 
+def _replaces(notice: Notice, record: _Record, now_ms: float) -> bool:
+    """Return whether a notice of a peer is newer than what is held.
+
+    Once the held notice has expired, only its own echo is refused: a peer
+    whose clock is behind may have a new signal with a lower sequence.
+    """
+    if record.expires_ms <= now_ms:
+        return notice.sequence != record.sequence
+    return notice.sequence > record.sequence
+
+
 def _is_ended_by(started_by: DrainSignal, signal: DrainSignal) -> bool:
     if signal is DrainSignal.OPERATOR:
         return True
--- a/chestnuthall/core/membership/tests/test_machine.py
+++ b/chestnuthall/core/membership/tests/test_machine.py
@@ -10,6 +10,8 @@
     MembershipSettings,
     MemberState,
     NewsReceived,
+    Probe,
+    ProbeFailed,
     Tick,
 )
 
@@ -67,3 +69,27 @@
         machine.handle(NewsReceived(0.0, _news(index), ()))
     n_probes = sum(len(machine.handle(Tick(step * 100.0))) for step in range(200))
     assert 20_000 / interval_ms <= n_probes <= 20_000 / interval_ms / 0.85 + 1
+
+
+@pytest.mark.parametrize(
+    ("pause_ms", "is_condemned"), [(350.0, True), (450.0, False), (30_000.0, False)]
+)
+def test_answers_missed_in_a_pause_count_for_nothing(pause_ms, is_condemned):
+    """A probe that timed out in a pause of this process proves nothing."""
+    machine = MembershipMachine(_news(0), SETTINGS, Random(1))
+    machine.handle(NewsReceived(0.0, _news(1), ()))
+    (probe,) = machine.handle(Tick(0.0))
+    assert isinstance(probe, Probe)
+    machine.handle(ProbeFailed(pause_ms, probe.probe_id))
+    is_suspected = machine.news_of("entry-1").state is MemberState.SUSPECT
+    assert is_suspected is is_condemned
+
+
+def test_a_pause_stops_the_time_of_a_suspicion():
+    """A suspected instance must keep its time to answer across a pause."""
+    machine = MembershipMachine(_news(0), SETTINGS, Random(1))
+    suspect = _news(2, MemberState.SUSPECT)
+    machine.handle(NewsReceived(0.0, _news(1), (suspect,)))
+    for now_ms in (0.0, 30_000.0, 30_100.0, 31_000.0, 31_100.0, 31_200.0):
+        machine.handle(Tick(now_ms))
+    assert machine.news_of("entry-2").state is MemberState.SUSPECT
--- a/chestnuthall/daemon/_instance.py
+++ b/chestnuthall/daemon/_instance.py
@@ -97,7 +97,11 @@
             random,
         )
         self.drains = DrainNews(
-            self.directory, clock, self.instances, self.membership.spread_now
+            self.directory,
+            clock,
+            self.instances,
+            self.membership.spread_now,
+            settings.name,
         )
         quarantine = QuarantineRegister(QuarantineSettings())
         self.quarantines = QuarantineNews(quarantine, clock, self.membership.spread_now)
--- a/chestnuthall/services/_administration.py
+++ b/chestnuthall/services/_administration.py
@@ -39,7 +39,8 @@
 
     def resume_replica(self, name: str) -> None:
         """End the drain of a replica, whatever began it."""
-        self._drains.note_back(name, DrainSignal.OPERATOR)
+        now_ms = self._clock.now_ms()
+        self._drains.note_back(name, DrainSignal.OPERATOR, now_ms)
 
     def quarantines(self) -> tuple[QuarantineView, ...]:
         """Return the requests that have cost replicas."""
--- a/chestnuthall/services/_drain_news.py
+++ b/chestnuthall/services/_drain_news.py
@@ -49,12 +49,12 @@
         clock: Clock,
         instances: InstanceList,
         spread: Spreader,
-        register: DrainRegister | None = None,
+        origin_name: str = "",
     ) -> None:
         self._directory = directory
         self._clock = clock
         self._spread = spread
-        self._register = register or DrainRegister()
+        self._register = DrainRegister(origin_name=origin_name)
         self._listed_leaving: set[str] = set()
         self._spreading: asyncio.Task[None] | None = None
         self._must_spread = False
@@ -65,10 +65,15 @@
         now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
         self._handle(Signalled(now_ms, wall_ms, replica_name, signal))
 
-    def note_back(self, replica_name: str, signal: DrainSignal) -> None:
-        """Note that this instance saw that a replica takes calls again."""
+    def note_back(
+        self, replica_name: str, signal: DrainSignal, observed_ms: float
+    ) -> None:
+        """Note that this instance saw that a replica takes calls again.
+
+        ``observed_ms`` is the time at which the observation began.
+        """
         now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
-        self._handle(CameBack(now_ms, wall_ms, replica_name, signal))
+        self._handle(CameBack(now_ms, wall_ms, replica_name, signal, observed_ms))
 
     def is_listed_leaving(self, replica_name: str) -> bool:
         """Return whether the platform's list says that a replica leaves."""
@@ -113,7 +118,7 @@
         for name in leaving - self._listed_leaving:
             self.signal(name, DrainSignal.LIST)
         for name in live & self._listed_leaving:
-            self.note_back(name, DrainSignal.LIST)
+            self.note_back(name, DrainSignal.LIST, self._clock.now_ms())
         self._listed_leaving = leaving
 
     def _handle(self, event: DrainEvent) -> None:
--- a/chestnuthall/services/_health_checks.py
+++ b/chestnuthall/services/_health_checks.py
@@ -89,6 +89,7 @@
         return duty
 
     async def _check(self, group: str, replica: Replica) -> None:
+        began_ms = self._clock.now_ms()
         result = await self._health.check_health(group, replica, HEALTH_TIMEOUT_MS)
         if self._drains.is_listed_leaving(replica.name):
             self._drains.signal(replica.name, DrainSignal.LIST)
@@ -98,4 +99,4 @@
         elif result:
             self._drains.signal(replica.name, DrainSignal.HEALTH)
         else:
-            self._drains.note_back(replica.name, DrainSignal.HEALTH)
+            self._drains.note_back(replica.name, DrainSignal.HEALTH, began_ms)
--- a/chestnuthall/services/_quarantine_news.py
+++ b/chestnuthall/services/_quarantine_news.py
@@ -10,7 +10,7 @@
 N_NOTICES_MAX = 8
 N_REPLICA_NAMES_MAX = 4
 N_TRANSMISSIONS_MAX = 24
-# Longer than any message takes; see the drain register.
+# Longer than any message takes; a notice that ends sooner is not sent.
 REMAINING_MIN_MS = 1_000.0
 # How often the register is searched for losses that this instance saw.
 LOOK_INTERVAL_MS = 100.0
