Test the lift of a quarantine against old notices directly

Cause: two mutations survived: an old quarantine notice that comes after its lift, and drain notices that are sent within their last second. The fleet test could not order the messages, and the ring's steps never met the last second. Change: a table on QuarantineNews itself; the ring steps by 430 ms and sends without limit. No code was changed.

--- a/chestnuthall/core/drains/tests/test_register.py
+++ b/chestnuthall/core/drains/tests/test_register.py
@@ -149,13 +149,14 @@
 @pytest.mark.parametrize("n_instances", [2, 8])
 def test_slow_echoes_do_not_keep_a_drain_alive(n_instances):
     """A ring that passes news on as late as a message can be must fall silent."""
-    registers = [DrainRegister() for _ in range(n_instances)]
+    unbounded = DrainSettings(n_transmissions_max=10_000)
+    registers = [DrainRegister(unbounded) for _ in range(n_instances)]
     registers[0].handle(Signalled(0.0, 1e12, "r", HEALTH))
     now_ms, index = 0.0, 0
     while now_ms < 120_000.0:
         notices = registers[index].take_notices(now_ms)
         assert all(notice.remaining_ms >= 1_000.0 for notice in notices)
-        now_ms += DELAY_MAX_MS
+        now_ms += 430.0
         index = (index + 1) % n_instances
         registers[index].handle(NoticesReceived(now_ms, notices))
         if now_ms > LIFETIME_MS + n_instances * DELAY_MAX_MS:
--- a/chestnuthall/daemon/tests/test_urgent_news.py
+++ b/chestnuthall/daemon/tests/test_urgent_news.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import replace
 from random import Random
+from types import SimpleNamespace
 
 import pytest
 
@@ -18,6 +19,7 @@
 from chestnuthall.core.quarantine import QuarantineRegister, QuarantineSettings
 from chestnuthall.core.results import CONNECTION_REFUSED
 from chestnuthall.daemon.tests.virtual_fleet import VirtualFleet
+from chestnuthall.ports import PeerDigest, QuarantineNotice
 from chestnuthall.services import (
     Directory,
     DrainNews,
@@ -274,3 +276,23 @@
         return parts["directory"].router("late").holds(REPLICA, 1, now_ms)
 
     assert not run_virtual(scenario())
+
+
+@pytest.mark.parametrize(("sequence", "is_refused"), [(4, False), (6, True)])
+def test_only_a_later_loss_follows_a_lift(sequence, is_refused):
+    """An old notice that arrives after the lift must change nothing."""
+    clock = SimpleNamespace(now_ms=lambda: 0.0, wall_ms=lambda: 0.0)
+    news = QuarantineNews(QuarantineRegister(QuarantineSettings()), clock, None)
+    digest = PeerDigest(
+        sender="entry-1",
+        sender_address="a:1",
+        incarnation=1,
+        configuration_revision=0,
+        configuration_digest="",
+        quarantines=(
+            QuarantineNotice("f", (), 60_000.0, 5),
+            QuarantineNotice("f", ("r1", "r2"), 60_000.0, sequence),
+        ),
+    )
+    news.absorb(digest)
+    assert news.is_quarantined("f") is is_refused
