--- a/chestnuthall/daemon/tests/test_urgent_news.py
+++ b/chestnuthall/daemon/tests/test_urgent_news.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import replace
 from random import Random
+from types import SimpleNamespace
 
 import pytest
 
@@ -18,6 +19,7 @@
 from chestnuthall.core.quarantine import QuarantineRegister, QuarantineSettings
 from chestnuthall.core.results import CONNECTION_REFUSED
 from chestnuthall.daemon.tests.virtual_fleet import VirtualFleet
+from chestnuthall.ports import PeerDigest, QuarantineNotice
 from chestnuthall.services import (
     Directory,
     DrainNews,
@@ -46,7 +48,7 @@
         return self.is_draining
 
 
-def make_fleet(upstream, seed=1):
+def make_fleet(upstream, seed=1, n_instances=N):
     def add_parts(instance, clock, listed):
         random = Random(seed)
         directory = Directory(None, None, clock, None, "zone-a", random)
@@ -73,7 +75,7 @@
             loop.create_task(quarantines.run()),
         ]
 
-    return VirtualFleet(N, seed, add_parts)
+    return VirtualFleet(n_instances, seed, add_parts)
 
 
 def n_using(fleet):
@@ -153,6 +155,20 @@
     assert run_virtual(scenario()) == 0
 
 
+def test_urgent_news_does_not_wait_for_probes():
+    """At a larger fleet the probes alone would take longer than the bound."""
+
+    async def scenario():
+        upstream = Upstream()
+        fleet = make_fleet(upstream, n_instances=60)
+        await fleet.settle()
+        _by_answer(fleet, upstream)
+        await asyncio.sleep(0.1)
+        return n_using(fleet)
+
+    assert run_virtual(scenario()) <= 3
+
+
 @pytest.mark.parametrize("signal", ["list", "health", "refused", "answer"])
 def test_replica_that_comes_back_is_used(signal):
     """A drain must end everywhere once its cause has ended, without an echo."""
@@ -220,8 +236,12 @@
             lose_replica(parts["register"], index, now_ms)
         await asyncio.sleep(BOUND_S)
         n_before = n_refusing()
+        # One instance misses the lift and then passes on what it still holds.
+        fleet.instances["entry-8"].host.pause()
         await fleet.instances["entry-5"].parts["quarantines"].lift("f")
         await asyncio.sleep(BOUND_S)
+        fleet.instances["entry-8"].host.resume()
+        await asyncio.sleep(BOUND_S)
         n_after = n_refusing()
         await asyncio.sleep(120.0)
         return n_before, n_after, n_refusing()
@@ -262,3 +282,23 @@
         return parts["directory"].router("late").holds(REPLICA, 1, now_ms)
 
     assert not run_virtual(scenario())
+
+
+@pytest.mark.parametrize(("sequence", "is_refused"), [(4, False), (6, True)])
+def test_only_a_later_loss_follows_a_lift(sequence, is_refused):
+    """An old notice that arrives after the lift must change nothing."""
+    clock = SimpleNamespace(now_ms=lambda: 0.0, wall_ms=lambda: 0.0)
+    news = QuarantineNews(QuarantineRegister(QuarantineSettings()), clock, None)
+    digest = PeerDigest(
+        sender="entry-1",
+        sender_address="a:1",
+        incarnation=1,
+        configuration_revision=0,
+        configuration_digest="",
+        quarantines=(
+            QuarantineNotice("f", (), 60_000.0, 5),
+            QuarantineNotice("f", ("r1", "r2"), 60_000.0, sequence),
+        ),
+    )
+    news.absorb(digest)
+    assert news.is_quarantined("f") is is_refused
