Close the gaps that mutations found in the tests

Cause: of 45 broken lines five went unnoticed: the age of the oldest call in flight, the spare part of a connection cap, the zone of a probe, the probe of a resend whose first query ended early, and keeping a good old answer.

Change: a case for each, and cases for cancelled slow calls and for the ramp of a restarted replica.

--- a/chestnuthall/core/fanout/tests/test_stragglers.py
+++ b/chestnuthall/core/fanout/tests/test_stragglers.py
@@ -1,5 +1,7 @@
 """Guards hedges, retries and replans of one fan-out."""
 
+from dataclasses import replace
+
 import pytest
 
 from chestnuthall.core.fanout import (
@@ -9,6 +11,7 @@
     Cancel,
     MapReplaced,
     TimerFired,
+    Warned,
 )
 from chestnuthall.core.fanout.tests.test_machine import (
     DEADLINE_MS,
@@ -18,7 +21,7 @@
     make_fan_out,
     make_map,
 )
-from chestnuthall.core.model import ShardAnswer
+from chestnuthall.core.model import PartitionMap, ShardAnswer
 from chestnuthall.core.results import CONNECTION_LOST, NO_REPLICA, SNAPSHOT_GONE
 
 HEDGE_DELAY_MS = 50.0
@@ -118,3 +121,26 @@
             fan_out.context.router.state_of(shard.replicas[0].name).note_missing(2, 2.0)
     actions = fan_out.handle(MapReplaced(now_ms, another))
     assert len(calls_of(actions)) == n_replanned
+    completion = completion_of(actions)
+    assert (completion is None) == (n_replanned > 0)
+    if completion is not None:
+        assert completion.snapshot_id == 1
+        assert completion.coverage.n_documents_covered == 200
+
+
+def test_probe_leaves_the_zone_that_lost_a_replica():
+    """The verdict must not come from a zone that is failing."""
+    fan_out, _ = begin()
+    (shard,) = fan_out.partition_map.shards
+    zones = ("z", "z", "other")
+    pairs = zip(shard.replicas, zones, strict=True)
+    replicas = tuple(replace(replica, zone=zone) for replica, zone in pairs)
+    partition_map = PartitionMap("g", 1, (replace(shard, replicas=replicas),))
+    fan_out = make_fan_out(partition_map=partition_map)
+    router = fan_out.context.router
+    # The last replica is chosen only to leave the zone of the others.
+    occupy(router, replicas[2:], 2)
+    (call,) = calls_of(fan_out.handle(Begin(0.0)))
+    fan_out.handle(CallFailed(1.0, call.call_id, CONNECTION_LOST.because("x")))
+    (probe,) = calls_of(fan_out.handle(Warned(2.0)))
+    assert probe.replica.name == replicas[2].name
--- a/chestnuthall/core/routing/tests/test_routing.py
+++ b/chestnuthall/core/routing/tests/test_routing.py
@@ -11,7 +11,12 @@
     Shard,
     ShardAnswer,
 )
-from chestnuthall.core.results import CONNECTION_LOST, NO_REPLICA, SNAPSHOT_GONE
+from chestnuthall.core.results import (
+    CALL_CANCELLED,
+    CONNECTION_LOST,
+    NO_REPLICA,
+    SNAPSHOT_GONE,
+)
 from chestnuthall.core.routing import (
     ConnectionShare,
     ExtraLoadBudget,
@@ -117,9 +122,34 @@
     assert "r0" in chosen(router, shard, 11.0)
     for replica in replicas[1:]:
         router.on_answered(replica, 10.0, ANSWER, 20.0)
+        router.on_started(replica, 59.0)
     assert "r0" not in chosen(router, shard, 60.0)
 
 
+def test_cancelled_slow_call_keeps_others_away():
+    """A replica whose late calls are cancelled must not look fast."""
+    router, shard, replicas = make_router()
+    for i in range(30):
+        answer(router, replicas[i % 3], 10.0, 10.0)
+    router.on_started(replicas[0], 10.0)
+    cancelled = CALL_CANCELLED.because("hedge won")
+    router.on_failed(replicas[0], cancelled, 1, 10.0, 30.0)
+    assert "r0" not in chosen(router, shard, 31.0)
+    assert "r0" in chosen(router, shard, 10_000.0)
+
+
+def test_restarted_replica_gets_less_at_first():
+    """A replica that is back but cold must not get its whole load at once."""
+    router, shard, replicas = make_router()
+    for replica in replicas:
+        answer(router, replica, 10.0, 0.0)
+    fail(router, replicas[0], NO_REPLICA, 0.0)
+    fail(router, replicas[0], NO_REPLICA, 0.0)
+    answer(router, replicas[0], 10.0, 1_000.0)
+    assert "r0" not in chosen(router, shard, 1_010.0)
+    assert "r0" in chosen(router, shard, 3_010.0)
+
+
 def test_hedge_needs_a_free_slot():
     """A hedge must not join a queue."""
     router, shard, replicas = make_router(n_slots=2)
@@ -155,8 +185,9 @@
     assert router.may_call(replica, 1, 3_000.0)
 
 
-@pytest.mark.parametrize("seed", range(5))
-def test_connections_never_pass_the_cap(seed):
+@pytest.mark.parametrize("n_connections_max", [30, 35, 110])
+@pytest.mark.parametrize("seed", range(3))
+def test_connections_never_pass_the_cap(seed, n_connections_max):
     """Instances that start and leave must not exhaust an upstream's connections."""
     random = Random(seed)
     shares = {i: ConnectionShare(0.0) for i in range(9)}
@@ -167,8 +198,9 @@
         for share in shares.values():
             share.observe(n_alive, now_ms)
         # One instance of a rolling restart starts before the others see it.
-        if step % 40 == 20 and n_alive < 12:
+        if step % 25 == 24 and n_alive < 12 and random.random() < 0.5:
             shares[100 + step] = ConnectionShare(now_ms)
-        elif step % 40 == 0 and n_alive > 6:
+        elif step % 25 == 24 and n_alive > 6:
             del shares[random.choice(list(shares))]
-        assert sum(share.budget(30) for share in shares.values()) <= 30
+        budgets = [share.budget(n_connections_max) for share in shares.values()]
+        assert sum(budgets) <= n_connections_max
--- a/chestnuthall/services/tests/test_crashing_requests.py
+++ b/chestnuthall/services/tests/test_crashing_requests.py
@@ -64,20 +64,24 @@
 
 
 @pytest.mark.parametrize(
-    ("kind", "crash_shards", "crash_ms", "gap_ms", "n_lost_max"),
+    ("kind", "crash_shards", "crash_ms", "gap_ms", "n_lost_max", "credit"),
     [
-        pytest.param("lookup", "s1", 1.0, None, 2, id="lookup"),
-        pytest.param("lookup", "s1", 1.0, 4.0, 2, id="lookup-resent-during-probe"),
-        pytest.param("lookup", "s1", 60.0, None, 2, id="lookup-crash-after-hedge"),
-        pytest.param("mutation", "s1", 1.0, None, 2, id="mutation-with-new-keys"),
-        pytest.param("search", "s1", 1.0, None, 2, id="search-crashes-one-shard"),
+        pytest.param("lookup", "s1", 1.0, None, 2, 9.0, id="lookup"),
+        pytest.param("lookup", "s1", 1.0, 4.0, 2, 9.0, id="lookup-resent-during-probe"),
+        pytest.param("lookup", "s1", 60.0, None, 2, 9.0, id="lookup-crash-after-hedge"),
+        pytest.param("mutation", "s1", 1.0, None, 2, 9.0, id="mutation-with-new-keys"),
+        pytest.param("search", "s1", 1.0, None, 2, 9.0, id="search-crashes-one-shard"),
         # The calls of the first wave run at once; one probe follows.
-        pytest.param("search", "s0 s1 s2", 1.0, None, 4, id="search-crashes-all"),
-        pytest.param("search", "s0 s1 s2", 1.0, 8.0, 4, id="search-resent-at-once"),
+        pytest.param("search", "s0 s1 s2", 1.0, None, 4, 9.0, id="search-crashes-all"),
+        pytest.param(
+            "search", "s0 s1 s2", 1.0, 8.0, 4, 9.0, id="search-resent-at-once"
+        ),
+        # Without credit the first query ends before its probe.
+        pytest.param("search", "s0 s1 s2", 1.0, None, 4, -20.0, id="search-no-credit"),
     ],
 )
 def test_crashing_request_costs_few_replicas(
-    kind, crash_shards, crash_ms, gap_ms, n_lost_max
+    kind, crash_shards, crash_ms, gap_ms, n_lost_max, credit
 ):
     """A request that its caller resends must not take down replica after replica."""
 
@@ -86,6 +90,8 @@
         fleet.upstreams.crashing.add("poison")
         fleet.upstreams.crash_shards = set(crash_shards.split())
         fleet.upstreams.crash_ms = crash_ms
+        for world in fleet.worlds:
+            world.query._budgets["c"]._credit = credit
         outcomes = await resend_everywhere(fleet, kind, gap_ms)
         assert len(fleet.upstreams.dead) <= n_lost_max
         assert outcomes[-1].failure.kind is QUARANTINED
