--- a/chestnuthall/adapters/upstreams/_caller.py
+++ b/chestnuthall/adapters/upstreams/_caller.py
@@ -28,7 +28,8 @@
 )
 from chestnuthall.ports import Clock
 
-N_CONNECTIONS_DEFAULT = 3
+# Until the group of a replica, and with it the budget, is known.
+N_CONNECTIONS_DEFAULT = 1
 # How long the connection of a cancelled call may wait for the rest of its
 # answer. Opening another one costs the upstream up to 6 ms.
 DRAIN_TIMEOUT_MS = 1_000.0
@@ -63,6 +64,10 @@
             self._pools[address] = pool
             self._group_of_address[address] = group
             self._spawn(pool.warm_up())
+        elif group and not self._group_of_address[address]:
+            # A map was fetched from the replica before its first call.
+            self._group_of_address[address] = group
+            pool.set_budget(self._budgets.get(group, N_CONNECTIONS_DEFAULT))
         return pool
 
     async def call(self, call: ShardCall) -> ShardAnswer | Failure:
--- a/chestnuthall/core/fanout/_hedges.py
+++ b/chestnuthall/core/fanout/_hedges.py
@@ -10,20 +10,18 @@
 HEDGE_RETRY_MS = 5.0
 
 
-def hedge_due_ms(state: FanOutState, progress: ShardProgress) -> float | None:
+def hedge_due_ms(progress: ShardProgress, delay_ms: float) -> float | None:
     """Return when a hedge of the shard is to be considered, or None for never."""
     oldest = progress.oldest
-    if oldest is None or not _may_hedge(state, progress):
+    if oldest is None or not _may_hedge(progress):
         return None
-    due_ms = oldest.started_ms + state.context.router.hedge_delay_ms()
-    return max(due_ms, progress.hedge_not_before_ms)
+    return max(oldest.started_ms + delay_ms, progress.hedge_not_before_ms)
 
 
-def _may_hedge(state: FanOutState, progress: ShardProgress) -> bool:
+def _may_hedge(progress: ShardProgress) -> bool:
     return (
         progress.answer is None
         and not progress.is_hedged
-        and is_idempotent(state.request)
         and len(progress.shard.replicas) > 1
     )
 
@@ -33,11 +31,12 @@
 
     A suspected request is not hedged: it runs on one replica at a time.
     """
-    if state.is_suspected(now_ms):
+    if state.is_suspected(now_ms) or not is_idempotent(state.request):
         return []
+    delay_ms = state.context.router.hedge_delay_ms()
     due = []
     for progress in state.shards.values():
-        due_ms = hedge_due_ms(state, progress)
+        due_ms = hedge_due_ms(progress, delay_ms)
         oldest = progress.oldest
         if oldest is not None and due_ms is not None and due_ms <= now_ms:
             due.append((oldest, progress))
--- a/chestnuthall/core/fanout/_machine.py
+++ b/chestnuthall/core/fanout/_machine.py
@@ -1,11 +1,18 @@
 """The state machine of one query: events in, actions out."""
 
-from chestnuthall.core.fanout._events import Action, Complete, Event, SetTimer
+from chestnuthall.core.fanout._events import (
+    Action,
+    CallAnswered,
+    Complete,
+    Event,
+    SetTimer,
+)
 from chestnuthall.core.fanout._handlers import apply_event
 from chestnuthall.core.fanout._hedges import hedge_due_ms
 from chestnuthall.core.fanout._outcome import completion_of
 from chestnuthall.core.fanout._probes import held_shards
 from chestnuthall.core.fanout._state import FanOutState
+from chestnuthall.core.model import is_idempotent
 
 # An event loop may fire a timer early by its clock's resolution. Without this
 # distance the same timer would be set again for the same instant.
@@ -26,7 +33,11 @@
         if self.is_complete:
             return []
         actions = apply_event(event, self)
-        return actions + self._settle(event.now_ms)
+        # An answer that starts nothing moves no due time forward, and a timer
+        # that fires early is harmless. Setting it anew for each answer would
+        # cost a pass over all shards each time.
+        is_plain_answer = isinstance(event, CallAnswered) and not actions
+        return actions + self._settle(event.now_ms, is_plain_answer)
 
     def complete(self, now_ms: float) -> list[Action]:
         """End the query with what was merged."""
@@ -43,12 +54,13 @@
         )
         return actions
 
-    def _settle(self, now_ms: float) -> list[Action]:
+    def _settle(self, now_ms: float, may_keep_timer: bool) -> list[Action]:
         if now_ms >= self.request.deadline_ms or self._may_stop_early(now_ms):
             return self.complete(now_ms)
-        is_settled = all(item.is_settled for item in self.shards.values())
-        if is_settled and not self.is_replanning:
+        if self.is_settled and not self.is_replanning:
             return self.complete(now_ms)
+        if may_keep_timer:
+            return []
         earliest_ms = now_ms + TIMER_DISTANCE_MIN_MS
         return [SetTimer(max(earliest_ms, self._next_due_ms(now_ms)))]
 
@@ -72,10 +84,12 @@
         if held_shards(self):
             held_ms = self.context.quarantine.held_until_ms(self.request.fingerprint)
             due_ms = min(due_ms, max(held_ms, now_ms + HELD_CHECK_MS))
+        may_hedge = is_idempotent(self.request)
+        delay_ms = self.context.router.hedge_delay_ms()
         for progress in self.shards.values():
             if progress.retry_at_ms is not None:
                 due_ms = min(due_ms, progress.retry_at_ms)
-            hedge_ms = hedge_due_ms(self, progress)
+            hedge_ms = hedge_due_ms(progress, delay_ms) if may_hedge else None
             if hedge_ms is not None:
                 due_ms = min(due_ms, hedge_ms)
         return due_ms
--- a/chestnuthall/core/fanout/_state.py
+++ b/chestnuthall/core/fanout/_state.py
@@ -75,6 +75,7 @@
         self.slowest_shard_ms = 0.0
         self._shard_of_call: dict[str, str] = {}
         self._n_call_ids = 0
+        self._unsettled: list[ShardProgress] = []
 
     def plan(self, partition_map: PartitionMap) -> None:
         """Pin a map and forget everything that was merged from another one."""
@@ -83,6 +84,17 @@
             shard.shard_id: ShardProgress(shard)
             for shard in target_shards(self.request, partition_map)
         }
+        self._unsettled = list(self.shards.values())
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether nothing more will come from any shard.
+
+        A settled shard stays settled, so each one is passed only once.
+        """
+        while self._unsettled and self._unsettled[-1].is_settled:
+            self._unsettled.pop()
+        return not self._unsettled
 
     def dispatch_all(self, now_ms: float) -> list[Action]:
         """Start the first call of every shard."""
--- a/chestnuthall/core/fanout/tests/test_machine.py
+++ b/chestnuthall/core/fanout/tests/test_machine.py
@@ -245,3 +245,11 @@
         if isinstance(item, SetTimer)
     ]
     assert timer.at_ms > now_ms + 0.01
+
+
+def test_answers_do_not_set_the_timer_again():
+    """A pass over all shards for each answer would grow with their square."""
+    fan_out = make_fan_out(partition_map=make_map(20))
+    actions = fan_out.handle(Begin(0.0))
+    for call in calls_of(actions)[:-1]:
+        assert fan_out.handle(CallAnswered(1.0, call.call_id, answer_to(call))) == []
