Divide the slots over the fleet and let the limit hold on average

Cause: every instance admitted up to the whole group's slots, and a new configuration started fresh queues beside the running work.

Change: the limit is an average with credit and debt, so that a part of about one search per instance is used in full; use is exchanged with incarnation and sequence; parts follow the demand of the same time; shard calls give their room back as they end; admissions outlive revisions; the account names the rule that decided and what went ahead.

--- a/benchmarks/_fleet.py
+++ b/benchmarks/_fleet.py
@@ -16,9 +16,11 @@
 from chestnuthall.core.results import CONFIGURATION_REJECTED, INVALID_REQUEST
 from chestnuthall.ports import MemberUpdate, PeerService
 from chestnuthall.services import (
+    Admissions,
     ClaimLedger,
     ConfigurationKeeper,
     Directory,
+    FleetUse,
     Identity,
     Membership,
     QueryService,
@@ -57,8 +59,19 @@
             self.zone,
             random,
         )
+        admissions = Admissions(clock)
+        self.fleet_use = FleetUse(
+            self.name, clock, admissions, lambda: self.membership.members()
+        )
         self.membership = Membership(
-            identity, store, peers, clock, self.configuration, _read_member, random
+            identity,
+            store,
+            peers,
+            clock,
+            self.configuration,
+            _read_member,
+            random,
+            parts=(self.fleet_use,),
         )
         self.query = QueryService(
             identity=identity,
@@ -69,6 +82,7 @@
             configuration=self.configuration,
             ledger=ClaimLedger(store, clock, JsonPartitionCodec(), LedgerSettings()),
             quarantine=QuarantineRegister(QuarantineSettings()),
+            admissions=admissions,
         )
         fleet.peer_services[self.name] = self.membership
 
@@ -134,6 +148,7 @@
             instance.divide_connections(len(self.instances))
         for instance in self.instances:
             self._tasks.append(loop.create_task(instance.membership.run()))
+            self._tasks.append(loop.create_task(instance.fleet_use.run()))
 
     async def stop(self) -> None:
         """End the background work."""
--- a/chestnuthall/core/admission/__init__.py
+++ b/chestnuthall/core/admission/__init__.py
@@ -8,22 +8,42 @@
     ExpireDue,
     FleetUseReported,
     LimitChanged,
+    Reconfigured,
     Refuse,
     Release,
+    ReleasePart,
     Withdraw,
+    Woken,
 )
+from chestnuthall.core.admission._fleet import (
+    DemandHistory,
+    InstanceDemand,
+    UseLedger,
+    UseNews,
+    part_of_demand,
+)
+from chestnuthall.core.admission._limit import AdaptiveLimit
 from chestnuthall.core.admission._queue import AdmissionQueue
 
 __all__ = [
+    "AdaptiveLimit",
     "AdmissionAction",
     "AdmissionEvent",
     "AdmissionQueue",
     "Admit",
     "Arrive",
+    "DemandHistory",
     "ExpireDue",
     "FleetUseReported",
+    "InstanceDemand",
     "LimitChanged",
+    "Reconfigured",
     "Refuse",
     "Release",
+    "ReleasePart",
+    "UseLedger",
+    "UseNews",
     "Withdraw",
+    "Woken",
+    "part_of_demand",
 ]
--- a/chestnuthall/core/admission/_events.py
+++ b/chestnuthall/core/admission/_events.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from chestnuthall.core.model import AdmissionAccount
+from chestnuthall.core.model import AdmissionAccount, CallerClass
 from chestnuthall.core.results import Failure
 
 
@@ -32,6 +32,15 @@
     service_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class ReleasePart(AdmissionEvent):
+    """Some shard calls of an admitted query ended after ``service_ms`` each."""
+
+    ticket: str
+    cost: float
+    service_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class Withdraw(AdmissionEvent):
     """A queued query is no longer wanted by its caller."""
@@ -54,9 +63,26 @@
 
 @dataclass(frozen=True, slots=True)
 class LimitChanged(AdmissionEvent):
-    """The number of shard calls that may run at once has changed."""
+    """The number of shard calls that may run at once has changed.
+
+    ``fleet_cost`` is the slots of the group, for all instances together.
+    """
 
     limit_cost: float
+    fleet_cost: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Woken(AdmissionEvent):
+    """The time that ``AdmissionQueue.wake_at_ms`` named has come."""
+
+
+@dataclass(frozen=True, slots=True)
+class Reconfigured(AdmissionEvent):
+    """Another configuration is in force; queued and running work stays."""
+
+    classes: tuple[CallerClass, ...]
+    reserved_ratios: tuple[tuple[str, float], ...]
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/chestnuthall/core/admission/_limit.py
@@ -0,0 +1,98 @@
+"""The limit of one group, adapted to latency and sheds."""
+
+from dataclasses import dataclass, field
+
+# Latency over its calm level that the limit is steered to. Below it slots
+# idle between calls; above it calls only wait longer at the replicas.
+TARGET_INFLATION = 1.45
+# Relative distance from the target within which the limit is left alone, so
+# that noise does not make it oscillate.
+DEAD_BAND_RATIO = 0.08
+RAISE_STEP_RATIO = 0.08
+CUT_FACTOR_MIN = 0.8
+RATIO_MIN = 0.3
+RATIO_MAX = 3.0
+# Part of the replicas that must shed in one interval to cut the limit. One
+# slow replica sheds alone and is the business of replica choice.
+SHED_REPLICAS_RATIO = 0.34
+N_SAMPLES_MIN = 8
+# Below this utilisation the latency is the calm one, and follows slow changes.
+CALM_UTILISATION_RATIO = 0.6
+CALM_WEIGHT = 0.1
+
+
+@dataclass(slots=True)
+class _Interval:
+    """Calls of one replica since the last adaptation."""
+
+    n_calls: int = 0
+    total_ms: float = 0.0
+    n_sheds: int = 0
+
+
+@dataclass(slots=True)
+class AdaptiveLimit:
+    """Ratio of the limit to the slots of a group.
+
+    Each replica counts once, by its mean latency; the median over replicas is
+    compared with its calm level. Raises are additive and cuts multiplicative,
+    so that instances that see the same replicas approach the same ratio.
+    """
+
+    ratio: float = 1.0
+    calm_ms: float | None = None
+    _replicas: dict[str, _Interval] = field(default_factory=dict)
+
+    def observe_answer(self, replica_name: str, latency_ms: float) -> None:
+        """Note a call that a replica answered."""
+        interval = self._replicas.setdefault(replica_name, _Interval())
+        interval.n_calls += 1
+        interval.total_ms += latency_ms
+
+    def observe_shed(self, replica_name: str) -> None:
+        """Note a call that a replica refused before it began."""
+        self._replicas.setdefault(replica_name, _Interval()).n_sheds += 1
+
+    def adapt(self, utilisation_ratio: float) -> float:
+        """Return the new ratio after one interval.
+
+        ``utilisation_ratio`` is the average running cost of the interval as a
+        part of the limit.
+        """
+        intervals = list(self._replicas.values())
+        self._replicas = {}
+        n_shedding = sum(item.n_sheds > 0 for item in intervals)
+        if n_shedding > SHED_REPLICAS_RATIO * max(1, len(intervals)):
+            return self._set(self.ratio * CUT_FACTOR_MIN)
+        if sum(item.n_calls for item in intervals) < N_SAMPLES_MIN:
+            return self.ratio
+        means_ms = sorted(
+            item.total_ms / item.n_calls for item in intervals if item.n_calls
+        )
+        median_ms = means_ms[len(means_ms) // 2]
+        self._learn_calm(median_ms, utilisation_ratio)
+        return self._steer(median_ms, utilisation_ratio)
+
+    def _learn_calm(self, median_ms: float, utilisation_ratio: float) -> None:
+        if self.calm_ms is None:
+            self.calm_ms = median_ms
+        elif utilisation_ratio < CALM_UTILISATION_RATIO:
+            self.calm_ms += CALM_WEIGHT * (median_ms - self.calm_ms)
+        else:
+            self.calm_ms = min(self.calm_ms, median_ms)
+
+    def _steer(self, median_ms: float, utilisation_ratio: float) -> float:
+        assert self.calm_ms is not None
+        distance = TARGET_INFLATION * self.calm_ms / median_ms
+        if distance < 1.0 - DEAD_BAND_RATIO:
+            # Half of the way on a logarithmic scale, since the answers of one
+            # interval were partly admitted under the previous limit.
+            return self._set(self.ratio * max(CUT_FACTOR_MIN, distance**0.5))
+        is_used = utilisation_ratio > 1.0 - 2 * DEAD_BAND_RATIO
+        if distance > 1.0 + DEAD_BAND_RATIO and (is_used or self.ratio < 1.0):
+            return self._set(self.ratio + RAISE_STEP_RATIO)
+        return self.ratio
+
+    def _set(self, ratio: float) -> float:
+        self.ratio = min(RATIO_MAX, max(RATIO_MIN, ratio))
+        return self.ratio
--- a/chestnuthall/core/admission/_queue.py
+++ b/chestnuthall/core/admission/_queue.py
@@ -1,9 +1,12 @@
 """Fair queueing of the queries of one upstream group."""
 
-from dataclasses import dataclass, field
 from functools import singledispatch
-from heapq import heappop, heappush
 
+from chestnuthall.core.admission._choice import (
+    choose_class,
+    slack_of,
+    standings_of,
+)
 from chestnuthall.core.admission._events import (
     AdmissionAction,
     AdmissionEvent,
@@ -12,86 +15,82 @@
     ExpireDue,
     FleetUseReported,
     LimitChanged,
+    Reconfigured,
     Refuse,
     Release,
+    ReleasePart,
     Withdraw,
+    Woken,
+)
+from chestnuthall.core.admission._pace import Pace
+from chestnuthall.core.admission._room import Room
+from chestnuthall.core.admission._tickets import (
+    AdmittedCounts,
+    ClassQueue,
+    Ticket,
 )
 from chestnuthall.core.model import (
     AdmissionAccount,
     AdmissionRule,
     CallerClass,
     ClassStanding,
+    QueriesAhead,
 )
 from chestnuthall.core.results import (
     DEADLINE_PASSED,
+    DEADLINE_UNREACHABLE,
     QUEUE_FULL,
     UNKNOWN_CLASS,
     Failure,
 )
 
-# Service, in shard calls over share, by which a class may be ahead of the least
-# served one and still count as within its share.
-WITHIN_SHARE_SLACK = 1.0
-
-
-@dataclass(slots=True)
-class Ticket:
-    """A query that waits or runs."""
-
-    name: str
-    class_name: str
-    kind: str
-    cost: float
-    deadline_ms: float
-    arrived_ms: float
-    n_ahead_at_arrival: int
-
-
-@dataclass(slots=True)
-class ClassQueue:
-    """Queue and service of one class; the heap is ordered by deadline."""
-
-    caller_class: CallerClass
-    normalised_service: float = 0.0
-    waiting: list[tuple[float, int, Ticket]] = field(default_factory=list)
-
 
 class AdmissionQueue:
     """Admits queries whole, within a limit on shard calls that run at once.
 
     Start-time fair queueing decides between classes, on the service that each
     received over the fleet divided by its share. Among the classes within
-    their share the more urgent one goes first.
+    their share the more urgent one goes first. The query chosen is not
+    overtaken by smaller ones while it waits for room, so a large query is not
+    starved; only the reserved part of another kind is open meanwhile.
     """
 
-    def __init__(self, classes: tuple[CallerClass, ...], limit_cost: float) -> None:
-        self.limit_cost = limit_cost
-        self.running_cost = 0.0
+    def __init__(
+        self,
+        classes: tuple[CallerClass, ...],
+        limit_cost: float,
+        reserved_ratios: tuple[tuple[str, float], ...] = (),
+    ) -> None:
+        self.room = Room(limit_cost, dict(reserved_ratios))
+        self.pace = Pace()
         self.queues = {item.name: ClassQueue(item) for item in classes}
         self.waiting: dict[str, Ticket] = {}
         self.running: dict[str, Ticket] = {}
+        self.served_cost: dict[str, float] = {}
+        self.admitted: AdmittedCounts = {}
+        self._virtual_time = 0.0
         self._n_arrived = 0
 
     @property
     def utilisation_ratio(self) -> float:
-        """Running cost as a part of the limit."""
-        return self.running_cost / self.limit_cost if self.limit_cost else 1.0
+        """Average running cost lately as a part of the limit."""
+        return self.room.utilisation_ratio
 
-    @property
-    def demand_cost(self) -> float:
-        """Shard calls of all queries that wait or run."""
-        return self.running_cost + sum(item.cost for item in self.waiting.values())
+    def wake_at_ms(self) -> float | None:
+        """Return when ``Woken`` is due, or None while nothing depends on time."""
+        if not self.waiting:
+            return None
+        head = choose_class(self._busy(), self.slack)[0].head()
+        return None if head is None else self.room.wake_at_ms(head.cost)
 
     def handle(self, event: AdmissionEvent) -> list[AdmissionAction]:
         """Apply one event and return the queries that are admitted or refused."""
+        self.room.advance(event.now_ms)
         return _apply(event, self)
 
-    def enqueue(self, event: Arrive) -> None:
-        """Add a query to the queue of its class."""
-        queue = self.queues[event.class_name]
-        if not queue.waiting:
-            self._catch_up(queue)
-        ticket = Ticket(
+    def make_ticket(self, event: Arrive) -> Ticket:
+        """Return the ticket of a query that has just arrived."""
+        return Ticket(
             name=event.ticket,
             class_name=event.class_name,
             kind=event.kind,
@@ -99,9 +98,16 @@
             deadline_ms=event.deadline_ms,
             arrived_ms=event.now_ms,
             n_ahead_at_arrival=len(self.waiting),
+            admitted_at_arrival=dict(self.admitted),
         )
+
+    def enqueue(self, ticket: Ticket) -> None:
+        """Add a query to the queue of its class."""
+        queue = self.queues[ticket.class_name]
+        if not queue.n_waiting:
+            self._catch_up(queue)
         self._n_arrived += 1
-        heappush(queue.waiting, (ticket.deadline_ms, self._n_arrived, ticket))
+        queue.push(ticket, self._n_arrived)
         self.waiting[ticket.name] = ticket
 
     def _catch_up(self, queue: ClassQueue) -> None:
@@ -110,109 +116,184 @@
         Without this a class could save up service while idle and then take
         the whole limit for as long as its credit lasts.
         """
-        busy = [
-            item.normalised_service for item in self.queues.values() if item.waiting
+        busy = [item.normalised_service for item in self._busy()]
+        self._virtual_time = max(self._virtual_time, min(busy, default=0.0))
+        start = min(busy, default=self._virtual_time)
+        queue.normalised_service = max(queue.normalised_service, start)
+
+    def _busy(self, kind: str | None = None) -> list[ClassQueue]:
+        return [
+            queue
+            for queue in self.queues.values()
+            if queue.n_waiting and (kind is None or queue.head(kind) is not None)
         ]
-        if busy:
-            queue.normalised_service = max(queue.normalised_service, min(busy))
 
     def admit_next(self, now_ms: float) -> list[AdmissionAction]:
-        """Admit queries for as long as the limit has room."""
+        """Admit queries for as long as there is room."""
         actions: list[AdmissionAction] = []
-        while True:
-            choice = self._choose()
-            if choice is None:
-                return actions
-            queue, rule = choice
-            ticket = queue.waiting[0][2]
-            if not self._has_room(ticket.cost):
+        while self.waiting:
+            action = self._admit_by_share(now_ms) or self._admit_reserved(now_ms)
+            if action is None:
                 return actions
-            actions.append(self._admit(queue, rule, now_ms))
+            actions.append(action)
+        return actions
 
-    def _has_room(self, cost: float) -> bool:
-        if not self.running:
-            return True
-        return self.running_cost + cost <= self.limit_cost
-
-    def _admit(
-        self, queue: ClassQueue, rule: AdmissionRule, now_ms: float
+    def _admit_by_share(self, now_ms: float) -> AdmissionAction | None:
+        queue, rule = choose_class(self._busy(), self.slack)
+        ticket = queue.head()
+        if ticket is None:
+            return None
+        is_urgent = rule is AdmissionRule.URGENCY_WITHIN_SHARE and self._is_top(queue)
+        has_room = self.room.has_room(ticket.cost)
+        if has_room or (is_urgent and self.room.has_urgent_room(ticket.cost)):
+            return self._take_out(queue, ticket, rule, now_ms)
+        return None
+
+    def _is_top(self, queue: ClassQueue) -> bool:
+        """Return whether no configured class is more urgent."""
+        urgencies = (item.caller_class.urgency for item in self.queues.values())
+        return queue.caller_class.urgency >= max(urgencies)
+
+    def _admit_reserved(self, now_ms: float) -> AdmissionAction | None:
+        for kind in self.room.reserved_ratios:
+            busy = self._busy(kind)
+            if not busy:
+                continue
+            queue, _ = choose_class(busy, self.slack, kind)
+            ticket = queue.head(kind)
+            if ticket is None or not self.room.has_reserved_room(kind, ticket.cost):
+                continue
+            return self._take_out(queue, ticket, AdmissionRule.RESERVED_ROOM, now_ms)
+        return None
+
+    def _take_out(
+        self, queue: ClassQueue, ticket: Ticket, rule: AdmissionRule, now_ms: float
     ) -> AdmissionAction:
-        account_standings = self.standings()
-        ticket = heappop(queue.waiting)[2]
-        del self.waiting[ticket.name]
+        standings = self.standings()
+        if self._is_immediate(ticket, now_ms):
+            if rule is not AdmissionRule.RESERVED_ROOM:
+                rule = AdmissionRule.IMMEDIATE
+        elif self._is_too_late(ticket, now_ms):
+            self.drop(ticket)
+            failure = DEADLINE_UNREACHABLE.because("the time left is too short to run")
+            return self.refuse(ticket, failure, now_ms)
+        account = self._account(ticket, rule, standings, now_ms)
+        self._start(queue, ticket, rule, now_ms)
+        return Admit(ticket.name, account)
+
+    def _is_immediate(self, ticket: Ticket, now_ms: float) -> bool:
+        """Return whether a query neither waited nor competed with another one."""
+        is_alone = len(self.waiting) == 1 and ticket.n_ahead_at_arrival == 0
+        return is_alone and ticket.arrived_ms == now_ms and not self._ahead(ticket)
+
+    def _is_too_late(self, ticket: Ticket, now_ms: float) -> bool:
+        """Return whether a query that waited would only run in vain."""
+        return now_ms + (self.pace.call_ms or 0.0) >= ticket.deadline_ms
+
+    def _start(
+        self, queue: ClassQueue, ticket: Ticket, rule: AdmissionRule, now_ms: float
+    ) -> None:
+        self.drop(ticket)
+        queue.note_admission(ticket.cost, now_ms)
         self.running[ticket.name] = ticket
-        self.running_cost += ticket.cost
+        self.room.take(ticket.kind, ticket.cost)
         queue.normalised_service += ticket.cost / queue.caller_class.share
-        queued_ms = now_ms - ticket.arrived_ms
-        return Admit(
-            ticket.name,
-            AdmissionAccount(
-                rule=AdmissionRule.IMMEDIATE if queued_ms <= 0.0 else rule,
-                queued_ms=queued_ms,
-                n_ahead_at_arrival=ticket.n_ahead_at_arrival,
-                standings=account_standings,
-            ),
-        )
+        name = ticket.class_name
+        self.served_cost[name] = self.served_cost.get(name, 0.0) + ticket.cost
+        self.admitted[name, rule] = self.admitted.get((name, rule), 0) + 1
 
-    def _choose(self) -> tuple[ClassQueue, AdmissionRule] | None:
-        busy = [queue for queue in self.queues.values() if queue.waiting]
-        if not busy:
-            return None
-        if len(busy) == 1:
-            return busy[0], AdmissionRule.ONLY_CANDIDATE
-        least = min(queue.normalised_service for queue in busy)
-        within = [
-            queue
-            for queue in busy
-            if queue.normalised_service <= least + WITHIN_SHARE_SLACK
-        ]
-        if len(within) == 1:
-            return within[0], AdmissionRule.LEAST_NORMALISED_SERVICE
-        best = min(
-            within,
-            key=lambda queue: (-queue.caller_class.urgency, queue.waiting[0][0]),
-        )
-        return best, AdmissionRule.URGENCY_WITHIN_SHARE
+    @property
+    def slack(self) -> float:
+        """Normalised service by which a class may be ahead within its share."""
+        fleet_cost = max(self.room.fleet_cost, self.room.limit_cost)
+        return slack_of(self.queues.values(), fleet_cost)
 
     def standings(self) -> tuple[ClassStanding, ...]:
         """Return the standing of every class now."""
-        busy = [
-            item.normalised_service for item in self.queues.values() if item.waiting
-        ]
-        least = min(busy, default=0.0)
-        return tuple(
-            ClassStanding(
-                class_name=name,
-                share=queue.caller_class.share,
-                urgency=queue.caller_class.urgency,
-                normalised_service=queue.normalised_service,
-                n_queued=len(queue.waiting),
-                is_within_share=queue.normalised_service <= least + WITHIN_SHARE_SLACK,
-            )
-            for name, queue in self.queues.items()
-        )
+        return standings_of(self.queues.values(), self.slack)
 
     def drop(self, ticket: Ticket) -> None:
         """Remove a waiting query."""
         del self.waiting[ticket.name]
         queue = self.queues[ticket.class_name]
-        queue.waiting = [item for item in queue.waiting if item[2] is not ticket]
-        queue.waiting.sort()
+        queue.remove(ticket)
+        if queue.is_retired and not queue.n_waiting:
+            del self.queues[ticket.class_name]
+
+    def give_back(self, ticket: Ticket, cost: float) -> None:
+        """Return room of a running query, at most what it still holds."""
+        returned = min(cost, ticket.cost)
+        ticket.cost -= returned
+        self.room.give_back(ticket.kind, returned)
+
+    def expected_wait_ms(self, ticket: Ticket) -> float:
+        """Return how long a new query would wait behind those ahead of it."""
+        queue = self.queues[ticket.class_name]
+        ahead_cost = queue.cost_due_before(ticket.deadline_ms)
+        if queue.cost_gap_ms is not None:
+            return ahead_cost * queue.cost_gap_ms
+        shares = {
+            item.caller_class.name: item.caller_class.share for item in self._busy()
+        }
+        shares[ticket.class_name] = queue.caller_class.share
+        return self.pace.wait_ms(
+            ahead_cost=ahead_cost,
+            limit_cost=self.room.limit_cost,
+            part_ratio=queue.caller_class.share / sum(shares.values()),
+        )
 
     def refuse(self, ticket: Ticket, failure: Failure, now_ms: float) -> Refuse:
         """Return the refusal of a query with its account."""
-        return Refuse(
-            ticket.name,
-            failure,
-            AdmissionAccount(
-                rule=AdmissionRule.NOT_ADMITTED,
-                queued_ms=now_ms - ticket.arrived_ms,
-                n_ahead_at_arrival=ticket.n_ahead_at_arrival,
-                standings=self.standings(),
-            ),
+        rule = AdmissionRule.NOT_ADMITTED
+        account = self._account(ticket, rule, self.standings(), now_ms)
+        return Refuse(ticket.name, failure, account)
+
+    def _account(
+        self,
+        ticket: Ticket,
+        rule: AdmissionRule,
+        standings: tuple[ClassStanding, ...],
+        now_ms: float,
+    ) -> AdmissionAccount:
+        return AdmissionAccount(
+            rule=rule,
+            queued_ms=now_ms - ticket.arrived_ms,
+            n_ahead_at_arrival=ticket.n_ahead_at_arrival,
+            standings=standings,
+            ahead=self._ahead(ticket),
+        )
+
+    def _ahead(self, ticket: Ticket) -> tuple[QueriesAhead, ...]:
+        """Return what was admitted since a query arrived."""
+        before = ticket.admitted_at_arrival
+        return tuple(
+            QueriesAhead(name, n_admitted - before.get((name, rule), 0), rule)
+            for (name, rule), n_admitted in sorted(
+                self.admitted.items(), key=lambda item: (item[0][0], item[0][1].value)
+            )
+            if n_admitted > before.get((name, rule), 0)
         )
 
 
+def _refusal_at_arrival(queue: AdmissionQueue, ticket: Ticket) -> Failure | None:
+    class_queue = queue.queues.get(ticket.class_name)
+    if class_queue is None or class_queue.is_retired:
+        return UNKNOWN_CLASS.because(f"no class named {ticket.class_name!r}")
+    n_queued_max = class_queue.caller_class.n_queued_max
+    if class_queue.n_waiting >= n_queued_max:
+        return QUEUE_FULL.because(f"the class has {n_queued_max} queries queued")
+    wait_ms = queue.expected_wait_ms(ticket)
+    if wait_ms <= 0.0:
+        return None
+    needed_ms = wait_ms + queue.pace.query_ms(ticket.kind)
+    remaining_ms = ticket.deadline_ms - ticket.arrived_ms
+    if needed_ms <= remaining_ms:
+        return None
+    return DEADLINE_UNREACHABLE.because(
+        f"expected in {needed_ms:.0f} ms, with {remaining_ms:.0f} ms left"
+    )
+
+
 @singledispatch
 def _apply(event: AdmissionEvent, queue: AdmissionQueue) -> list[AdmissionAction]:
     """Apply one event; registered per type of event."""
@@ -221,46 +302,58 @@
 
 @_apply.register
 def _(event: Arrive, queue: AdmissionQueue) -> list[AdmissionAction]:
-    class_queue = queue.queues.get(event.class_name)
-    account = AdmissionAccount(
-        AdmissionRule.NOT_ADMITTED, 0.0, len(queue.waiting), queue.standings()
-    )
-    if class_queue is None:
-        failure = UNKNOWN_CLASS.because(f"no class named {event.class_name!r}")
-        return [Refuse(event.ticket, failure, account)]
-    n_queued_max = class_queue.caller_class.n_queued_max
-    if len(class_queue.waiting) >= n_queued_max:
-        failure = QUEUE_FULL.because(f"the class has {n_queued_max} queries queued")
-        return [Refuse(event.ticket, failure, account)]
-    queue.enqueue(event)
+    ticket = queue.make_ticket(event)
+    failure = _refusal_at_arrival(queue, ticket)
+    if failure is not None:
+        return [queue.refuse(ticket, failure, event.now_ms)]
+    queue.enqueue(ticket)
     return queue.admit_next(event.now_ms)
 
 
 @_apply.register
 def _(event: Release, queue: AdmissionQueue) -> list[AdmissionAction]:
     ticket = queue.running.pop(event.ticket, None)
-    if ticket is not None:
-        queue.running_cost -= ticket.cost
+    if ticket is None:
+        return []
+    queue.give_back(ticket, ticket.cost)
+    if event.service_ms > 0.0:
+        queue.pace.observe_query(ticket.kind, event.service_ms)
+    return queue.admit_next(event.now_ms)
+
+
+@_apply.register
+def _(event: ReleasePart, queue: AdmissionQueue) -> list[AdmissionAction]:
+    ticket = queue.running.get(event.ticket)
+    if ticket is None:
+        return []
+    queue.give_back(ticket, event.cost)
+    queue.pace.observe_call(event.service_ms)
     return queue.admit_next(event.now_ms)
 
 
 @_apply.register
 def _(event: Withdraw, queue: AdmissionQueue) -> list[AdmissionAction]:
     ticket = queue.waiting.get(event.ticket)
-    if ticket is not None:
-        queue.drop(ticket)
-    return []
+    if ticket is None:
+        return []
+    queue.drop(ticket)
+    return queue.admit_next(event.now_ms)
 
 
 @_apply.register
 def _(event: ExpireDue, queue: AdmissionQueue) -> list[AdmissionAction]:
-    actions: list[AdmissionAction] = []
     due = [item for item in queue.waiting.values() if item.deadline_ms <= event.now_ms]
+    actions: list[AdmissionAction] = []
     for ticket in due:
         queue.drop(ticket)
         failure = DEADLINE_PASSED.because("the deadline passed in the queue")
         actions.append(queue.refuse(ticket, failure, event.now_ms))
-    return actions
+    return actions + queue.admit_next(event.now_ms)
+
+
+@_apply.register
+def _(event: Woken, queue: AdmissionQueue) -> list[AdmissionAction]:
+    return queue.admit_next(event.now_ms)
 
 
 @_apply.register
@@ -273,5 +366,23 @@
 
 @_apply.register
 def _(event: LimitChanged, queue: AdmissionQueue) -> list[AdmissionAction]:
-    queue.limit_cost = event.limit_cost
+    queue.room.limit_cost = event.limit_cost
+    queue.room.fleet_cost = event.fleet_cost
+    return queue.admit_next(event.now_ms)
+
+
+@_apply.register
+def _(event: Reconfigured, queue: AdmissionQueue) -> list[AdmissionAction]:
+    queue.room.reserved_ratios = dict(event.reserved_ratios)
+    previous = queue.queues
+    queue.queues = {}
+    for caller_class in event.classes:
+        class_queue = previous.pop(caller_class.name, None) or ClassQueue(caller_class)
+        class_queue.caller_class = caller_class
+        class_queue.is_retired = False
+        queue.queues[caller_class.name] = class_queue
+    for name, class_queue in previous.items():
+        class_queue.is_retired = True
+        if class_queue.n_waiting:
+            queue.queues[name] = class_queue
     return queue.admit_next(event.now_ms)
--- a/chestnuthall/daemon/_instance.py
+++ b/chestnuthall/daemon/_instance.py
@@ -24,9 +24,11 @@
 from chestnuthall.core.results import Failure
 from chestnuthall.ports import MemberUpdate, Metrics
 from chestnuthall.services import (
+    Admissions,
     ClaimLedger,
     ConfigurationKeeper,
     Directory,
+    FleetUse,
     Identity,
     Lifecycle,
     Membership,
@@ -69,6 +71,10 @@
         self.directory = Directory(
             store, self.caller, clock, read_partition_map, settings.zone, random
         )
+        admissions = Admissions(clock)
+        self.fleet_use = FleetUse(
+            self.settings.name, clock, admissions, lambda: self.membership.members()
+        )
         self.membership = Membership(
             identity,
             store,
@@ -77,6 +83,7 @@
             self.configuration,
             _read_entry_instance,
             random,
+            parts=(self.fleet_use,),
         )
         self.query = QueryService(
             identity=identity,
@@ -87,6 +94,7 @@
             configuration=self.configuration,
             ledger=ClaimLedger(store, clock, JsonPartitionCodec(), LedgerSettings()),
             quarantine=QuarantineRegister(QuarantineSettings()),
+            admissions=admissions,
         )
         self.configuration.on_change(self._divide_connections)
         self.frontend = CallerFrontend(
@@ -139,6 +147,7 @@
             loop.create_task(self.configuration.run()),
             loop.create_task(self.directory.run()),
             loop.create_task(self.membership.run()),
+            loop.create_task(self.fleet_use.run()),
         ]
         _log.info("instance started", extra={"zone": self.settings.zone})
 
--- a/chestnuthall/ports/_peers.py
+++ b/chestnuthall/ports/_peers.py
@@ -24,8 +24,9 @@
 class ClassUse:
     """Use of a group by a class on one instance, counted in shard calls.
 
-    ``served_cost`` grows over the life of the instance; ``demand_cost`` is
-    queued and running work now.
+    ``served_cost`` grows over the life of the instance; ``demand_cost`` is what
+    callers asked for over the last seconds. The incarnation is the wall time at
+    which the instance started, and the sequence the milliseconds since then.
     """
 
     instance: str
--- a/chestnuthall/services/_admission.py
+++ b/chestnuthall/services/_admission.py
@@ -3,29 +3,69 @@
 import asyncio
 from dataclasses import dataclass
 from functools import singledispatchmethod
+from math import exp
 
 from chestnuthall.core.admission import (
+    AdaptiveLimit,
     AdmissionAction,
     AdmissionEvent,
     AdmissionQueue,
     Admit,
     Arrive,
     ExpireDue,
+    FleetUseReported,
     LimitChanged,
+    Reconfigured,
     Refuse,
     Release,
+    ReleasePart,
     Withdraw,
+    Woken,
 )
 from chestnuthall.core.model import (
     AdmissionAccount,
     AdmissionRule,
-    CallerClass,
+    EnvironmentDocument,
     Request,
+    ShardAnswer,
+    ShardCall,
+    UpstreamGroup,
     kind_of,
 )
-from chestnuthall.core.results import Failure
+from chestnuthall.core.results import SHED_BY_UPSTREAM, Failure
 from chestnuthall.ports import Clock
 
+# Time over which the offered cost is averaged: short enough to follow a step
+# of the load, long enough that a few searches do not swing an instance's part.
+OFFERED_WINDOW_MS = 2_000.0
+# A timer that fires early by the clock's resolution would otherwise be set
+# again for the same instant.
+WAKE_DISTANCE_MIN_MS = 0.05
+
+
+class OfferedCost:
+    """Shard calls that callers asked for over the last seconds, by class.
+
+    Refused queries count too. Queued work does not: its amount depends on the
+    room that this instance already has, so parts would follow themselves.
+    """
+
+    def __init__(self) -> None:
+        self._costs: dict[str, tuple[float, float]] = {}
+
+    def add(self, class_name: str, cost: float, now_ms: float) -> None:
+        """Count a query that arrived."""
+        self._costs[class_name] = (self.cost(class_name, now_ms) + cost, now_ms)
+
+    def cost(self, class_name: str, now_ms: float) -> float:
+        """Return the exponentially aged sum of a class."""
+        total, updated_ms = self._costs.get(class_name, (0.0, now_ms))
+        return total * exp((updated_ms - now_ms) / OFFERED_WINDOW_MS)
+
+    def total(self, now_ms: float) -> float:
+        """Return the sum over all classes."""
+        return sum(self.cost(name, now_ms) for name in self._costs)
+
 
 @dataclass(frozen=True, slots=True)
 class Admitted:
@@ -45,26 +85,105 @@
 
 
 class Admission:
-    """Waits for the decisions of one group's admission queue."""
+    """Waits for the decisions of one group's admission queue.
+
+    The limit is the slots of the group, times the part of this instance, times
+    the ratio that latency and sheds allow.
+    """
 
     def __init__(
-        self, classes: tuple[CallerClass, ...], limit_cost: float, clock: Clock
+        self,
+        document: EnvironmentDocument,
+        group: UpstreamGroup,
+        slots_cost: float,
+        clock: Clock,
     ) -> None:
         self._clock = clock
-        self._queue = AdmissionQueue(classes, limit_cost)
+        self._slots_cost = slots_cost
+        self._part_ratio = 1.0
+        self._limit = AdaptiveLimit()
+        self._queue = AdmissionQueue(
+            document.classes, slots_cost, group.reserved_ratios
+        )
         self._waiters: dict[str, asyncio.Future[Admitted | NotAdmitted]] = {}
+        self._timer: asyncio.TimerHandle | None = None
         self._n_tickets = 0
+        self.offered = OfferedCost()
 
     @property
     def utilisation_ratio(self) -> float:
-        """Running shard calls as a part of the limit."""
+        """Average of the running shard calls lately, as a part of the limit."""
         return self._queue.utilisation_ratio
 
+    @property
+    def limit_cost(self) -> float:
+        """Shard calls that may run at once on average."""
+        return self._queue.room.limit_cost
+
     @property
     def n_running(self) -> int:
         """Number of queries that run."""
         return len(self._queue.running)
 
+    @property
+    def is_in_use(self) -> bool:
+        """Whether queries wait or run."""
+        return bool(self._queue.running or self._queue.waiting)
+
+    @property
+    def served_cost(self) -> dict[str, float]:
+        """Shard calls admitted so far, by class."""
+        return self._queue.served_cost
+
+    def reconfigure(self, document: EnvironmentDocument, group: UpstreamGroup) -> None:
+        """Apply another revision; what is queued or runs stays counted."""
+        now_ms = self._clock.now_ms()
+        event = Reconfigured(now_ms, document.classes, group.reserved_ratios)
+        self._handle(event)
+
+    def set_slots(self, slots_cost: float) -> None:
+        """Set the slots of the whole group."""
+        self._slots_cost = slots_cost
+        self._apply_limit()
+
+    def set_part(self, part_ratio: float) -> None:
+        """Set the part of the group's slots that this instance may use."""
+        self._part_ratio = part_ratio
+        self._apply_limit()
+
+    def adapt(self) -> None:
+        """Adapt the limit to what was observed since the last call."""
+        self._handle(Woken(self._clock.now_ms()))
+        self._limit.adapt(self.utilisation_ratio)
+        self._apply_limit()
+
+    def _apply_limit(self) -> None:
+        limit_cost = self._slots_cost * self._part_ratio * self._limit.ratio
+        if limit_cost != self._queue.room.limit_cost:
+            now_ms = self._clock.now_ms()
+            self._handle(LimitChanged(now_ms, limit_cost, self._slots_cost))
+
+    def on_fleet_use(self, class_name: str, cost: float) -> None:
+        """Count service that other instances gave to a class."""
+        self._handle(FleetUseReported(self._clock.now_ms(), class_name, cost))
+
+    def on_call_result(
+        self,
+        admitted: Admitted,
+        call: ShardCall,
+        result: ShardAnswer | Failure,
+        elapsed_ms: float,
+    ) -> None:
+        """Note the end of a shard call of an admitted query."""
+        replica_name = call.replica.name
+        if isinstance(result, Failure):
+            if result.kind is SHED_BY_UPSTREAM:
+                self._limit.observe_shed(replica_name)
+            return
+        self._limit.observe_answer(replica_name, elapsed_ms)
+        now_ms = self._clock.now_ms()
+        self._handle(ReleasePart(now_ms, admitted.ticket, 1.0, elapsed_ms))
+
     async def acquire(self, request: Request, cost: float) -> Admitted | NotAdmitted:
         """Wait until a request is admitted or refused."""
         self._n_tickets += 1
@@ -73,6 +192,7 @@
         waiter = asyncio.get_running_loop().create_future()
         self._waiters[ticket] = waiter
         now_ms = self._clock.now_ms()
+        self.offered.add(request.class_name, cost, now_ms)
         self._handle(
             Arrive(
                 now_ms,
@@ -117,13 +237,25 @@
         now_ms = self._clock.now_ms()
         self._handle(Release(now_ms, admitted.ticket, now_ms - admitted.admitted_ms))
 
-    def set_limit(self, limit_cost: float) -> None:
-        """Change how many shard calls may run at once."""
-        self._handle(LimitChanged(self._clock.now_ms(), limit_cost))
-
     def _handle(self, event: AdmissionEvent) -> None:
         for action in self._queue.handle(event):
             self._perform(action)
+        self._set_timer()
+
+    def _set_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        wake_at_ms = self._queue.wake_at_ms()
+        if wake_at_ms is None:
+            return
+        delay_ms = max(WAKE_DISTANCE_MIN_MS, wake_at_ms - self._clock.now_ms())
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay_ms / 1000.0, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self._handle(Woken(self._clock.now_ms()))
 
     @singledispatchmethod
     def _perform(self, action: AdmissionAction) -> None:
@@ -146,6 +278,46 @@
             waiter.set_result(result)
 
 
+class Admissions:
+    """The admissions of all groups; they outlive configuration changes."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._by_group: dict[str, Admission] = {}
+
+    def items(self) -> tuple[tuple[str, Admission], ...]:
+        """Return the groups that were used so far, with their admissions."""
+        return tuple(self._by_group.items())
+
+    def reconfigure(self, document: EnvironmentDocument) -> None:
+        """Apply another revision to the groups that it still has.
+
+        The admission of a removed group stays while queries hold it.
+        """
+        for name, admission in self.items():
+            group = document.group_named(name)
+            if group is not None:
+                admission.reconfigure(document, group)
+            elif not admission.is_in_use:
+                del self._by_group[name]
+
+    def of(
+        self, document: EnvironmentDocument, group: UpstreamGroup, slots_cost: float
+    ) -> Admission:
+        """Return the admission of a group, made at its first use."""
+        admission = self._by_group.get(group.name)
+        if admission is None:
+            admission = Admission(document, group, slots_cost, self._clock)
+            self._by_group[group.name] = admission
+        admission.set_slots(slots_cost)
+        return admission
+
+    def adapt(self) -> None:
+        """Adapt the limit of every group."""
+        for admission in self._by_group.values():
+            admission.adapt()
+
+
 def account_of_unqueued() -> AdmissionAccount:
     """Return the account of a request that was refused before any queue."""
     return AdmissionAccount(AdmissionRule.NOT_ADMITTED, 0.0, 0)
--- /dev/null
+++ b/chestnuthall/services/_fleet_use.py
@@ -0,0 +1,114 @@
+"""Exchange of use between instances, and this instance's part of the slots."""
+
+from collections.abc import Callable
+from dataclasses import asdict, replace
+from itertools import islice
+
+from chestnuthall.core.admission import (
+    DemandHistory,
+    UseLedger,
+    UseNews,
+    part_of_demand,
+)
+from chestnuthall.ports import ClassUse, Clock, MemberUpdate, PeerDigest
+from chestnuthall.services._admission import Admission, Admissions
+
+UPDATE_INTERVAL_MS = 250.0
+# Longer silence than this makes an instance count with the average demand.
+FRESH_MS = 5_000.0
+FORGET_MS = 30_000.0
+# Entries of one digest. Each takes about 70 bytes on the wire, so a digest
+# carries about 2 KB of use at most, whatever the size of the fleet.
+N_USES_MAX = 28
+
+
+class FleetUse:
+    """News about the service that each class received on each instance.
+
+    Own use goes first into a digest, then the latest news of others, which is
+    how news reaches instances that do not exchange digests directly. With
+    more instances than fit, ``_relayed`` is the place to pass on one sum per
+    zone in place of single instances.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        clock: Clock,
+        admissions: Admissions,
+        read_members: Callable[[], tuple[MemberUpdate, ...]],
+    ) -> None:
+        self._name = name
+        self._clock = clock
+        self._admissions = admissions
+        self._read_members = read_members
+        self._ledger = UseLedger()
+        # The start time tells a restarted instance from its predecessor.
+        self._incarnation = int(clock.wall_ms())
+        self._started_ms = clock.now_ms()
+        self._histories: dict[str, DemandHistory] = {}
+
+    def fill(self, digest: PeerDigest) -> PeerDigest:
+        """Return the digest with the own use and the latest news of others."""
+        own = self._own_uses()
+        room = max(0, N_USES_MAX - len(own))
+        uses = (*own[:N_USES_MAX], *islice(self._relayed(), room))
+        return replace(digest, uses=digest.uses + uses)
+
+    def _own_uses(self) -> list[ClassUse]:
+        now_ms = self._clock.now_ms()
+        # Elapsed time as sequence dates the news for whoever hears it relayed.
+        sequence = int(now_ms - self._started_ms)
+        return [
+            ClassUse(
+                instance=self._name,
+                incarnation=self._incarnation,
+                sequence=sequence,
+                group=group,
+                class_name=class_name,
+                served_cost=served_cost,
+                demand_cost=admission.offered.cost(class_name, now_ms),
+            )
+            for group, admission in self._admissions.items()
+            for class_name, served_cost in admission.served_cost.items()
+        ]
+
+    def _relayed(self) -> list[ClassUse]:
+        return [ClassUse(**asdict(news)) for news in self._ledger.newest()]
+
+    def absorb(self, digest: PeerDigest) -> None:
+        """Count the service that a peer reports and was not counted before."""
+        now_ms = self._clock.now_ms()
+        admissions = dict(self._admissions.items())
+        for use in digest.uses:
+            if use.instance == self._name:
+                continue
+            added_cost = self._ledger.take(UseNews(**asdict(use)), now_ms)
+            admission = admissions.get(use.group)
+            if admission is not None and added_cost > 0.0:
+                admission.on_fleet_use(use.class_name, added_cost)
+
+    def update_parts(self) -> None:
+        """Set this instance's part of each group from the demand known."""
+        now_ms = self._clock.now_ms()
+        members = frozenset(member.name for member in self._read_members())
+        self._ledger.forget(members, now_ms - FORGET_MS)
+        for group, admission in self._admissions.items():
+            admission.set_part(self._part(group, admission, len(members)))
+
+    def _part(self, group: str, admission: Admission, n_others: int) -> float:
+        now_ms = self._clock.now_ms()
+        history = self._histories.setdefault(group, DemandHistory())
+        history.add(
+            self._incarnation + now_ms - self._started_ms,
+            admission.offered.total(now_ms),
+        )
+        demand = self._ledger.demand_by_instance(group, now_ms - FRESH_MS)
+        return part_of_demand(history, demand.values(), 1 + n_others)
+
+    async def run(self) -> None:
+        """Keep parts and limits up to date until cancelled."""
+        while True:
+            self.update_parts()
+            self._admissions.adapt()
+            await self._clock.sleep_ms(UPDATE_INTERVAL_MS)
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 from typing import TypeAlias
 
 from chestnuthall.core.fanout import (
@@ -30,11 +31,13 @@
     Answer,
     CallerClass,
     Configuration,
+    EnvironmentDocument,
     FanOutAccount,
     MutationRequest,
     PartitionMap,
     Refusal,
     Request,
+    ShardAnswer,
     ShardCall,
     UpstreamGroup,
     is_idempotent,
@@ -56,6 +59,7 @@
 from chestnuthall.ports import Clock, Metrics, ShardCaller
 from chestnuthall.services._admission import (
     Admission,
+    Admissions,
     Admitted,
     NotAdmitted,
     account_of_unqueued,
@@ -70,6 +74,7 @@
 RETRY_AFTER_MS = 1_000.0
 
 Outcome: TypeAlias = Answer | Refusal
+CallObserver: TypeAlias = Callable[[ShardCall, ShardAnswer | Failure, float], None]
 
 
 @dataclass(slots=True)
@@ -107,6 +112,7 @@
         configuration: ConfigurationKeeper,
         ledger: ClaimLedger,
         quarantine: QuarantineRegister,
+        admissions: Admissions,
     ) -> None:
         self._identity = identity
         self._clock = clock
@@ -116,7 +122,7 @@
         self._configuration = configuration
         self._ledger = ledger
         self._quarantine = quarantine
-        self._admissions: dict[str, Admission] = {}
+        self._admissions = admissions
         self._budgets: dict[str, ExtraLoadBudget] = {}
         configuration.on_change(self._apply_configuration)
 
@@ -127,19 +133,15 @@
         self._budgets = {
             item.name: ExtraLoadBudget(document.extra_load) for item in document.classes
         }
-        # Queries of the previous revision keep the queue that admitted them.
-        self._admissions = {}
+        self._admissions.reconfigure(document)
 
     def admission_of(self, group: UpstreamGroup) -> Admission:
         """Return the admission of a group, made at its first use."""
-        admission = self._admissions.get(group.name)
-        if admission is None:
-            configuration = self._configuration.in_force
-            classes = () if configuration is None else configuration.document.classes
-            limit_cost = self._limit_cost(group)
-            admission = Admission(classes, limit_cost, self._clock)
-            self._admissions[group.name] = admission
-        return admission
+        configuration = self._configuration.in_force
+        document = EnvironmentDocument(classes=(), groups=())
+        if configuration is not None:
+            document = configuration.document
+        return self._admissions.of(document, group, self._limit_cost(group))
 
     def _limit_cost(self, group: UpstreamGroup) -> float:
         partition_map = self._directory.pin(group.name)
@@ -236,6 +238,7 @@
             self._clock,
             self._caller,
             self._directory,
+            partial(admission.on_call_result, ticket),
         )
         completion = await run.complete()
         return self._finish(progress, completion)
@@ -332,7 +335,9 @@
         clock: Clock,
         caller: ShardCaller,
         directory: Directory,
+        on_call_result: CallObserver,
     ) -> None:
+        self._on_call_result = on_call_result
         self._fan_out = fan_out
         self._clock = clock
         self._caller = caller
@@ -400,9 +405,11 @@
         self._handle(TimerFired(self._clock.now_ms()))
 
     async def _call(self, call: ShardCall) -> None:
+        started_ms = self._clock.now_ms()
         result = await self._caller.call(call)
         self._calls.pop(call.call_id, None)
         now_ms = self._clock.now_ms()
+        self._on_call_result(call, result, now_ms - started_ms)
         if isinstance(result, Failure):
             self._handle(CallFailed(now_ms, call.call_id, result))
         else:
