Keep class shares steady while news of other instances is late

Cause: instances counted each other's service only when news came, a second late, so the whole fleet served one class and then the other.

Change: own service stands for the like service of the others until news confirms it; a class that asks for less than its share counts as within it; the most urgent class may overdraw room; queries that could not end in time are refused before they run.

The urgent p99 target is still missed.

--- a/chestnuthall/core/admission/_choice.py
+++ b/chestnuthall/core/admission/_choice.py
@@ -23,14 +23,16 @@
 ) -> tuple[ClassQueue, AdmissionRule]:
     """Return the class that goes next and the rule that decided.
 
-    Among the classes within their share the more urgent one goes first, then
-    the one whose next query has the earlier deadline. When only one class is
-    within its share it is the one with the least normalised service.
+    A class is within its share if it received little more than the least
+    served one, or if it asks for less than its share over the whole fleet.
+    Among these the more urgent one goes first, then the one whose next query
+    has the earlier deadline. When only one class is within its share it is
+    the one with the least normalised service.
     """
     if len(busy) == 1:
         return busy[0], AdmissionRule.ONLY_CANDIDATE
     least = min(queue.normalised_service for queue in busy)
-    within = [queue for queue in busy if queue.normalised_service <= least + slack]
+    within = [queue for queue in busy if _is_within(queue, least, slack)]
     if len(within) == 1:
         return within[0], AdmissionRule.LEAST_NORMALISED_SERVICE
     urgency = max(queue.caller_class.urgency for queue in within)
@@ -41,6 +43,10 @@
     return earliest, AdmissionRule.DEADLINE_WITHIN_SHARE
 
 
+def _is_within(queue: ClassQueue, least: float, slack: float) -> bool:
+    return queue.is_modest or queue.normalised_service <= least + slack
+
+
 def _deadline_ms(queue: ClassQueue, kind: str | None) -> float:
     head = queue.head(kind)
     return float("inf") if head is None else head.deadline_ms
@@ -60,7 +66,7 @@
             urgency=queue.caller_class.urgency,
             normalised_service=queue.normalised_service,
             n_queued=queue.n_waiting,
-            is_within_share=queue.normalised_service <= least + slack,
+            is_within_share=_is_within(queue, least, slack),
         )
         for queue in listed
     )
--- a/chestnuthall/core/admission/_events.py
+++ b/chestnuthall/core/admission/_events.py
@@ -61,15 +61,25 @@
     cost: float
 
 
+@dataclass(frozen=True, slots=True)
+class DemandReported(AdmissionEvent):
+    """Callers ask the fleet for ``cost_per_ms`` shard calls of a class."""
+
+    class_name: str
+    cost_per_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class LimitChanged(AdmissionEvent):
     """The number of shard calls that may run at once has changed.
 
-    ``fleet_cost`` is the slots of the group, for all instances together.
+    ``part_ratio`` is this instance's part of the demand of the fleet, and
+    ``class_part_ratios`` its part of the demand of single classes.
     """
 
     limit_cost: float
-    fleet_cost: float = 0.0
+    part_ratio: float = 1.0
+    class_part_ratios: tuple[tuple[str, float], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnuthall/core/admission/_fleet.py
+++ b/chestnuthall/core/admission/_fleet.py
@@ -96,14 +96,16 @@
         return [known.news for known in ordered]
 
     def demand_by_instance(
-        self, group: str, heard_since_ms: float
+        self, group: str, heard_since_ms: float, class_name: str | None = None
     ) -> dict[str, InstanceDemand]:
-        """Return the demand at each instance heard of lately."""
+        """Return the demand of a class, or of all, at each instance heard lately."""
         demand: dict[str, InstanceDemand] = {}
         for known in self._known.values():
             news = known.news
             if news.group != group or known.heard_ms < heard_since_ms:
                 continue
+            if class_name not in (None, news.class_name):
+                continue
             before = demand.get(news.instance, InstanceDemand(0.0, 0.0))
             demand[news.instance] = InstanceDemand(
                 before.cost + news.demand_cost,
@@ -142,7 +144,7 @@
 def part_of_demand(
     history: DemandHistory, others: Iterable[InstanceDemand], n_instances: int
 ) -> float:
-    """Return the part of a group's slots that an instance may use.
+    """Return this instance's part of the demand of the fleet.
 
     Instances without news are taken to have the same demand as this one.
 
--- a/chestnuthall/core/admission/_limit.py
+++ b/chestnuthall/core/admission/_limit.py
@@ -4,14 +4,14 @@
 
 # Latency over its calm level that the limit is steered to. Below it slots
 # idle between calls; above it calls only wait longer at the replicas.
-TARGET_INFLATION = 1.45
+TARGET_INFLATION = 1.65
 # Relative distance from the target within which the limit is left alone, so
 # that noise does not make it oscillate.
 DEAD_BAND_RATIO = 0.08
 RAISE_STEP_RATIO = 0.08
 CUT_FACTOR_MIN = 0.8
 RATIO_MIN = 0.3
-RATIO_MAX = 3.0
+RATIO_MAX = 2.0
 # Part of the replicas that must shed in one interval to cut the limit. One
 # slow replica sheds alone and is the business of replica choice.
 SHED_REPLICAS_RATIO = 0.34
@@ -41,6 +41,7 @@
 
     ratio: float = 1.0
     calm_ms: float | None = None
+    _has_been_calm: bool = False
     _replicas: dict[str, _Interval] = field(default_factory=dict)
 
     def observe_answer(self, replica_name: str, latency_ms: float) -> None:
@@ -74,12 +75,20 @@
         return self._steer(median_ms, utilisation_ratio)
 
     def _learn_calm(self, median_ms: float, utilisation_ratio: float) -> None:
-        if self.calm_ms is None:
+        """Follow the latency of calm stretches.
+
+        An instance that starts under load takes the least latency seen until
+        its first calm stretch. Later ones under load are not folded in: the
+        least of many noisy medians would sink far below the calm level.
+        """
+        is_calm = utilisation_ratio < CALM_UTILISATION_RATIO
+        if self.calm_ms is None or (is_calm and not self._has_been_calm):
             self.calm_ms = median_ms
-        elif utilisation_ratio < CALM_UTILISATION_RATIO:
+        elif is_calm:
             self.calm_ms += CALM_WEIGHT * (median_ms - self.calm_ms)
-        else:
+        elif not self._has_been_calm:
             self.calm_ms = min(self.calm_ms, median_ms)
+        self._has_been_calm = self._has_been_calm or is_calm
 
     def _steer(self, median_ms: float, utilisation_ratio: float) -> float:
         assert self.calm_ms is not None
--- a/chestnuthall/core/admission/_pace.py
+++ b/chestnuthall/core/admission/_pace.py
@@ -3,6 +3,9 @@
 # Weight of the newest duration in the moving averages.
 CALL_WEIGHT = 0.02
 QUERY_WEIGHT = 0.05
+# Time that is set aside for running a query, as a multiple of the mean time of
+# its kind. With the mean alone about one in three would end after its deadline.
+RUN_FACTOR = 1.5
 
 
 class Pace:
@@ -29,9 +32,9 @@
         average = self._query_ms.get(kind)
         self._query_ms[kind] = _average(average, service_ms, QUERY_WEIGHT)
 
-    def query_ms(self, kind: str) -> float:
-        """Return the mean time that a query takes once admitted; 0 if unknown."""
-        return self._query_ms.get(kind, 0.0)
+    def needed_ms(self, kind: str) -> float:
+        """Return the time that an admitted query needs; 0 if unknown."""
+        return RUN_FACTOR * self._query_ms.get(kind, 0.0)
 
     def wait_ms(
         self, *, ahead_cost: float, limit_cost: float, part_ratio: float
--- a/chestnuthall/core/admission/_queue.py
+++ b/chestnuthall/core/admission/_queue.py
@@ -12,6 +12,7 @@
     AdmissionEvent,
     Admit,
     Arrive,
+    DemandReported,
     ExpireDue,
     FleetUseReported,
     LimitChanged,
@@ -44,6 +45,10 @@
     Failure,
 )
 
+# Part of its share up to which a class counts as asking for less. The distance
+# covers the error of the measured demand and service rate.
+MODEST_RATIO = 0.95
+
 
 class AdmissionQueue:
     """Admits queries whole, within a limit on shard calls that run at once.
@@ -62,6 +67,8 @@
         reserved_ratios: tuple[tuple[str, float], ...] = (),
     ) -> None:
         self.room = Room(limit_cost, dict(reserved_ratios))
+        self.part_ratio = 1.0
+        self.class_part_ratios: dict[str, float] = {}
         self.pace = Pace()
         self.queues = {item.name: ClassQueue(item) for item in classes}
         self.waiting: dict[str, Ticket] = {}
@@ -85,7 +92,10 @@
 
     def handle(self, event: AdmissionEvent) -> list[AdmissionAction]:
         """Apply one event and return the queries that are admitted or refused."""
-        self.room.advance(event.now_ms)
+        elapsed_ms = self.room.advance(event.now_ms)
+        if elapsed_ms > 0.0:
+            for queue in self.queues.values():
+                queue.age(elapsed_ms)
         return _apply(event, self)
 
     def make_ticket(self, event: Arrive) -> Ticket:
@@ -111,15 +121,16 @@
         self.waiting[ticket.name] = ticket
 
     def _catch_up(self, queue: ClassQueue) -> None:
-        """Raise the service of an idle class to that of the least served one.
+        """Raise the service of an idle class to near that of the least served one.
 
         Without this a class could save up service while idle and then take
-        the whole limit for as long as its credit lasts.
+        the whole limit for as long as its credit lasts. It keeps the slack, so
+        that a burst of a class that uses less than its share stays within it.
         """
         busy = [item.normalised_service for item in self._busy()]
         self._virtual_time = max(self._virtual_time, min(busy, default=0.0))
         start = min(busy, default=self._virtual_time)
-        queue.normalised_service = max(queue.normalised_service, start)
+        queue.normalised_service = max(queue.normalised_service, start - self.slack)
 
     def _busy(self, kind: str | None = None) -> list[ClassQueue]:
         return [
@@ -188,7 +199,7 @@
 
     def _is_too_late(self, ticket: Ticket, now_ms: float) -> bool:
         """Return whether a query that waited would only run in vain."""
-        return now_ms + (self.pace.call_ms or 0.0) >= ticket.deadline_ms
+        return now_ms + self.pace.needed_ms(ticket.kind) >= ticket.deadline_ms
 
     def _start(
         self, queue: ClassQueue, ticket: Ticket, rule: AdmissionRule, now_ms: float
@@ -197,16 +208,16 @@
         queue.note_admission(ticket.cost, now_ms)
         self.running[ticket.name] = ticket
         self.room.take(ticket.kind, ticket.cost)
-        queue.normalised_service += ticket.cost / queue.caller_class.share
         name = ticket.class_name
+        part_ratio = self.class_part_ratios.get(name, self.part_ratio)
+        queue.charge(ticket.cost, part_ratio)
         self.served_cost[name] = self.served_cost.get(name, 0.0) + ticket.cost
         self.admitted[name, rule] = self.admitted.get((name, rule), 0) + 1
 
     @property
     def slack(self) -> float:
         """Normalised service by which a class may be ahead within its share."""
-        fleet_cost = max(self.room.fleet_cost, self.room.limit_cost)
-        return slack_of(self.queues.values(), fleet_cost)
+        return slack_of(self.queues.values(), self.room.limit_cost / self.part_ratio)
 
     def standings(self) -> tuple[ClassStanding, ...]:
         """Return the standing of every class now."""
@@ -285,7 +296,7 @@
     wait_ms = queue.expected_wait_ms(ticket)
     if wait_ms <= 0.0:
         return None
-    needed_ms = wait_ms + queue.pace.query_ms(ticket.kind)
+    needed_ms = wait_ms + queue.pace.needed_ms(ticket.kind)
     remaining_ms = ticket.deadline_ms - ticket.arrived_ms
     if needed_ms <= remaining_ms:
         return None
@@ -360,14 +371,26 @@
 def _(event: FleetUseReported, queue: AdmissionQueue) -> list[AdmissionAction]:
     class_queue = queue.queues.get(event.class_name)
     if class_queue is not None:
-        class_queue.normalised_service += event.cost / class_queue.caller_class.share
+        class_queue.settle(event.cost)
+    return []
+
+
+@_apply.register
+def _(event: DemandReported, queue: AdmissionQueue) -> list[AdmissionAction]:
+    class_queue = queue.queues.get(event.class_name)
+    if class_queue is not None and queue.pace.call_ms is not None:
+        shares = sum(item.caller_class.share for item in queue.queues.values())
+        fleet_per_ms = queue.room.limit_cost / queue.part_ratio / queue.pace.call_ms
+        owed_per_ms = fleet_per_ms * class_queue.caller_class.share / shares
+        class_queue.is_modest = event.cost_per_ms <= MODEST_RATIO * owed_per_ms
     return []
 
 
 @_apply.register
 def _(event: LimitChanged, queue: AdmissionQueue) -> list[AdmissionAction]:
     queue.room.limit_cost = event.limit_cost
-    queue.room.fleet_cost = event.fleet_cost
+    queue.part_ratio = event.part_ratio
+    queue.class_part_ratios = dict(event.class_part_ratios)
     return queue.admit_next(event.now_ms)
 
 
--- a/chestnuthall/core/admission/_room.py
+++ b/chestnuthall/core/admission/_room.py
@@ -38,11 +38,10 @@
     credit_cost_ms: float = 0.0
     updated_ms: float = 0.0
     largest_cost: float = 0.0
-    fleet_cost: float = 0.0
     mean_running_cost: float = 0.0
 
-    def advance(self, now_ms: float) -> None:
-        """Account for the room used since the last event."""
+    def advance(self, now_ms: float) -> float:
+        """Account for the room used since the last event; return the time since."""
         elapsed_ms = max(0.0, now_ms - self.updated_ms)
         self.updated_ms = now_ms
         weight = 1.0 - exp(-elapsed_ms / USE_WINDOW_MS)
@@ -53,6 +52,7 @@
         most = CREDIT_MAX_MS * self.limit_cost
         least = -max(DEBT_MAX_MS * self.limit_cost, SPEND_MS * self.largest_cost)
         self.credit_cost_ms = min(most, max(least, credit))
+        return elapsed_ms
 
     @property
     def utilisation_ratio(self) -> float:
--- a/chestnuthall/core/admission/_tickets.py
+++ b/chestnuthall/core/admission/_tickets.py
@@ -3,12 +3,19 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heappush
+from math import exp
 
 from chestnuthall.core.model import AdmissionRule, CallerClass
 
 # Weight of the newest gap between two admissions of a backlogged class.
 GAP_WEIGHT = 0.1
 
+# Bounds the service that is predicted of others from a small part.
+PART_RATIO_MIN = 0.01
+# Time within which news of other instances arrives. Predicted service that no
+# news has confirmed by then is taken back.
+NEWS_DELAY_MS = 2_000.0
+
 # Admissions so far, by class and by the rule that decided.
 AdmittedCounts = dict[tuple[str, AdmissionRule], int]
 
@@ -31,8 +38,10 @@
 class ClassQueue:
     """Waiting queries of one class: a heap by deadline for each kind.
 
-    ``normalised_service`` is the service over the fleet divided by the share.
+    ``normalised_service`` is the service over the fleet divided by the share;
+    it includes ``predicted_cost``, which no news has confirmed yet.
     ``cost_gap_ms`` is the measured time per shard call admitted in a backlog.
+    A modest class asks for less than its share over the whole fleet.
     A retired class is no longer configured and keeps its queue until empty.
     """
 
@@ -40,6 +49,8 @@
     normalised_service: float = 0.0
     is_retired: bool = False
     n_waiting: int = 0
+    predicted_cost: float = 0.0
+    is_modest: bool = False
     cost_gap_ms: float | None = None
     _admitted_ms: float | None = None
     _heaps: dict[str, list[tuple[float, int, Ticket]]] = field(default_factory=dict)
@@ -68,6 +79,32 @@
             heapify(heap)
         self.n_waiting -= 1
 
+    def charge(self, cost: float, part_ratio: float) -> None:
+        """Count own service, and the like service that others give meanwhile.
+
+        News of others is a second or two old. If an instance counted it only
+        on arrival, all instances would serve one class until the news came
+        and then all turn to another one.
+        """
+        predicted_cost = cost * (1.0 / max(PART_RATIO_MIN, part_ratio) - 1.0)
+        self.predicted_cost += predicted_cost
+        self._add(cost + predicted_cost)
+
+    def settle(self, reported_cost: float) -> None:
+        """Count service of others, in place of what was predicted of it."""
+        confirmed_cost = min(reported_cost, self.predicted_cost)
+        self.predicted_cost -= confirmed_cost
+        self._add(reported_cost - confirmed_cost)
+
+    def age(self, elapsed_ms: float) -> None:
+        """Take back predicted service for which no news came."""
+        lapsed_cost = self.predicted_cost * (1.0 - exp(-elapsed_ms / NEWS_DELAY_MS))
+        self.predicted_cost -= lapsed_cost
+        self._add(-lapsed_cost)
+
+    def _add(self, cost: float) -> None:
+        self.normalised_service += cost / self.caller_class.share
+
     def note_admission(self, cost: float, now_ms: float) -> None:
         """Measure the pace of the class from the gaps while it is backlogged."""
         if self._admitted_ms is not None:
--- a/chestnuthall/services/_admission.py
+++ b/chestnuthall/services/_admission.py
@@ -12,6 +12,7 @@
     AdmissionQueue,
     Admit,
     Arrive,
+    DemandReported,
     ExpireDue,
     FleetUseReported,
     LimitChanged,
@@ -62,9 +63,9 @@
         total, updated_ms = self._costs.get(class_name, (0.0, now_ms))
         return total * exp((updated_ms - now_ms) / OFFERED_WINDOW_MS)
 
-    def total(self, now_ms: float) -> float:
-        """Return the sum over all classes."""
-        return sum(self.cost(name, now_ms) for name in self._costs)
+    def by_class(self, now_ms: float) -> dict[str, float]:
+        """Return the aged sums of all classes that arrived so far."""
+        return {name: self.cost(name, now_ms) for name in self._costs}
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +102,7 @@
         self._clock = clock
         self._slots_cost = slots_cost
         self._part_ratio = 1.0
+        self._class_part_ratios: tuple[tuple[str, float], ...] = ()
         self._limit = AdaptiveLimit()
         self._queue = AdmissionQueue(
             document.classes, slots_cost, group.reserved_ratios
@@ -143,12 +145,19 @@
 
     def set_slots(self, slots_cost: float) -> None:
         """Set the slots of the whole group."""
-        self._slots_cost = slots_cost
-        self._apply_limit()
+        if slots_cost != self._slots_cost:
+            self._slots_cost = slots_cost
+            self._apply_limit()
 
-    def set_part(self, part_ratio: float) -> None:
-        """Set the part of the group's slots that this instance may use."""
+    def set_part(
+        self, part_ratio: float, class_part_ratios: tuple[tuple[str, float], ...]
+    ) -> None:
+        """Set this instance's part of the demand, in all and by class.
+
+        It is also the part of the group's slots that this instance may use.
+        """
         self._part_ratio = part_ratio
+        self._class_part_ratios = class_part_ratios
         self._apply_limit()
 
     def adapt(self) -> None:
@@ -159,9 +168,19 @@
 
     def _apply_limit(self) -> None:
         limit_cost = self._slots_cost * self._part_ratio * self._limit.ratio
-        if limit_cost != self._queue.room.limit_cost:
-            now_ms = self._clock.now_ms()
-            self._handle(LimitChanged(now_ms, limit_cost, self._slots_cost))
+        self._handle(
+            LimitChanged(
+                self._clock.now_ms(),
+                limit_cost,
+                self._part_ratio,
+                self._class_part_ratios,
+            )
+        )
+
+    def on_fleet_demand(self, class_name: str, cost: float) -> None:
+        """Note what callers of a class ask of the whole fleet."""
+        cost_per_ms = cost / OFFERED_WINDOW_MS
+        self._handle(DemandReported(self._clock.now_ms(), class_name, cost_per_ms))
 
     def on_fleet_use(self, class_name: str, cost: float) -> None:
         """Count service that other instances gave to a class."""
--- a/chestnuthall/services/_fleet_use.py
+++ b/chestnuthall/services/_fleet_use.py
@@ -11,7 +11,7 @@
     part_of_demand,
 )
 from chestnuthall.ports import ClassUse, Clock, MemberUpdate, PeerDigest
-from chestnuthall.services._admission import Admission, Admissions
+from chestnuthall.services._admission import Admissions
 
 UPDATE_INTERVAL_MS = 250.0
 # Longer silence than this makes an instance count with the average demand.
@@ -46,7 +46,7 @@
         # The start time tells a restarted instance from its predecessor.
         self._incarnation = int(clock.wall_ms())
         self._started_ms = clock.now_ms()
-        self._histories: dict[str, DemandHistory] = {}
+        self._histories: dict[tuple[str, str | None], DemandHistory] = {}
 
     def fill(self, digest: PeerDigest) -> PeerDigest:
         """Return the digest with the own use and the latest news of others."""
@@ -94,17 +94,34 @@
         members = frozenset(member.name for member in self._read_members())
         self._ledger.forget(members, now_ms - FORGET_MS)
         for group, admission in self._admissions.items():
-            admission.set_part(self._part(group, admission, len(members)))
+            costs = admission.offered.by_class(now_ms)
+            n_instances = 1 + len(members)
+            part = self._part(group, None, sum(costs.values()), n_instances)
+            class_parts = tuple(
+                (name, self._part(group, name, cost, n_instances))
+                for name, cost in costs.items()
+            )
+            admission.set_part(part, class_parts)
+            for name, cost in costs.items():
+                others_cost = self._others_cost(group, name, n_instances)
+                admission.on_fleet_demand(name, cost + others_cost)
+
+    def _others_cost(self, group: str, class_name: str, n_instances: int) -> float:
+        """Return the demand at the others, taking silent ones for average."""
+        since_ms = self._clock.now_ms() - FRESH_MS
+        demand = self._ledger.demand_by_instance(group, since_ms, class_name)
+        known_cost = sum(item.cost for item in demand.values())
+        return known_cost * (n_instances - 1) / len(demand) if demand else 0.0
 
-    def _part(self, group: str, admission: Admission, n_others: int) -> float:
+    def _part(
+        self, group: str, class_name: str | None, own_cost: float, n_instances: int
+    ) -> float:
         now_ms = self._clock.now_ms()
-        history = self._histories.setdefault(group, DemandHistory())
-        history.add(
-            self._incarnation + now_ms - self._started_ms,
-            admission.offered.total(now_ms),
-        )
-        demand = self._ledger.demand_by_instance(group, now_ms - FRESH_MS)
-        return part_of_demand(history, demand.values(), 1 + n_others)
+        history = self._histories.setdefault((group, class_name), DemandHistory())
+        history.add(self._incarnation + now_ms - self._started_ms, own_cost)
+        since_ms = now_ms - FRESH_MS
+        demand = self._ledger.demand_by_instance(group, since_ms, class_name)
+        return part_of_demand(history, demand.values(), n_instances)
 
     async def run(self) -> None:
         """Keep parts and limits up to date until cancelled."""
