--- a/benchmarks/_fleet.py
+++ b/benchmarks/_fleet.py
@@ -17,9 +17,11 @@
 from chestnuthall.core.routing import RouterSettings
 from chestnuthall.ports import MemberUpdate, PeerService
 from chestnuthall.services import (
+    Admissions,
     ClaimLedger,
     ConfigurationKeeper,
     Directory,
+    FleetUse,
     Identity,
     Membership,
     QueryService,
@@ -59,8 +61,19 @@
             random,
             fleet.router_settings,
         )
+        admissions = Admissions(clock)
+        self.fleet_use = FleetUse(
+            self.name, clock, admissions, lambda: self.membership.members()
+        )
         self.membership = Membership(
-            identity, store, peers, clock, self.configuration, _read_member, random
+            identity,
+            store,
+            peers,
+            clock,
+            self.configuration,
+            _read_member,
+            random,
+            parts=(self.fleet_use,),
         )
         self.query = QueryService(
             identity=identity,
@@ -73,6 +86,7 @@
             quarantine=QuarantineRegister(QuarantineSettings()),
             spread=lambda: self.membership.spread_now(deployment.n_instances),
             n_instances=lambda: self.membership.n_instances,
+            admissions=admissions,
         )
         fleet.peer_services[self.name] = self.membership
 
@@ -140,6 +154,7 @@
             instance.divide_connections(len(self.instances))
         for instance in self.instances:
             self._tasks.append(loop.create_task(instance.membership.run()))
+            self._tasks.append(loop.create_task(instance.fleet_use.run()))
 
     async def stop(self) -> None:
         """End the background work."""
--- a/benchmarks/_processor_time.py
+++ b/benchmarks/_processor_time.py
@@ -27,6 +27,7 @@
 from chestnuthall.core.quarantine import QuarantineRegister, QuarantineSettings
 from chestnuthall.core.results import INVALID_REQUEST
 from chestnuthall.services import (
+    Admissions,
     ClaimLedger,
     ConfigurationKeeper,
     Directory,
@@ -193,6 +194,7 @@
         caller=caller,
         directory=directory,
         configuration=keeper,
+        admissions=Admissions(clock),
         ledger=ClaimLedger(store, clock, JsonPartitionCodec(), LedgerSettings()),
         quarantine=QuarantineRegister(QuarantineSettings()),
     )
--- a/chestnuthall/core/admission/_events.py
+++ b/chestnuthall/core/admission/_events.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from chestnuthall.core.model import AdmissionAccount
+from chestnuthall.core.model import AdmissionAccount, CallerClass
 from chestnuthall.core.results import Failure
 
 
@@ -32,6 +32,15 @@
     service_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class ReleasePart(AdmissionEvent):
+    """Some shard calls of an admitted query ended after ``service_ms`` each."""
+
+    ticket: str
+    cost: float
+    service_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class Withdraw(AdmissionEvent):
     """A queued query is no longer wanted by its caller."""
@@ -52,11 +61,38 @@
     cost: float
 
 
+@dataclass(frozen=True, slots=True)
+class DemandReported(AdmissionEvent):
+    """Callers ask the fleet for ``cost_per_ms`` shard calls of a class."""
+
+    class_name: str
+    cost_per_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class LimitChanged(AdmissionEvent):
-    """The number of shard calls that may run at once has changed."""
+    """The number of shard calls that may run at once has changed.
+
+    ``part_ratio`` is this instance's part of the demand of the fleet, and
+    ``class_part_ratios`` its part of the demand of single classes.
+    """
 
     limit_cost: float
+    part_ratio: float = 1.0
+    class_part_ratios: tuple[tuple[str, float], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Woken(AdmissionEvent):
+    """The time that ``AdmissionQueue.wake_at_ms`` named has come."""
+
+
+@dataclass(frozen=True, slots=True)
+class Reconfigured(AdmissionEvent):
+    """Another configuration is in force; queued and running work stays."""
+
+    classes: tuple[CallerClass, ...]
+    reserved_ratios: tuple[tuple[str, float], ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnuthall/core/drains/_register.py
+++ b/chestnuthall/core/drains/_register.py
@@ -63,6 +63,8 @@
     expires_ms: float
     since_ms: float
     n_sent: int = 0
+    # Whether the health endpoint has shown this drain.
+    is_in_health: bool = False
 
 
 class DrainRegister:
@@ -93,7 +95,10 @@
     def _(self, event: Signalled) -> list[DrainAction]:
         lifetime_ms = self._settings.lifetimes_ms[event.signal]
         record = self._records.get(event.replica_name)
+        is_in_health = event.signal is DrainSignal.HEALTH
         if record is not None and not record.is_over:
+            record.is_in_health |= is_in_health
+            is_in_health = record.is_in_health
             remaining_ms = record.expires_ms - event.now_ms
             if remaining_ms >= lifetime_ms / 2.0:
                 return []
@@ -101,7 +106,12 @@
         expires_ms = event.now_ms + lifetime_ms
         was_held = record is not None and not self._is_ended(record, event.now_ms)
         self._records[event.replica_name] = _Record(
-            sequence, event.signal, False, expires_ms, event.now_ms
+            sequence,
+            event.signal,
+            False,
+            expires_ms,
+            event.now_ms,
+            is_in_health=is_in_health,
         )
         stop = StopCalls(event.replica_name, expires_ms)
         # A renewal is not urgent: every instance still holds the old notice.
@@ -114,7 +124,7 @@
             return []
         # An observation that began before the drain was known may be older.
         is_older = event.observed_ms <= record.since_ms
-        if is_older or not _is_ended_by(record.signal, event.signal):
+        if is_older or not _is_ended_by(record, event.signal):
             return []
         # The end is told for as long as any instance can hold the drain.
         longest_ms = max(
@@ -215,9 +225,13 @@
     return notice.sequence > record.sequence
 
 
-def _is_ended_by(started_by: DrainSignal, signal: DrainSignal) -> bool:
+def _is_ended_by(record: _Record, signal: DrainSignal) -> bool:
     if signal is DrainSignal.OPERATOR:
         return True
-    if signal is DrainSignal.HEALTH:
-        return started_by in _ENDED_BY_HEALTH
-    return signal is started_by
+    if signal is not DrainSignal.HEALTH:
+        return signal is record.signal
+    if record.signal is DrainSignal.ANSWER:
+        # The health endpoint lags. Until it has shown the drain, that it shows
+        # none is older than the answer that did.
+        return record.is_in_health
+    return record.signal in _ENDED_BY_HEALTH
--- a/chestnuthall/daemon/_instance.py
+++ b/chestnuthall/daemon/_instance.py
@@ -35,6 +35,7 @@
 from chestnuthall.ports import ListEntry, Metrics
 from chestnuthall.services import (
     Administration,
+    Admissions,
     BurnRecorder,
     ClaimLedger,
     ConfigurationKeeper,
@@ -45,6 +46,7 @@
     DrainNews,
     DrainWatchingCaller,
     FleetStatus,
+    FleetUse,
     HealthChecks,
     Identity,
     InstanceList,
@@ -119,6 +121,10 @@
             store, self.caller, clock, read_partition_map, settings.zone, random
         )
         self.instances = InstanceList(store, clock, _read_list_entry)
+        admissions = Admissions(clock)
+        self.fleet_use = FleetUse(
+            self.settings.name, clock, admissions, lambda: self.membership.members()
+        )
         self.membership = Membership(
             identity,
             self.transport,
@@ -126,6 +132,7 @@
             self.configuration,
             self.instances,
             random,
+            parts=(self.fleet_use,),
         )
         self.drains = DrainNews(
             self.directory,
@@ -174,6 +181,7 @@
             configuration=self.configuration,
             ledger=self.ledger,
             quarantine=quarantine,
+            admissions=admissions,
             record_outcome=OutcomeRecorder(
                 self.burn, metrics, self.configuration
             ).record,
@@ -274,6 +282,7 @@
             loop.create_task(self.connections.run()),
             loop.create_task(self.instances.run()),
             loop.create_task(self.membership.run()),
+            loop.create_task(self.fleet_use.run()),
             loop.create_task(self.health_checks.run()),
             loop.create_task(self.quarantines.run()),
             loop.create_task(self.status.run()),
--- a/chestnuthall/daemon/tests/test_mutations_on_store.py
+++ b/chestnuthall/daemon/tests/test_mutations_on_store.py
@@ -28,7 +28,7 @@
     configuration_text,
     mutation,
 )
-from chestnuthall.services import Directory, Identity, QueryService
+from chestnuthall.services import Admissions, Directory, Identity, QueryService
 from chestnuthall.standins.objectapi import LostAnswer, Outage, StoreFaults
 from chestnuthall.standins.virtual_time import run_virtual
 
@@ -83,6 +83,7 @@
             caller=self.caller,
             directory=directory,
             configuration=self.keepers[index],
+            admissions=Admissions(self.clock),
             ledger=self.ledgers[index],
             quarantine=QuarantineRegister(QuarantineSettings()),
         )
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -5,6 +5,7 @@
 )
 from chestnuthall.services._admission import (
     Admission,
+    Admissions,
     Admitted,
     NotAdmitted,
 )
@@ -35,6 +36,9 @@
     DrainNews,
     DrainWatchingCaller,
 )
+from chestnuthall.services._fleet_use import (
+    FleetUse,
+)
 from chestnuthall.services._fleet_view import (
     FleetView,
     Seen,
@@ -88,6 +92,7 @@
     "Accepted",
     "Administration",
     "Admission",
+    "Admissions",
     "Admitted",
     "BurnCodec",
     "BurnRecorder",
@@ -102,6 +107,7 @@
     "DrainNews",
     "DrainWatchingCaller",
     "FleetStatus",
+    "FleetUse",
     "FleetView",
     "HealthChecks",
     "Identity",
--- a/chestnuthall/services/_fan_out_run.py
+++ b/chestnuthall/services/_fan_out_run.py
@@ -1,7 +1,9 @@
 """Carries out the actions of one fan-out on the event loop."""
 
 import asyncio
+from collections.abc import Callable
 from functools import singledispatchmethod
+from typing import TypeAlias
 
 from chestnuthall.core.fanout import (
     Action,
@@ -22,12 +24,14 @@
     Warn,
     Warned,
 )
-from chestnuthall.core.model import ShardCall
+from chestnuthall.core.model import ShardAnswer, ShardCall
 from chestnuthall.core.results import Failure
 from chestnuthall.ports import Clock, ShardCaller
 from chestnuthall.services._directory import Directory
 from chestnuthall.services._suspects import Suspects
 
+CallObserver: TypeAlias = Callable[[ShardCall, ShardAnswer | Failure, float], None]
+
 
 class FanOutRun:
     """One fan-out with its calls, its timer and what it waits for."""
@@ -39,7 +43,9 @@
         caller: ShardCaller,
         directory: Directory,
         suspects: Suspects,
+        on_call_result: CallObserver,
     ) -> None:
+        self._on_call_result = on_call_result
         self._fan_out = fan_out
         self._clock = clock
         self._caller = caller
@@ -122,9 +128,11 @@
         self._handle(Warned(self._clock.now_ms()))
 
     async def _call(self, call: ShardCall) -> None:
+        started_ms = self._clock.now_ms()
         result = await self._caller.call(call)
         self._calls.pop(call.call_id, None)
         now_ms = self._clock.now_ms()
+        self._on_call_result(call, result, now_ms - started_ms)
         if isinstance(result, Failure):
             self._handle(CallFailed(now_ms, call.call_id, result))
         else:
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
+from functools import partial
 from typing import TypeAlias
 
 from chestnuthall.core.claims import KeyClaim
@@ -18,6 +19,7 @@
     Answer,
     CallerClass,
     Configuration,
+    EnvironmentDocument,
     FanOutAccount,
     MutationRequest,
     PartitionMap,
@@ -42,6 +44,7 @@
 from chestnuthall.ports import Clock, Metrics, ShardCaller
 from chestnuthall.services._admission import (
     Admission,
+    Admissions,
     Admitted,
     NotAdmitted,
     account_of_unqueued,
@@ -94,6 +97,7 @@
         configuration: ConfigurationKeeper,
         ledger: ClaimLedger,
         quarantine: QuarantineRegister,
+        admissions: Admissions,
         record_outcome: Callable[[Outcome], None] | None = None,
         spread: Callable[[], Awaitable[None]] | None = None,
         n_instances: Callable[[], int] = lambda: 1,
@@ -110,7 +114,7 @@
         self._suspects = Suspects(quarantine, clock, spread)
         self._n_instances = n_instances
         self._utilisation: dict[str, UtilisationAverage] = {}
-        self._admissions: dict[str, Admission] = {}
+        self._admissions = admissions
         self._budgets: dict[str, ExtraLoadBudget] = {}
         configuration.on_change(self._apply_configuration)
 
@@ -127,19 +131,15 @@
             else ExtraLoadBudget(document.extra_load)
             for item in document.classes
         }
-        # Queries of the previous revision keep the queue that admitted them.
-        self._admissions = {}
+        self._admissions.reconfigure(document)
 
     def admission_of(self, group: UpstreamGroup) -> Admission:
         """Return the admission of a group, made at its first use."""
-        admission = self._admissions.get(group.name)
-        if admission is None:
-            configuration = self._configuration.in_force
-            classes = () if configuration is None else configuration.document.classes
-            limit_cost = self._limit_cost(group)
-            admission = Admission(classes, limit_cost, self._clock)
-            self._admissions[group.name] = admission
-        return admission
+        configuration = self._configuration.in_force
+        document = EnvironmentDocument(classes=(), groups=())
+        if configuration is not None:
+            document = configuration.document
+        return self._admissions.of(document, group, self._limit_cost(group))
 
     def _limit_cost(self, group: UpstreamGroup) -> float:
         partition_map = self._directory.pin(group.name)
@@ -253,6 +253,7 @@
             self._caller,
             self._directory,
             self._suspects,
+            partial(admission.on_call_result, ticket),
         )
         completion = await run.complete()
         if completion.account.n_calls == 0:
--- a/chestnuthall/services/tests/_world.py
+++ b/chestnuthall/services/tests/_world.py
@@ -35,6 +35,7 @@
 )
 from chestnuthall.ports import StoredObject
 from chestnuthall.services import (
+    Admissions,
     ClaimLedger,
     ConfigurationKeeper,
     Directory,
@@ -209,6 +210,7 @@
             caller=self.upstreams,
             directory=self.directory,
             configuration=keeper,
+            admissions=Admissions(self.clock),
             ledger=ClaimLedger(self.store, self.clock, self.store, LedgerSettings()),
             quarantine=self.register,
             spread=spread,
