Divide a search over the instances, off by default

Cause: the two-level fan-out had a port and a hashing, but no path. Change: TwoLevelFanOut assigns shards to live instances by rendezvous hashing, asks the peers, and runs here what a peer does not answer for. The switch is two_level_fan_out in the settings file, for all instances of an environment. Ruled out: the coverage floor for each part (it holds for the whole). Not done: the account of a divided search has only the number of calls, no hedges, retries or slowest shard; peers run their part without admission; no latency was measured.

--- a/chestnuthall/adapters/peers/_convert_shards.py
+++ b/chestnuthall/adapters/peers/_convert_shards.py
@@ -55,6 +55,7 @@
         n_documents_total=coverage.n_documents_total,
         n_shards_covered=coverage.n_shards_covered,
         n_shards_total=coverage.n_shards_total,
+        n_calls=answer.n_calls,
         missing_ranges=[
             pb.KeyRange(start=item.start, end=item.end)
             for item in coverage.missing_ranges
@@ -77,4 +78,5 @@
             message.n_shards_total,
             tuple(KeyRange(item.start, item.end) for item in message.missing_ranges),
         ),
+        message.n_calls,
     )
--- a/chestnuthall/adapters/peers/tests/test_contract.py
+++ b/chestnuthall/adapters/peers/tests/test_contract.py
@@ -51,7 +51,7 @@
     fingerprint="f",
 )
 PARTIAL = PartialAnswer(
-    3, (Hit("k", 1.5, "r"),), Coverage(5, 9, 1, 2, (KeyRange("m", ""),))
+    3, (Hit("k", 1.5, "r"),), Coverage(5, 9, 1, 2, (KeyRange("m", ""),)), 2
 )
 
 
--- a/chestnuthall/adapters/settings/_models.py
+++ b/chestnuthall/adapters/settings/_models.py
@@ -41,6 +41,8 @@
     peer_address: Address
     store_address: Address
     leave_notice_ms: Annotated[float, Field(ge=0.0)] = 3_000.0
+    # Searches are divided over the instances; every instance needs the switch.
+    two_level_fan_out: bool = False
     statsd: StatsdSettings | None = None
     limits: LimitSettings = LimitSettings()
     log_level: Annotated[str, Field(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
--- a/chestnuthall/core/fanout/_partial.py
+++ b/chestnuthall/core/fanout/_partial.py
@@ -8,11 +8,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PartialAnswer:
-    """What one instance found in its set of shards of one snapshot."""
+    """What one instance found in its set of shards of one snapshot.
+
+    ``n_calls`` is the number of shard calls that it made.
+    """
 
     snapshot_id: int
     hits: tuple[Hit, ...]
     coverage: Coverage
+    n_calls: int = 0
 
 
 def sum_coverage(parts: Sequence[Coverage]) -> Coverage:
@@ -52,7 +56,8 @@
             for part in parts
         ]
     )
-    return PartialAnswer(snapshot_id, tuple(hits[:n_hits_max]), coverage)
+    n_calls = sum(part.n_calls for part in parts)
+    return PartialAnswer(snapshot_id, tuple(hits[:n_hits_max]), coverage, n_calls)
 
 
 def _nothing_of(part: PartialAnswer) -> Coverage:
--- a/chestnuthall/daemon/_instance.py
+++ b/chestnuthall/daemon/_instance.py
@@ -48,6 +48,7 @@
     QuarantineNews,
     QueryService,
     StatusReporter,
+    TwoLevelFanOut,
 )
 
 # The exit does not wait longer for a store that is down.
@@ -120,6 +121,8 @@
             ledger=ClaimLedger(store, clock, JsonPartitionCodec(), LedgerSettings()),
             quarantine=quarantine,
         )
+        if settings.two_level_fan_out:
+            self._divide_searches(clock)
         self.configuration.on_change(self._divide_connections)
         self.membership.on_change(self._divide_for_counts)
         self.administration = Administration(
@@ -173,6 +176,18 @@
             "peers": [member.name for member in self.membership.members()],
         }
 
+    def _divide_searches(self, clock: LoopClock) -> None:
+        two_level = TwoLevelFanOut(
+            self.membership,
+            self.transport,
+            clock,
+            self.directory,
+            self.query.run_shards,
+            self.query.read_context,
+        )
+        self.query.divide_searches(two_level.complete)
+        self.membership.set_shard_set_handler(two_level.answer)
+
     def _divide_for_counts(self, counts: FleetCounts) -> None:
         if self.configuration.in_force is not None:
             self._divide_connections(self.configuration.in_force)
--- a/chestnuthall/daemon/tests/test_fleet_processes.py
+++ b/chestnuthall/daemon/tests/test_fleet_processes.py
@@ -13,10 +13,11 @@
 SEARCH = {"class": "planner", "group": "planner-desk", "query": "x"}
 
 
-def _plan():
+def _plan(n_shards=1, two_level=False):
     return FleetPlan(
+        two_level_fan_out=two_level,
         groups=(
-            GroupPlan(name="planner-desk", n_shards=1, n_replicas=2),
+            GroupPlan(name="planner-desk", n_shards=n_shards, n_replicas=2),
             GroupPlan(name="booking-ledger", n_shards=1, n_replicas=1),
         ),
         document_text=DOCUMENT.read_text(),
@@ -93,3 +94,37 @@
             return before, others, seen, after
 
     assert asyncio.run(scenario()) == (3, 2, {3}, 3)
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("two_level", [False, True])
+def test_divided_search_gives_the_same_answer(two_level):
+    """Hits, coverage and calls must not depend on how shards were divided."""
+
+    async def scenario():
+        async with LocalFleet(_plan(9, two_level)) as fleet:
+            await asyncio.sleep(3.0)
+            body = {**SEARCH, "request_id": "t1", "n_hits_max": 30}
+            first = fleet.instances[0]
+            whole = await first.client.send("POST", "/v1/search", body)
+            fleet.instances[1].process.send_signal(signal.SIGKILL)
+            await asyncio.sleep(0.2)
+            again = await first.client.send("POST", "/v1/search", body)
+            await asyncio.gather(
+                *(
+                    item.process.stop(signal.SIGKILL)
+                    for item in fleet.replicas
+                    if item.shard_id == "s04"
+                )
+            )
+            body["class"] = "crew"  # its coverage floor allows a lost shard
+            partial = await first.client.send("POST", "/v1/search", body)
+            return [whole.body, again.body, partial.body]
+
+    whole, again, partial = asyncio.run(scenario())
+    assert whole["coverage"]["ratio"] == again["coverage"]["ratio"] == 1.0
+    assert whole["hits"] == again["hits"]
+    # Hedges of slow first connections come on top.
+    assert whole["account"]["fan_out"]["n_calls"] >= 9
+    assert partial["coverage"]["n_shards_covered"] == 8
+    assert partial["coverage"]["n_documents_covered"] == 8 * 50
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -26,8 +26,10 @@
     StatusPart,
     StatusReporter,
 )
+from chestnuthall.services._two_level import TwoLevelFanOut
 
 __all__ = [
+    "TwoLevelFanOut",
     "Administration",
     "ConfigurationStatus",
     "FleetStatus",
--- a/chestnuthall/services/_directory.py
+++ b/chestnuthall/services/_directory.py
@@ -91,6 +91,12 @@
                 },
             )
 
+    def map_of(self, group_name: str, snapshot_id: int) -> PartitionMap | None:
+        """Return the known map of a snapshot, or None."""
+        catalog = self._catalogs.get(group_name)
+        maps = () if catalog is None else catalog.maps()
+        return next((item for item in maps if item.snapshot_id == snapshot_id), None)
+
     def pin(
         self, group_name: str, excluded: tuple[int, ...] = ()
     ) -> PartitionMap | None:
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import logging
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from functools import singledispatchmethod
-from typing import TypeAlias
+from typing import Protocol, TypeAlias
 
 from chestnuthall.core.fanout import (
     Action,
@@ -35,6 +36,7 @@
     PartitionMap,
     Refusal,
     Request,
+    SearchRequest,
     ShardCall,
     UpstreamGroup,
     is_idempotent,
@@ -70,6 +72,9 @@
 RETRY_AFTER_MS = 1_000.0
 
 Outcome: TypeAlias = Answer | Refusal
+DividedSearch: TypeAlias = Callable[
+    [SearchRequest, PartitionMap, FanOutContext], Awaitable[Completion]
+]
 
 
 @dataclass(slots=True)
@@ -118,6 +123,7 @@
         self._quarantine = quarantine
         self._admissions: dict[str, Admission] = {}
         self._budgets: dict[str, ExtraLoadBudget] = {}
+        self._divided_search: DividedSearch | None = None
         configuration.on_change(self._apply_configuration)
 
     def _apply_configuration(self, configuration: Configuration) -> None:
@@ -237,9 +243,41 @@
             self._caller,
             self._directory,
         )
-        completion = await run.complete()
+        if self._divided_search is not None and isinstance(request, SearchRequest):
+            completion = await self._divided_search(request, partition_map, context)
+        else:
+            completion = await run.complete()
         return self._finish(progress, completion)
 
+    def divide_searches(self, search: DividedSearch) -> None:
+        """Run searches over several instances from now on."""
+        self._divided_search = search
+
+    async def run_shards(
+        self, request: SearchRequest, sub_map: PartitionMap, context: FanOutContext
+    ) -> Completion:
+        """Run a search over some shards of a map, on its snapshot only."""
+        fan_out = FanOut(request, sub_map, context)
+        run = _FanOutRun(fan_out, self._clock, self._caller, _NoOtherMap())
+        return await run.complete()
+
+    def read_context(self, class_name: str, group_name: str) -> FanOutContext | Failure:
+        """Return what a peer's search shares with the queries of this instance."""
+        configuration = self._configuration.in_force
+        if configuration is None:
+            return NOT_READY.because("no configuration is in force")
+        caller_class = configuration.document.class_named(class_name)
+        group = configuration.document.group_named(group_name)
+        if caller_class is None or group is None:
+            return NOT_READY.because("the class or group is not known here")
+        return FanOutContext(
+            router=self._directory.router(group_name),
+            budget=self._budgets[class_name],
+            quarantine=self._quarantine,
+            caller_class=caller_class,
+            utilisation_ratio=self.admission_of(group).utilisation_ratio,
+        )
+
     def _finish(self, progress: _Progress, completion: Completion) -> Outcome:
         if completion.failure is not None:
             return self._refuse(progress, completion.failure, completion)
@@ -323,6 +361,26 @@
     return run, repeat
 
 
+class _MapSource(Protocol):
+    """Where another map comes from when the pinned snapshot goes away."""
+
+    async def pin_another(
+        self, group_name: str, gone: tuple[int, ...]
+    ) -> PartitionMap | None:
+        """Return a map of a snapshot that is not gone, or None."""
+        ...
+
+
+class _NoOtherMap:
+    """Keeps a part of a divided search on the snapshot of the whole."""
+
+    async def pin_another(
+        self, group_name: str, gone: tuple[int, ...]
+    ) -> PartitionMap | None:
+        """Return None."""
+        return None
+
+
 class _FanOutRun:
     """Carries out the actions of one fan-out on the event loop."""
 
@@ -331,7 +389,7 @@
         fan_out: FanOut,
         clock: Clock,
         caller: ShardCaller,
-        directory: Directory,
+        directory: _MapSource,
     ) -> None:
         self._fan_out = fan_out
         self._clock = clock
--- /dev/null
+++ b/chestnuthall/services/_two_level.py
@@ -0,0 +1,219 @@
+"""A search whose shards are divided over the instances of the fleet."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, replace
+
+from chestnuthall.core.fanout import (
+    Completion,
+    FanOutContext,
+    PartialAnswer,
+    coverage_of,
+    merge_partials,
+)
+from chestnuthall.core.model import (
+    FanOutAccount,
+    PartitionMap,
+    SearchRequest,
+    Shard,
+)
+from chestnuthall.core.results import (
+    COVERAGE_BELOW_FLOOR,
+    QUARANTINED,
+    SNAPSHOT_GONE,
+    Failure,
+)
+from chestnuthall.core.routing import assign_shards
+from chestnuthall.ports import Clock, PeerTransport, ShardSetCall
+from chestnuthall.services._directory import Directory
+from chestnuthall.services._membership import Membership
+
+RunShards = Callable[
+    [SearchRequest, PartitionMap, FanOutContext], Awaitable[Completion]
+]
+ContextReader = Callable[[str, str], FanOutContext | Failure]
+# What a peer keeps of the remaining time for its answer to come back.
+ANSWER_MARGIN_MS = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Part:
+    """The shards of one instance; no address stands for this instance."""
+
+    address: str | None
+    shards: tuple[Shard, ...]
+
+
+class TwoLevelFanOut:
+    """Divides a search over peers, and answers for sets of shards.
+
+    A peer that fails is replaced by this instance while there is time. Every
+    part is of the pinned snapshot, and the coverage of the parts is summed.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        peers: PeerTransport,
+        clock: Clock,
+        directory: Directory,
+        run_shards: RunShards,
+        read_context: ContextReader,
+    ) -> None:
+        self._membership = membership
+        self._peers = peers
+        self._clock = clock
+        self._directory = directory
+        self._run_shards = run_shards
+        self._read_context = read_context
+
+    async def complete(
+        self,
+        request: SearchRequest,
+        partition_map: PartitionMap,
+        context: FanOutContext,
+    ) -> Completion:
+        """Run a search over the fleet."""
+        answers = await asyncio.gather(
+            *(
+                self._run_part(part, request, partition_map, context)
+                for part in self._divide(partition_map)
+            )
+        )
+        refused = [
+            answer
+            for answer in answers
+            if isinstance(answer, Failure) and answer.kind is QUARANTINED
+        ]
+        parts = [answer for answer in answers if isinstance(answer, PartialAnswer)]
+        snapshot_id = partition_map.snapshot_id
+        whole = merge_partials(parts, snapshot_id, request.n_hits_max)
+        failure = refused[0] if refused else _below_floor(whole, context)
+        return Completion(
+            failure=failure,
+            hits=() if failure else whole.hits,
+            coverage=whole.coverage,
+            snapshot_id=snapshot_id,
+            account=FanOutAccount(n_calls=whole.n_calls),
+        )
+
+    def _divide(self, partition_map: PartitionMap) -> list[_Part]:
+        own_name = self._membership.identity.name
+        addresses: dict[str, str | None] = {
+            member.name: member.address
+            for member in self._membership.members()
+            if member.state == "alive" and member.incarnation > 0
+        }
+        addresses[own_name] = None
+        shards = {shard.shard_id: shard for shard in partition_map.shards}
+        assigned = assign_shards(list(shards), addresses)
+        return [
+            _Part(addresses[name], tuple(shards[key] for key in shard_ids))
+            for name, shard_ids in assigned.items()
+            if shard_ids
+        ]
+
+    async def _run_part(
+        self,
+        part: _Part,
+        request: SearchRequest,
+        partition_map: PartitionMap,
+        context: FanOutContext,
+    ) -> PartialAnswer | Failure:
+        sub_map = replace(partition_map, shards=part.shards)
+        if part.address is not None:
+            answer = await self._ask_peer(part, part.address, request, sub_map)
+            if _is_usable(answer, sub_map):
+                return answer
+        return await self._run_here(request, sub_map, context)
+
+    async def _ask_peer(
+        self,
+        part: _Part,
+        address: str,
+        request: SearchRequest,
+        sub_map: PartitionMap,
+    ) -> PartialAnswer | Failure:
+        remaining_ms = request.deadline_ms - self._clock.now_ms()
+        call = ShardSetCall(
+            call_id=f"{request.request_id}/{part.shards[0].shard_id}",
+            group=request.group,
+            class_name=request.class_name,
+            snapshot_id=sub_map.snapshot_id,
+            shard_ids=tuple(shard.shard_id for shard in part.shards),
+            remaining_ms=remaining_ms - ANSWER_MARGIN_MS,
+            query=request.query,
+            n_hits_max=request.n_hits_max,
+            fingerprint=request.fingerprint,
+        )
+        return await self._peers.query_shards(address, call, remaining_ms)
+
+    async def _run_here(
+        self, request: SearchRequest, sub_map: PartitionMap, context: FanOutContext
+    ) -> PartialAnswer | Failure:
+        # The floor holds for the whole answer, not for each part of it.
+        caller_class = replace(context.caller_class, coverage_floor_ratio=0.0)
+        completion = await self._run_shards(
+            request, sub_map, replace(context, caller_class=caller_class)
+        )
+        failure = completion.failure
+        if failure is not None and failure.kind is QUARANTINED:
+            return failure
+        n_calls = completion.account.n_calls
+        if failure is not None or completion.snapshot_id != sub_map.snapshot_id:
+            nothing = coverage_of(sub_map.shards, {})
+            return PartialAnswer(sub_map.snapshot_id, (), nothing, n_calls)
+        return PartialAnswer(
+            completion.snapshot_id, completion.hits, completion.coverage, n_calls
+        )
+
+    async def answer(self, call: ShardSetCall) -> PartialAnswer | Failure:
+        """Answer a peer's call for a set of shards."""
+        context = self._read_context(call.class_name, call.group)
+        if isinstance(context, Failure):
+            return context
+        partition_map = self._directory.map_of(call.group, call.snapshot_id)
+        if partition_map is None:
+            return SNAPSHOT_GONE.because("the peer does not know the snapshot")
+        wanted = set(call.shard_ids)
+        shards = tuple(item for item in partition_map.shards if item.shard_id in wanted)
+        now_ms = self._clock.now_ms()
+        request = SearchRequest(
+            request_id=call.call_id,
+            class_name=call.class_name,
+            group=call.group,
+            arrived_ms=now_ms,
+            deadline_ms=now_ms + call.remaining_ms,
+            fingerprint=call.fingerprint,
+            query=call.query,
+            n_hits_max=call.n_hits_max,
+        )
+        return await self._run_here(
+            request, replace(partition_map, shards=shards), context
+        )
+
+
+def _is_usable(answer: PartialAnswer | Failure, sub_map: PartitionMap) -> bool:
+    """Return whether an answer is for exactly the shards that were asked for."""
+    if isinstance(answer, Failure):
+        return answer.kind is QUARANTINED
+    coverage = answer.coverage
+    return (
+        answer.snapshot_id == sub_map.snapshot_id
+        and coverage.n_shards_total == len(sub_map.shards)
+        and coverage.n_documents_total == _n_documents(sub_map.shards)
+    )
+
+
+def _n_documents(shards: Sequence[Shard]) -> int:
+    return sum(shard.n_documents for shard in shards)
+
+
+def _below_floor(whole: PartialAnswer, context: FanOutContext) -> Failure | None:
+    floor = context.caller_class.coverage_floor_ratio
+    ratio = whole.coverage.ratio
+    if ratio >= floor:
+        return None
+    return COVERAGE_BELOW_FLOOR.because(
+        f"coverage {ratio:.4f} is below the floor {floor:.4f}"
+    )
--- a/chestnuthall/standins/fleet/_fleet.py
+++ b/chestnuthall/standins/fleet/_fleet.py
@@ -45,6 +45,7 @@
     n_instances: int = 3
     environment: str = "trial"
     leave_notice_ms: float = 300.0
+    two_level_fan_out: bool = False
 
 
 @dataclass(slots=True)
@@ -241,6 +242,7 @@
             "peer_address": peer_address,
             "store_address": self.store_address,
             "leave_notice_ms": self.plan.leave_notice_ms,
+            "two_level_fan_out": self.plan.two_level_fan_out,
         }
         path = self.path / f"{name}.json"
         path.write_text(json.dumps(settings))
