--- a/chestnuthall/adapters/settings/_models.py
+++ b/chestnuthall/adapters/settings/_models.py
@@ -65,6 +65,8 @@
     """Numeric address and port of the platform's object API."""
     leave_notice_ms: Annotated[float, Field(ge=0.0)] = 3_000.0
     """A leaving instance serves on for this time before it stops listening."""
+    two_level_fan_out: bool = False
+    """Divide searches over the instances; every instance needs the same value."""
     statsd: StatsdSettings | None = None
     """Where metrics go. When left out, none are sent."""
     limits: LimitSettings = LimitSettings()
--- a/chestnuthall/daemon/_instance.py
+++ b/chestnuthall/daemon/_instance.py
@@ -58,6 +58,7 @@
     QuarantineNews,
     QueryService,
     StatusReporter,
+    TwoLevelFanOut,
 )
 
 # The exit does not wait longer for a store that is down.
@@ -195,6 +196,8 @@
             lambda: self.membership.counts.n_connection_holders,
         )
         self.configuration.on_change(self._spread)
+        if settings.two_level_fan_out:
+            self._divide_searches(clock)
         self.administration = Administration(
             identity,
             self.lifecycle,
@@ -270,6 +273,18 @@
         self._spreading.add(task)
         task.add_done_callback(self._spreading.discard)
 
+    def _divide_searches(self, clock: LoopClock) -> None:
+        two_level = TwoLevelFanOut(
+            self.membership,
+            self.transport,
+            clock,
+            self.directory,
+            self.query.run_shards,
+            self.query.read_context,
+        )
+        self.query.divide_searches(two_level.complete)
+        self.membership.set_shard_set_handler(two_level.answer)
+
     async def start(self) -> None:
         """Listen for callers and peers and start the background work."""
         await self.peer_server.start(self.settings.peer_address)
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -87,6 +87,9 @@
 from chestnuthall.services._store_calls import (
     CountedObjectStore,
 )
+from chestnuthall.services._two_level import (
+    TwoLevelFanOut,
+)
 
 __all__ = [
     "Accepted",
@@ -131,5 +134,6 @@
     "SeenUpstream",
     "StatusPart",
     "StatusReporter",
+    "TwoLevelFanOut",
     "read_burn",
 ]
--- a/chestnuthall/services/_fan_out_run.py
+++ b/chestnuthall/services/_fan_out_run.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from functools import singledispatchmethod
-from typing import TypeAlias
+from typing import Protocol, TypeAlias
 
 from chestnuthall.core.fanout import (
     Action,
@@ -24,15 +24,40 @@
     Warn,
     Warned,
 )
-from chestnuthall.core.model import ShardAnswer, ShardCall
+from chestnuthall.core.model import PartitionMap, ShardAnswer, ShardCall
 from chestnuthall.core.results import Failure
 from chestnuthall.ports import Clock, ShardCaller
-from chestnuthall.services._directory import Directory
 from chestnuthall.services._suspects import Suspects
 
 CallObserver: TypeAlias = Callable[[ShardCall, ShardAnswer | Failure, float], None]
 
 
+class MapSource(Protocol):
+    """Where another map comes from when the pinned snapshot goes away."""
+
+    async def pin_another(
+        self, group_name: str, gone: tuple[int, ...]
+    ) -> PartitionMap | None:
+        """Return a map of a snapshot that is not gone, or None."""
+        ...
+
+
+class NoOtherMap:
+    """Keeps a part of a divided search on the snapshot of the whole."""
+
+    async def pin_another(
+        self, group_name: str, gone: tuple[int, ...]
+    ) -> PartitionMap | None:
+        """Return None."""
+        return None
+
+
+def _ignore_result(
+    call: ShardCall, result: ShardAnswer | Failure, elapsed_ms: float
+) -> None:
+    """Note nothing; the instance that admitted the query does."""
+
+
 class FanOutRun:
     """One fan-out with its calls, its timer and what it waits for."""
 
@@ -41,9 +66,9 @@
         fan_out: FanOut,
         clock: Clock,
         caller: ShardCaller,
-        directory: Directory,
+        directory: MapSource,
         suspects: Suspects,
-        on_call_result: CallObserver,
+        on_call_result: CallObserver = _ignore_result,
     ) -> None:
         self._on_call_result = on_call_result
         self._fan_out = fan_out
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -25,6 +25,7 @@
     PartitionMap,
     Refusal,
     Request,
+    SearchRequest,
     UpstreamGroup,
     kind_of,
 )
@@ -52,13 +53,16 @@
 from chestnuthall.services._claims import ClaimLedger
 from chestnuthall.services._configuration import ConfigurationKeeper
 from chestnuthall.services._directory import Directory
-from chestnuthall.services._fan_out_run import FanOutRun
+from chestnuthall.services._fan_out_run import FanOutRun, NoOtherMap
 from chestnuthall.services._membership import Identity
 from chestnuthall.services._suspects import Suspects
 
 RETRY_AFTER_MS = 1_000.0
 
 Outcome: TypeAlias = Answer | Refusal
+DividedSearch: TypeAlias = Callable[
+    [SearchRequest, PartitionMap, FanOutContext], Awaitable[Completion]
+]
 
 
 @dataclass(slots=True)
@@ -116,6 +120,7 @@
         self._utilisation: dict[str, UtilisationAverage] = {}
         self._admissions = admissions
         self._budgets: dict[str, ExtraLoadBudget] = {}
+        self._divided_search: DividedSearch | None = None
         configuration.on_change(self._apply_configuration)
 
     def _apply_configuration(self, configuration: Configuration) -> None:
@@ -255,11 +260,48 @@
             self._suspects,
             partial(admission.on_call_result, ticket),
         )
-        completion = await run.complete()
+        if self._divided_search is not None and isinstance(request, SearchRequest):
+            completion = await self._divided_search(request, partition_map, context)
+        else:
+            completion = await run.complete()
         if completion.account.n_calls == 0:
             self._abandon(progress)
         return self._finish(progress, completion)
 
+    def divide_searches(self, search: DividedSearch) -> None:
+        """Run searches over several instances from now on."""
+        self._divided_search = search
+
+    async def run_shards(
+        self, request: SearchRequest, sub_map: PartitionMap, context: FanOutContext
+    ) -> Completion:
+        """Run a search over some shards of a map, on its snapshot only."""
+        run = FanOutRun(
+            FanOut(request, sub_map, context),
+            self._clock,
+            self._caller,
+            NoOtherMap(),
+            self._suspects,
+        )
+        return await run.complete()
+
+    def read_context(self, class_name: str, group_name: str) -> FanOutContext | Failure:
+        """Return what a peer's search shares with the queries of this instance."""
+        configuration = self._configuration.in_force
+        if configuration is None:
+            return NOT_READY.because("no configuration is in force")
+        caller_class = configuration.document.class_named(class_name)
+        group = configuration.document.group_named(group_name)
+        if caller_class is None or group is None:
+            return NOT_READY.because("the class or group is not known here")
+        return FanOutContext(
+            router=self._directory.router(group_name),
+            budget=self._budgets[class_name],
+            quarantine=self._quarantine,
+            caller_class=caller_class,
+            utilisation_ratio=self.admission_of(group).utilisation_ratio,
+        )
+
     def _sample_utilisation(self, plan: _Plan, ticket: Admitted) -> float:
         """Return the average use of this instance's part of a group's slots.
 
