--- a/chestnuthall/daemon/tests/test_mutations_on_store.py
+++ b/chestnuthall/daemon/tests/test_mutations_on_store.py
@@ -28,8 +28,9 @@
     configuration_text,
     mutation,
 )
+from chestnuthall.daemon.tests.test_claims_on_store import FAULTS
 from chestnuthall.services import Directory, Identity, QueryService
-from chestnuthall.standins.objectapi import LostAnswer, Outage, StoreFaults
+from chestnuthall.standins.objectapi import StoreFaults
 from chestnuthall.standins.virtual_time import run_virtual
 
 SHARD = Shard("s0", KeyRange("", ""), 10, (Replica("r0", "127.0.0.1:1", "a"),))
@@ -147,21 +148,7 @@
     assert run_names == [("hold-1", "again")]
 
 
-@pytest.mark.parametrize(
-    "faults",
-    [
-        pytest.param({}, id="calm"),
-        pytest.param({"outage": Outage.REFUSED, "outage_ms": 300.0}, id="refused"),
-        pytest.param({"outage": Outage.HANGING, "outage_ms": 300.0}, id="hanging"),
-        pytest.param({"outage": Outage.ERROR_503, "outage_ms": 300.0}, id="503"),
-        pytest.param({"n_lost_write_answers": 3}, id="lost"),
-        pytest.param(
-            {"n_lost_write_answers": 3, "lost_answer": LostAnswer.CUT}, id="cut"
-        ),
-        pytest.param({"n_late_writes": 3, "late_write_ms": 700.0}, id="late"),
-        pytest.param({"delay_ms": 400.0}, id="slow"),
-    ],
-)
+@pytest.mark.parametrize("faults", FAULTS.values(), ids=FAULTS.keys())
 def test_resends_run_once(faults):
     """A caller that resends a key to both instances must have it run once."""
 
