--- a/chestnuthall/ports/_shards.py
+++ b/chestnuthall/ports/_shards.py
@@ -10,8 +10,9 @@
     """Runs shard calls. Cancelling the awaiting task cancels the call.
 
     A failure's kind says whether the replica can have begun the call:
-    ``NO_REPLICA`` (nothing was written), ``SHED_BY_UPSTREAM`` and
-    ``SNAPSHOT_GONE`` say that it did not; any other that it may have.
+    ``NO_REPLICA`` and ``DEADLINE_PASSED`` (nothing was written),
+    ``SHED_BY_UPSTREAM`` and ``SNAPSHOT_GONE`` say that it did not; any other
+    that it may have.
     """
 
     async def call(self, call: ShardCall) -> ShardAnswer | Failure:
