Leave the calls of a cleared wave out of a later suspicion

Cause: a request that was cleared while a dying zone went on to cut connections was suspected again for each call of the same wave, and after two clearings it was quarantined.

Change: a loss of a call that started before the clearing does not count. Tables for the register and its notices, for a mutation that is slow, and for a call whose deadline passed before its first byte.

--- a/chestnuthall/core/fanout/_handlers.py
+++ b/chestnuthall/core/fanout/_handlers.py
@@ -153,6 +153,7 @@
             running.call.replica,
             running.call.shard_id,
             now_ms,
+            running.started_ms,
             is_probe=running.is_probe,
         )
     context.router.on_failed(
--- a/chestnuthall/core/fanout/tests/test_machine.py
+++ b/chestnuthall/core/fanout/tests/test_machine.py
@@ -33,6 +33,7 @@
 from chestnuthall.core.results import (
     CONNECTION_LOST,
     COVERAGE_BELOW_FLOOR,
+    DEADLINE_PASSED,
     NO_REPLICA,
     OUTCOME_UNKNOWN,
     SHED_BY_UPSTREAM,
@@ -199,6 +200,7 @@
         pytest.param(CONNECTION_LOST.because("x"), 1, OUTCOME_UNKNOWN, id="lost"),
         pytest.param(NO_REPLICA.because("x"), 2, None, id="never-written"),
         pytest.param(SHED_BY_UPSTREAM.because("x"), 2, None, id="not-started"),
+        pytest.param(DEADLINE_PASSED.because("x"), 2, None, id="no-first-byte"),
     ],
 )
 def test_mutation_is_sent_again_only_if_not_started(failure, n_dispatched, kind):
@@ -212,6 +214,13 @@
         assert completion_of(actions).failure.kind is kind
 
 
+def test_mutation_is_not_hedged():
+    """A hold must not run on a second replica because the first is slow."""
+    fan_out = make_fan_out(request=make_mutation(), partition_map=make_map(3, 3))
+    fan_out.handle(Begin(0.0))
+    assert calls_of(fan_out.handle(TimerFired(DEADLINE_MS / 2))) == []
+
+
 def test_coverage_below_floor_is_a_failure():
     """An answer below the floor of its class must not look like one."""
     fan_out = make_fan_out(floor=0.9)
--- a/chestnuthall/core/quarantine/_register.py
+++ b/chestnuthall/core/quarantine/_register.py
@@ -91,14 +91,20 @@
         replica: Replica,
         shard_id: str,
         now_ms: float,
+        started_ms: float,
         is_probe: bool = False,
     ) -> None:
         """Note a connection that was lost while a replica ran a request.
 
         ``is_probe`` marks a call that started when the request was suspected.
+        A call that started before the request was cleared belongs to the wave
+        that was judged already.
         """
         suspicion = self._live(fingerprint, now_ms)
         if suspicion is None:
+            cleared = self._cleared.get(fingerprint)
+            if cleared is not None and started_ms < cleared.cleared_ms:
+                return
             suspicion = self._suspect(fingerprint, replica.name, now_ms, is_own=True)
             self._note_place(suspicion, replica, shard_id)
             if self._n_cleared(fingerprint, now_ms) >= N_CLEARED_MAX:
--- a/chestnuthall/services/tests/test_crashing_requests.py
+++ b/chestnuthall/services/tests/test_crashing_requests.py
@@ -111,8 +111,9 @@
         pytest.param("lookup", ["r10", "r11"], id="two-replicas-of-a-shard"),
     ],
 )
+@pytest.mark.parametrize("apart_ms", [0.0, 4.0], ids=["at-once", "one-by-one"])
 @pytest.mark.parametrize("can_talk", [True, False], ids=["peers", "no-peers"])
-def test_losses_of_a_zone_quarantine_no_request(kind, lost_names, can_talk):
+def test_losses_of_a_zone_quarantine_no_request(kind, lost_names, can_talk, apart_ms):
     """A query in flight when a rack fails must not be blamed for it."""
 
     async def scenario():
@@ -121,7 +122,10 @@
 
         def lose(event):
             if event == "written" and len(upstreams.runs) == 3:
-                upstreams.dead.update(lost_names)
+                loop = asyncio.get_running_loop()
+                for index, name in enumerate(lost_names):
+                    delay_s = index * apart_ms / 1000.0
+                    loop.call_later(delay_s, upstreams.dead.add, name)
 
         upstreams.on_event = lose
         outcomes = await asyncio.gather(
