--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -21,6 +21,7 @@
     "two candidates": replace(BASE, n_candidates=2),
     "no zone preference": replace(BASE, other_zone_cost_ms=0.0),
     "no ejection": replace(BASE, ejected_ratio_max=0.0, failure_cost_ms=0.0),
+    "no ramp": replace(BASE, ramp_factor=1.0),
 }
 
 
--- a/chestnuthall/core/routing/_replicas.py
+++ b/chestnuthall/core/routing/_replicas.py
@@ -32,6 +32,7 @@
     missing_snapshots: dict[int, float] = field(default_factory=dict)
     drained_until_ms: float = float("-inf")
     avoided_until_ms: float = float("-inf")
+    ramp_from_ms: float = float("-inf")
     n_failures_in_row: int = 0
 
     @property
--- a/chestnuthall/core/routing/_router.py
+++ b/chestnuthall/core/routing/_router.py
@@ -15,6 +15,9 @@
 from chestnuthall.core.routing._latency import LatencyWindow
 from chestnuthall.core.routing._replicas import ReplicaState
 
+# Failures or sheds in a row after which a replica that answers again is ramped
+# up, since it starts cold or is near its limit. A single one is no sign of that.
+N_FAILURES_OF_RESTART = 2
 # How much longer than until its cancellation a slow call is taken to last.
 CANCELLED_FACTOR = 2.0
 # Fewer latencies do not reach a quantile of 0.95, and would hedge ordinary calls.
@@ -40,6 +43,8 @@
     avoid_max_ms: float = 2_000.0
     failure_cost_ms: float = 50.0
     ejected_ratio_max: float = 1.0 / 3.0
+    ramp_ms: float = 2_000.0
+    ramp_factor: float = 3.0
     drain_notice_ms: float = 30_000.0
 
 
@@ -126,12 +131,18 @@
             zone_ms += settings.failure_cost_ms * state.n_failures_in_row
         # A small random part spreads instances that know the same figures.
         spread = self._random.uniform(0.9, 1.1)
-        return latency_ms * queue_factor * spread + zone_ms
+        return latency_ms * queue_factor * self._ramp(state, now_ms) * spread + zone_ms
 
     def _typical_ms(self) -> float:
         typical_ms = self._latencies.quantile_ms(0.5)
         return self._settings.unknown_latency_ms if typical_ms is None else typical_ms
 
+    def _ramp(self, state: ReplicaState, now_ms: float) -> float:
+        """Return the factor by which a replica that just started counts as slower."""
+        settings = self._settings
+        left = 1.0 - (now_ms - state.ramp_from_ms) / settings.ramp_ms
+        return 1.0 + (settings.ramp_factor - 1.0) * max(0.0, left)
+
     def has_free_slot(self, replica: Replica) -> bool:
         """Return whether this instance leaves a slot of the replica unused."""
         return self.state_of(replica.name).n_in_flight < self._settings.n_slots
@@ -160,6 +171,8 @@
     ) -> None:
         """Note a whole answer of a replica."""
         state = self._end(replica, started_ms)
+        if state.n_failures_in_row >= N_FAILURES_OF_RESTART:
+            state.ramp_from_ms = now_ms
         state.n_failures_in_row = 0
         state.avoided_until_ms = float("-inf")
         if not self._is_slow(state):
--- a/chestnuthall/core/routing/tests/test_routing.py
+++ b/chestnuthall/core/routing/tests/test_routing.py
@@ -138,6 +138,18 @@
     assert "r0" in chosen(router, shard, 10_000.0)
 
 
+def test_restarted_replica_gets_less_at_first():
+    """A replica that is back but cold must not get its whole load at once."""
+    router, shard, replicas = make_router()
+    for replica in replicas:
+        answer(router, replica, 10.0, 0.0)
+    fail(router, replicas[0], NO_REPLICA, 0.0)
+    fail(router, replicas[0], NO_REPLICA, 0.0)
+    answer(router, replicas[0], 10.0, 1_000.0)
+    assert "r0" not in chosen(router, shard, 1_010.0)
+    assert "r0" in chosen(router, shard, 3_010.0)
+
+
 def test_hedge_needs_a_free_slot():
     """A hedge must not join a queue."""
     router, shard, replicas = make_router(n_slots=2)
