--- a/benchmarks/_peak.py
+++ b/benchmarks/_peak.py
@@ -23,6 +23,8 @@
 # class stays within its share of 0.5; the other two are backlogged.
 CALM_PARTS = {"urgent": 0.15, "ordinary": 0.2, "bulk": 0.15}
 PEAK_PARTS = {"urgent": 0.4, "ordinary": 1.5, "bulk": 1.1}
+# The same load with the urgent class over its share as well.
+BACKLOGGED_PARTS = {"urgent": 1.2, "ordinary": 1.0, "bulk": 0.8}
 SHARES = {"urgent": 5.0, "ordinary": 3.0, "bulk": 2.0}
 
 # Policies are switched off on one deployment and for a shorter step, to keep
@@ -42,9 +44,15 @@
     """Variant; ``without`` names a policy that is off, or the baseline."""
 
     is_skewed: bool = False
+    is_urgent_backlogged: bool = False
     without: str = ""
     stay_ms: float = STAY_MS
 
+    @property
+    def peak_parts(self) -> dict[str, float]:
+        """Offered load per class during the step, as a part of capacity."""
+        return BACKLOGGED_PARTS if self.is_urgent_backlogged else PEAK_PARTS
+
 
 def rate_at(elapsed_ms: float, calm: float, peak: float, stay_ms: float) -> float:
     """Return the offered load at a time of the scenario."""
@@ -54,14 +62,15 @@
     return calm + (peak - calm) * risen_ratio
 
 
-def _streams(capacity_per_s: float, group: str, stay_ms: float) -> list[Stream]:
+def _streams(capacity_per_s: float, group: str, options: PeakOptions) -> list[Stream]:
+    peak_parts, stay_ms = options.peak_parts, options.stay_ms
     return [
         Stream(
             class_name=name,
             group=group,
             rate_per_s=lambda elapsed_ms, name=name: (
                 capacity_per_s
-                * rate_at(elapsed_ms, CALM_PARTS[name], PEAK_PARTS[name], stay_ms)
+                * rate_at(elapsed_ms, CALM_PARTS[name], peak_parts[name], stay_ms)
             ),
         )
         for name in CALM_PARTS
@@ -105,7 +114,7 @@
         fleet = VirtualFleet(deployment, seed, document)
         await fleet.start()
         weights = skewed(deployment.n_instances) if options.is_skewed else None
-        streams = _streams(capacity_per_s, deployment.groups[0].name, options.stay_ms)
+        streams = _streams(capacity_per_s, deployment.groups[0].name, options)
         duration_ms = PLATEAU_START_MS + options.stay_ms + AFTER_MS
         samples = await LoadGenerator(fleet, seed, weights).run(streams, duration_ms)
         await fleet.stop()
@@ -113,7 +122,7 @@
 
     with switched_off(options.without):
         samples = run_virtual(scenario())
-    return summarise_peak(samples, capacity_per_s, options.stay_ms)
+    return summarise_peak(samples, capacity_per_s, options)
 
 
 def _variants(deployment: Deployment) -> dict[str, PeakOptions]:
@@ -123,6 +132,9 @@
         "peak_even_base": PeakOptions(without="baseline"),
         "peak_skew_base": PeakOptions(is_skewed=True, without="baseline"),
     }
+    variants["peak_skew_all_backlogged"] = PeakOptions(
+        is_skewed=True, is_urgent_backlogged=True
+    )
     if deployment.name == ABLATED_DEPLOYMENT:
         for name in ("", *POLICIES):
             options = PeakOptions(
@@ -169,9 +181,10 @@
 
 
 def summarise_peak(
-    samples: Sequence[Sample], capacity_per_s: float, stay_ms: float
+    samples: Sequence[Sample], capacity_per_s: float, options: PeakOptions
 ) -> Figures:
     """Return goodput, tail latencies, shares and recovery of the step."""
+    stay_ms = options.stay_ms
     end_ms = PLATEAU_START_MS + stay_ms
     calm = _between(samples, 1_000.0, STEP_START_MS)
     peak = _between(samples, STEP_START_MS, end_ms)
@@ -186,7 +199,7 @@
         "goodput_ratio": len(served) / (capacity_per_s * stay_ms / 1000.0),
         "urgent_p99_ratio": _p99_ms(urgent) / max(1.0, urgent_calm_ms),
         "urgent_answered_ratio": n_urgent_answered / max(1, len(urgent)),
-        "share_error_ratio": _share_error(served),
+        "share_error_ratio": _share_error(served, options.peak_parts),
         "recovered_p99_ratio": _p99_ms(after) / max(1.0, calm_p99_ms),
         "calm_p99_ms": calm_p99_ms,
         "urgent_p99_ms": _p99_ms(urgent),
@@ -195,13 +208,16 @@
     return figures
 
 
-def _share_error(served: Sequence[Sample]) -> float:
+def _share_error(served: Sequence[Sample], offered: dict[str, float]) -> float:
     """Return the largest relative distance of a backlogged class to its share."""
-    fair = fair_ratios(PEAK_PARTS)
-    errors = []
-    for name in ("ordinary", "bulk"):
-        n_served = sum(item.class_name == name for item in served)
-        n_backlogged = sum(item.class_name != "urgent" for item in served)
-        fair_part = fair[name] / (fair["ordinary"] + fair["bulk"])
-        errors.append(abs(n_served / max(1, n_backlogged) / fair_part - 1.0))
-    return max(errors)
+    fair = fair_ratios(offered)
+    backlogged = [name for name in fair if fair[name] < offered[name]]
+    fair_sum = sum(fair[name] for name in backlogged)
+    n_served = {
+        name: sum(item.class_name == name for item in served) for name in backlogged
+    }
+    n_sum = max(1, sum(n_served.values()))
+    return max(
+        abs(n_served[name] / n_sum / (fair[name] / fair_sum) - 1.0)
+        for name in backlogged
+    )
