--- a/chestnuthall/daemon/tests/store_world.py
+++ b/chestnuthall/daemon/tests/store_world.py
@@ -41,12 +41,12 @@
     )
 
 
-def mutation(key, issued_at_ms, deadline_ms, request_id="r"):
+def mutation(key, issued_at_ms, deadline_ms, request_id="r", arrived_ms=0.0):
     return MutationRequest(
         request_id=request_id,
         class_name="planner",
         group="desk",
-        arrived_ms=0.0,
+        arrived_ms=arrived_ms,
         deadline_ms=deadline_ms,
         fingerprint=key,
         key="k",
--- a/chestnuthall/daemon/tests/test_mutations_on_store.py
+++ b/chestnuthall/daemon/tests/test_mutations_on_store.py
@@ -93,8 +93,8 @@
         return query
 
     def send(self, index, name, deadline_ms=1_000.0, key="hold-1"):
-        deadline_ms += self.clock.now_ms()
-        request = mutation(key, 3_600_000.0, deadline_ms, name)
+        now_ms = self.clock.now_ms()
+        request = mutation(key, 3_600_000.0, now_ms + deadline_ms, name, now_ms)
         return self.queries[index].serve(request)
 
     def fill_slots(self, index):
