--- a/chestnuthall/services/_admission.py
+++ b/chestnuthall/services/_admission.py
@@ -223,22 +223,25 @@
             )
         )
         try:
-            return await self._wait(waiter, request.deadline_ms - now_ms)
+            return await self._wait(waiter, request.deadline_ms)
         except asyncio.CancelledError:
             self._give_back(ticket, waiter)
             raise
 
     async def _wait(
-        self, waiter: "asyncio.Future[Admitted | NotAdmitted]", timeout_ms: float
+        self, waiter: "asyncio.Future[Admitted | NotAdmitted]", deadline_ms: float
     ) -> Admitted | NotAdmitted:
         if waiter.done():
             return waiter.result()
+        timeout_ms = deadline_ms - self._clock.now_ms()
         try:
-            return await asyncio.wait_for(
-                asyncio.shield(waiter), max(0.0, timeout_ms) / 1000.0
-            )
+            # wait_for of Python 3.11 can lose a cancellation that comes together
+            # with the result.
+            async with asyncio.timeout(max(0.0, timeout_ms) / 1000.0):
+                return await asyncio.shield(waiter)
         except TimeoutError:
-            self._handle(ExpireDue(self._clock.now_ms()))
+            # The loop may fire the timer early by its clock's resolution.
+            self._handle(ExpireDue(max(self._clock.now_ms(), deadline_ms)))
             return await waiter
 
     def _give_back(
