Raise the highest limit to the one that meets the goodput target

Cause: at 1.65 times the slots the fleet answered 0.926 to 0.937 of slot capacity, against a target of 0.95. Ruled out: a lower limit for the sake of the urgent class; at 1.35 its p99 stays at 1.77 times calm (trial, 4 s).

Policies off in turn were not measured again.

--- a/chestnuthall/core/admission/_limit.py
+++ b/chestnuthall/core/admission/_limit.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass, field
 
 # Limit over the slots at which the shards of a search are nearly all busy: the
-# calls of a search end at different times, so with the bare slots a tenth idle.
-RATIO_MAX = 1.65
+# calls of a search end at different times, so at the bare slots a fifth is idle.
+RATIO_MAX = 2.1
 RATIO_MIN = 0.3
 # Latency over its calm level that this limit leads to. Above it calls only wait
 # longer at the replicas, and the limit is lowered in proportion.
