--- a/Makefile
+++ b/Makefile
@@ -28,16 +28,13 @@
 
 test: lint check-types unit
 
+# Every fault against real processes under load; prints its seed and counts.
 faults: setup
 	$(PYTHON) -m benchmarks.faults
 
 bench: setup
 	$(PYTHON) -m benchmarks
 
-# Faults of the object store, alone and in pairs, in virtual time.
-faults: setup
-	$(PYTHON) -m pytest chestnuthall/daemon/tests chestnuthall/standins/objectapi
-
 # State machines with random seeds; the number of examples of each.
 CHESTNUTHALL_FUZZ_EXAMPLES ?= 3000
 
--- a/chestnuthall/daemon/tests/test_urgent_news.py
+++ b/chestnuthall/daemon/tests/test_urgent_news.py
@@ -128,7 +128,7 @@
 def lose_replica(register, index, now_ms):
     """Lose a replica to one request; every loss but the first is of its probe."""
     replica = Replica(f"r{index}", "", f"z{index}")
-    register.record_loss("f", replica, "s0", now_ms, is_probe=index > 0)
+    register.record_loss("f", replica, "s0", now_ms, now_ms, is_probe=index > 0)
 
 
 @pytest.mark.parametrize("seed", range(3))
