--- a/benchmarks/_fleet.py
+++ b/benchmarks/_fleet.py
@@ -15,7 +15,7 @@
 from chestnuthall.core.quarantine import QuarantineRegister, QuarantineSettings
 from chestnuthall.core.results import CONFIGURATION_REJECTED, INVALID_REQUEST
 from chestnuthall.core.routing import RouterSettings
-from chestnuthall.ports import MemberUpdate, PeerService
+from chestnuthall.ports import InstanceRole, ListEntry, PeerService
 from chestnuthall.services import (
     Admissions,
     ClaimLedger,
@@ -23,6 +23,7 @@
     Directory,
     FleetUse,
     Identity,
+    InstanceList,
     Membership,
     QueryService,
 )
@@ -30,6 +31,9 @@
 # Information logs of a virtual fleet would hide its report.
 logging.getLogger("chestnuthall").setLevel(logging.CRITICAL)
 
+# Time for the instances to find each other before any load is sent.
+SETTLE_MS = 4_000.0
+
 
 class VirtualInstance:
     """One entry instance: the services of the daemon over fake ports."""
@@ -65,13 +69,13 @@
         self.fleet_use = FleetUse(
             self.name, clock, admissions, lambda: self.membership.members()
         )
+        self.instances = InstanceList(store, clock, _read_entry)
         self.membership = Membership(
             identity,
-            store,
             peers,
             clock,
             self.configuration,
-            _read_member,
+            self.instances,
             random,
             parts=(self.fleet_use,),
         )
@@ -103,8 +107,8 @@
             self.caller.set_connection_budget(group.name, budget)
 
 
-def _read_member(text: str) -> MemberUpdate:
-    return MemberUpdate(text, text, "", "alive", 0)
+def _read_entry(text: str) -> ListEntry:
+    return ListEntry(text, InstanceRole.ENTRY, "", text, text, False)
 
 
 class VirtualFleet:
@@ -153,8 +157,10 @@
             instance.put_in_force(configuration)
             instance.divide_connections(len(self.instances))
         for instance in self.instances:
+            self._tasks.append(loop.create_task(instance.instances.run()))
             self._tasks.append(loop.create_task(instance.membership.run()))
             self._tasks.append(loop.create_task(instance.fleet_use.run()))
+        await self.clock.sleep_ms(SETTLE_MS)
 
     async def stop(self) -> None:
         """End the background work."""
--- a/benchmarks/_memory.py
+++ b/benchmarks/_memory.py
@@ -15,7 +15,7 @@
 )
 from chestnuthall.core.admission import AdmissionQueue, Arrive
 from chestnuthall.core.claims import ClaimEntry
-from chestnuthall.core.model import CallerClass, KeyRange, Replica, Shard
+from chestnuthall.core.model import CallerClass, KeyRange, Replica, Shard, ShardAnswer
 from chestnuthall.core.quarantine import QuarantineRegister, QuarantineSettings
 from chestnuthall.core.routing import Router, RouterSettings
 
@@ -51,8 +51,9 @@
 
     def make(index: int) -> object:
         replica = Replica(f"replica-{index}", f"10.0.0.1:{index}", "zone-a")
-        router.on_started(replica)
-        router.on_answered(replica, 5.0, (1, 2), False, 0.0)
+        router.on_started(replica, 0.0)
+        answer = ShardAnswer("q.1", "s", 2, (), 10, held_snapshots=(1, 2))
+        router.on_answered(replica, 0.0, answer, 5.0)
         return None
 
     return _bytes_per_item(make, n_items)
--- a/benchmarks/_processor_time.py
+++ b/benchmarks/_processor_time.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from benchmarks._fakes import DirectPeers, FixedStore
+from benchmarks._fakes import FixedStore
 from chestnuthall.adapters.callers import encode_outcome
 from chestnuthall.adapters.clock import LoopClock
 from chestnuthall.adapters.documents import JsonPartitionCodec, read_environment
@@ -32,7 +32,6 @@
     ConfigurationKeeper,
     Directory,
     Identity,
-    Membership,
     QueryService,
 )
 from chestnuthall.standins.fleet import FleetPlan, GroupPlan, LocalFleet
@@ -166,7 +165,7 @@
     identity = Identity("entry-0", "", "zone-a")
     store = FixedStore(clock, tuple)
     caller = HttpShardCaller(clock)
-    caller.set_connection_budget("g", 64)
+    caller.set_connection_budget("g", 8)
     keeper = ConfigurationKeeper(
         "trial", store, clock, lambda text: INVALID_REQUEST.because("unused")
     )
@@ -178,15 +177,6 @@
         "zone-a",
         Random(1),
     )
-    Membership(
-        identity,
-        store,
-        DirectPeers({}, set(), clock, 0.0),
-        clock,
-        keeper,
-        lambda text: None,
-        Random(1),
-    )
     service = QueryService(
         identity=identity,
         clock=clock,
