--- a/benchmarks/_switches.py
+++ b/benchmarks/_switches.py
@@ -50,6 +50,7 @@
     snapshot_id: int,
     excluded_names: object,
     now_ms: float,
+    **conditions: object,
 ) -> Replica | None:
     random: Random = router._random
     return random.choice(shard.replicas)
