Divide the running of a query by where it runs, and read request bodies once

Cause: a divided search built a fan-out that it never ran, and three conversions of bodies repeated the same six fields. Ruled out: one model for all kinds, whose optional fields would lose their checks. Conclusion: no behaviour changes.

--- a/chestnuthall/adapters/callers/_models.py
+++ b/chestnuthall/adapters/callers/_models.py
@@ -2,7 +2,7 @@
 
 from functools import singledispatch
 from hashlib import sha256
-from typing import Annotated, Final
+from typing import Annotated, Any, Final
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
@@ -91,42 +91,37 @@
     raise TypeError(f"not a request body: {type(model).__name__}")
 
 
+def _common_fields(
+    model: _RequestModel, now_ms: float, deadline_ms: float, *content: str
+) -> dict[str, Any]:
+    """Return the fields that all kinds share; ``content`` makes the fingerprint."""
+    return {
+        "request_id": model.request_id,
+        "class_name": model.class_name,
+        "group": model.group,
+        "arrived_ms": now_ms,
+        "deadline_ms": deadline_ms,
+        "fingerprint": _fingerprint(content[0], model.group, *content[1:]),
+    }
+
+
 @_to_core.register
 def _(model: SearchModel, now_ms: float, deadline_ms: float) -> Request:
-    return SearchRequest(
-        request_id=model.request_id,
-        class_name=model.class_name,
-        group=model.group,
-        arrived_ms=now_ms,
-        deadline_ms=deadline_ms,
-        fingerprint=_fingerprint("search", model.group, model.query),
-        query=model.query,
-        n_hits_max=model.n_hits_max,
-    )
+    common = _common_fields(model, now_ms, deadline_ms, "search", model.query)
+    return SearchRequest(**common, query=model.query, n_hits_max=model.n_hits_max)
 
 
 @_to_core.register
 def _(model: LookupModel, now_ms: float, deadline_ms: float) -> Request:
-    return LookupRequest(
-        request_id=model.request_id,
-        class_name=model.class_name,
-        group=model.group,
-        arrived_ms=now_ms,
-        deadline_ms=deadline_ms,
-        fingerprint=_fingerprint("lookup", model.group, model.key),
-        key=model.key,
-    )
+    common = _common_fields(model, now_ms, deadline_ms, "lookup", model.key)
+    return LookupRequest(**common, key=model.key)
 
 
 @_to_core.register
 def _(model: MutationModel, now_ms: float, deadline_ms: float) -> Request:
+    content = ("mutation", model.key, model.payload)
     return MutationRequest(
-        request_id=model.request_id,
-        class_name=model.class_name,
-        group=model.group,
-        arrived_ms=now_ms,
-        deadline_ms=deadline_ms,
-        fingerprint=_fingerprint("mutation", model.group, model.key, model.payload),
+        **_common_fields(model, now_ms, deadline_ms, *content),
         key=model.key,
         payload=model.payload,
         idempotency_key=model.idempotency_key,
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -53,7 +53,7 @@
 from chestnuthall.services._claims import ClaimLedger
 from chestnuthall.services._configuration import ConfigurationKeeper
 from chestnuthall.services._directory import Directory
-from chestnuthall.services._fan_out_run import FanOutRun, NoOtherMap
+from chestnuthall.services._fan_out_run import CallObserver, FanOutRun, NoOtherMap
 from chestnuthall.services._membership import Identity
 from chestnuthall.services._suspects import Suspects
 
@@ -252,21 +252,32 @@
             caller_class=plan.caller_class,
             utilisation_ratio=self._sample_utilisation(plan, ticket),
         )
+        if self._divided_search is not None and isinstance(request, SearchRequest):
+            completion = await self._divided_search(request, partition_map, context)
+        else:
+            observer = partial(admission.on_call_result, ticket)
+            completion = await self._run_here(request, partition_map, context, observer)
+        if completion.account.n_calls == 0:
+            self._abandon(progress)
+        return self._finish(progress, completion)
+
+    async def _run_here(
+        self,
+        request: Request,
+        partition_map: PartitionMap,
+        context: FanOutContext,
+        on_call_result: CallObserver,
+    ) -> Completion:
+        """Run a request over its shards from this instance."""
         run = FanOutRun(
             FanOut(request, partition_map, context),
             self._clock,
             self._caller,
             self._directory,
             self._suspects,
-            partial(admission.on_call_result, ticket),
+            on_call_result,
         )
-        if self._divided_search is not None and isinstance(request, SearchRequest):
-            completion = await self._divided_search(request, partition_map, context)
-        else:
-            completion = await run.complete()
-        if completion.account.n_calls == 0:
-            self._abandon(progress)
-        return self._finish(progress, completion)
+        return await run.complete()
 
     def divide_searches(self, search: DividedSearch) -> None:
         """Run searches over several instances from now on."""
