Let admission's utilisation bound the extra-load budget too

Cause: after the merge with admission, extra load at saturation rose to 3.6%: room is given back per call, so a query finds few calls in flight at its start although the limit is used up, and the sampled utilisation stayed near 0.5. Ruled out: retries (40 of 569 extra calls) and saved credit (529 hedges in 3 s). Change: the higher of the sampled and of admission's average utilisation counts.

--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -250,7 +250,9 @@
             budget=plan.budget,
             quarantine=self._quarantine,
             caller_class=plan.caller_class,
-            utilisation_ratio=self._sample_utilisation(plan, ticket),
+            utilisation_ratio=max(
+                self._sample_utilisation(plan, ticket), admission.utilisation_ratio
+            ),
         )
         if self._divided_search is not None and isinstance(request, SearchRequest):
             completion = await self._divided_search(request, partition_map, context)
