Take the log's time from the clock package

Cause: the rate limit of the log read the system's monotonic time by itself. Ruled out: LoopClock there, since lines are limited before the loop runs. Change: monotonic_ms beside LoopClock.

--- a/chestnuthall/adapters/clock/_loop_clock.py
+++ b/chestnuthall/adapters/clock/_loop_clock.py
@@ -4,6 +4,14 @@
 import time
 
 
+def monotonic_ms() -> float:
+    """Return the monotonic time in milliseconds where no event loop runs.
+
+    The log limits its lines before the loop of the daemon starts.
+    """
+    return time.monotonic() * 1000.0
+
+
 class LoopClock:
     """Reads the event loop's time, so that a virtual-time loop drives it too.
 
--- a/chestnuthall/adapters/logs/_setup.py
+++ b/chestnuthall/adapters/logs/_setup.py
@@ -2,17 +2,13 @@
 
 import logging
 import sys
-import time
 
 from pythonjsonlogger.json import JsonFormatter
 
+from chestnuthall.adapters.clock import monotonic_ms
 from chestnuthall.adapters.logs._limit import LogLimits, RateLimitFilter
 
 
-def _monotonic_ms() -> float:
-    return time.monotonic() * 1000.0
-
-
 class EventFormatter(JsonFormatter):
     """Writes a line as JSON; ``event`` is the message as a stable name."""
 
@@ -47,7 +43,7 @@
     """
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(EventFormatter(instance))
-    limit = RateLimitFilter(LogLimits(), _monotonic_ms)
+    limit = RateLimitFilter(LogLimits(), monotonic_ms)
     handler.addFilter(limit)
     root = logging.getLogger()
     root.handlers[:] = [handler]
