Stop calls to a replica whose address has another holder

A print of each repeat and each send showed 126 sends beyond the first to that service; the other 80 were calls for a replica that had ended and whose address a replica of this service had taken. They were refused with 421, which was read as a shed, so the address was tried again after 50 ms. Ruled out: a budget counted wrongly (allowed and taken agree with the sends). Change: a call refused by another holder of the address has a kind of its own, after which the replica gets no calls until it registers anew; a registration at an address drops earlier holders of it.

--- a/chestnuthall/core/fanout/_state.py
+++ b/chestnuthall/core/fanout/_state.py
@@ -24,6 +24,7 @@
     CONNECTION_REFUSED,
     DEADLINE_PASSED,
     NO_REPLICA,
+    REPLICA_REPLACED,
     SHED_BY_UPSTREAM,
     SNAPSHOT_GONE,
     Failure,
@@ -40,6 +41,7 @@
     {
         NO_REPLICA,
         CONNECTION_REFUSED,
+        REPLICA_REPLACED,
         SHED_BY_UPSTREAM,
         SNAPSHOT_GONE,
         DEADLINE_PASSED,
--- a/chestnuthall/core/registry/_register.py
+++ b/chestnuthall/core/registry/_register.py
@@ -74,27 +74,38 @@
         """Take in a registration that was read."""
         name = registration.replica.name
         entry = self._entries.get(name)
+        replaced = self._drop_earlier_holders(registration.replica)
         if entry is None:
             entry = self._entries[name] = _Entry(registration)
             if registration.is_draining:
                 entry.draining_since_ms = now_ms
             self.version += 1
-            return [Change(ChangeKind.SEEN, registration)]
+            return [*replaced, Change(ChangeKind.SEEN, registration)]
         old = entry.registration
         if registration.replica.incarnation < old.replica.incarnation:
-            return []
+            return replaced
         was_missing = entry.missing_since_ms is not None
         entry.registration = registration
         entry.missing_since_ms = None
         kind = _kind_of_change(old, registration, was_missing)
         if kind is None:
-            return []
+            return replaced
         if not registration.is_draining:
             entry.draining_since_ms = None
         elif entry.draining_since_ms is None or kind is ChangeKind.RESTARTED:
             entry.draining_since_ms = now_ms
         self.version += 1
-        return [Change(kind, registration, old)]
+        return [*replaced, Change(kind, registration, old)]
+
+    def _drop_earlier_holders(self, replica: Replica) -> list[Change]:
+        """Drop replicas that started earlier at an address that has a new holder."""
+        return [
+            self._drop(name)
+            for name, entry in tuple(self._entries.items())
+            if entry.registration.replica.address == replica.address
+            and name != replica.name
+            and entry.registration.replica.incarnation < replica.incarnation
+        ]
 
     def remove(self, name: str, now_ms: float) -> list[Change]:
         """Note that a registration is no longer there."""
--- a/chestnuthall/core/results/__init__.py
+++ b/chestnuthall/core/results/__init__.py
@@ -36,6 +36,7 @@
     QUARANTINED,
     QUEUE_FULL,
     RATE_LIMITED,
+    REPLICA_REPLACED,
     SHED_BY_UPSTREAM,
     SHUTTING_DOWN,
     SNAPSHOT_GONE,
@@ -47,6 +48,7 @@
 )
 
 __all__ = [
+    "REPLICA_REPLACED",
     "ANSWER_CUT",
     "BAD_HTTP",
     "BODY_TOO_LARGE",
--- a/chestnuthall/core/results/_kinds.py
+++ b/chestnuthall/core/results/_kinds.py
@@ -101,6 +101,13 @@
 SHED_BY_UPSTREAM: Final[FailureKind] = _define(
     _CODE.SHED_BY_UPSTREAM, 503, _NO, _SAFE, "The upstream refused before starting."
 )
+REPLICA_REPLACED: Final[FailureKind] = _define(
+    _CODE.REPLICA_REPLACED,
+    503,
+    _NO,
+    _SAFE,
+    "Another process has the replica's address and refused the call.",
+)
 UPSTREAM_ERROR: Final[FailureKind] = _define(
     _CODE.UPSTREAM_ERROR, 502, _UNKNOWN, _SAFE, "The upstream answered with an error."
 )
--- a/chestnuthall/core/routing/_router.py
+++ b/chestnuthall/core/routing/_router.py
@@ -8,6 +8,7 @@
 from chestnuthall.core.results import (
     CALL_CANCELLED,
     DEADLINE_PASSED,
+    REPLICA_REPLACED,
     SHED_BY_UPSTREAM,
     SNAPSHOT_GONE,
     Failure,
@@ -262,6 +263,10 @@
         if failure.kind is CALL_CANCELLED:
             self._on_cancelled(state, now_ms - started_ms, now_ms, work, scale)
             return
+        if failure.kind is REPLICA_REPLACED:
+            # The registration is out of date; the next one makes it forgotten.
+            state.drained_until_ms = float("inf")
+            return
         if failure.kind is SNAPSHOT_GONE:
             state.note_missing(snapshot_id, now_ms)
             return
--- a/chestnuthall/platform/_relayed_calls.py
+++ b/chestnuthall/platform/_relayed_calls.py
@@ -12,6 +12,7 @@
 )
 from chestnuthall.core.results import (
     CALL_MISMATCH,
+    REPLICA_REPLACED,
     SHED_BY_UPSTREAM,
     UPSTREAM_ERROR,
     Failure,
@@ -86,7 +87,9 @@
     ) -> ShardAnswer | Failure:
         """Return the reply of the replica, or why the response is none."""
         headers = response.headers
-        if NOT_RUN in headers or response.status == MISDIRECTED:
+        if response.status == MISDIRECTED:
+            return REPLICA_REPLACED.because("the address belongs to another replica")
+        if NOT_RUN in headers:
             return SHED_BY_UPSTREAM.because(f"status {response.status}, not run")
         echoed = headers.get(REQUEST_ID)
         if echoed is not None and echoed != call.request.request_id.encode():
--- a/chestnuthall/services/_relay.py
+++ b/chestnuthall/services/_relay.py
@@ -52,7 +52,9 @@
 
     def _forget_splits(self, configuration: Configuration) -> None:
         """Keep the credit of a split that a revision leaves as it was."""
-        targets = {item.name: item.targets for item in configuration.document.routes.routes}
+        targets = {
+            item.name: item.targets for item in configuration.document.routes.routes
+        }
         self._splits = {
             name: split
             for name, split in self._splits.items()
