Log each decision on a request within a bound, and serve counters and histograms as text

Standard output loses lines, not requests, when nobody reads it. Metrics are served as text on the metrics address.

--- a/chestnuthall/adapters/logs/_limit.py
+++ b/chestnuthall/adapters/logs/_limit.py
@@ -38,8 +38,14 @@
     that a flood of one does not hide another.
     """
 
-    def __init__(self, limits: LogLimits, now_ms: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        limits: LogLimits,
+        now_ms: Callable[[], float],
+        take_lost: Callable[[], int] = lambda: 0,
+    ) -> None:
         super().__init__()
+        self._take_lost = take_lost
         self._limits = limits
         self._now_ms = now_ms
         self._budgets: dict[str, _Budget] = {}
@@ -81,6 +87,11 @@
 
     def report_dropped(self) -> None:
         """Log how many lines of each event were dropped since the last report."""
+        n_lost = self._take_lost()
+        if n_lost:
+            logging.getLogger(__name__).warning(
+                "log lines lost", extra={"n_lost": n_lost}
+            )
         for of_event, n_dropped in self.take_dropped().items():
             logging.getLogger(__name__).warning(
                 "log lines dropped",
--- a/chestnuthall/adapters/logs/_setup.py
+++ b/chestnuthall/adapters/logs/_setup.py
@@ -2,11 +2,13 @@
 
 import logging
 import sys
+from collections.abc import Iterable
 
 from pythonjsonlogger.json import JsonFormatter
 
 from chestnuthall.adapters.clock import monotonic_ms
 from chestnuthall.adapters.logs._limit import LogLimits, RateLimitFilter
+from chestnuthall.adapters.logs._stream import LossyStream
 
 
 class EventFormatter(JsonFormatter):
@@ -36,16 +38,29 @@
         log_data["message"] = record.getMessage()
 
 
-def set_up_logs(level: str, instance: str) -> RateLimitFilter:
-    """Write the log of this process to standard error as JSON lines.
+def set_up_logs(
+    level: str, instance: str, bounded_loggers: Iterable[str] = ()
+) -> RateLimitFilter:
+    """Write the log of this process to standard output as JSON lines.
 
-    Returns the filter, whose report has to be called from time to time.
+    Loggers of ``bounded_loggers`` bound their volume themselves. Returns the
+    filter of all others, whose report has to be called from time to time.
     """
-    handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(EventFormatter(instance))
-    limit = RateLimitFilter(LogLimits(), monotonic_ms)
+    stream = LossyStream(sys.stdout.fileno())
+    handler = _handler(stream, instance)
+    limit = RateLimitFilter(LogLimits(), monotonic_ms, stream.take_lost)
     handler.addFilter(limit)
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
+    for name in bounded_loggers:
+        logger = logging.getLogger(name)
+        logger.handlers[:] = [_handler(stream, instance)]
+        logger.propagate = False
     return limit
+
+
+def _handler(stream: LossyStream, instance: str) -> "logging.Handler":
+    handler = logging.StreamHandler(stream)
+    handler.setFormatter(EventFormatter(instance))
+    return handler
--- a/chestnuthall/cli/tests/test_names.py
+++ b/chestnuthall/cli/tests/test_names.py
@@ -7,6 +7,7 @@
 import pytest
 
 import chestnuthall
+from chestnuthall.core.model import DecisionEvent
 
 PACKAGE = Path(chestnuthall.__file__).parent
 DOCS = PACKAGE.parent / "docs"
@@ -40,6 +41,9 @@
         if is_log and function.attr in LOG_METHODS:
             yield _name(arguments[0]).replace(" ", "_")
 
+    for event in DecisionEvent:
+        yield event.text.replace(" ", "_")
+
 
 def _metric_names():
     yield "metrics.dropped"
--- a/chestnuthall/core/fanout/_events.py
+++ b/chestnuthall/core/fanout/_events.py
@@ -4,6 +4,7 @@
 
 from chestnuthall.core.model import (
     Coverage,
+    Decision,
     FanOutAccount,
     Hit,
     PartitionMap,
@@ -110,6 +111,7 @@
 
     ``run`` says whether any replica ran the request. ``reply`` is what the
     caller of a relayed request gets, and ``parts`` what it was made of.
+    ``decisions`` tell how the outcome came about, in order.
     """
 
     failure: Failure | None
@@ -120,6 +122,7 @@
     run: RunState = RunState.UNKNOWN
     reply: Reply | None = None
     parts: tuple[Reply, ...] = ()
+    decisions: tuple[Decision, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnuthall/core/fanout/_handlers.py
+++ b/chestnuthall/core/fanout/_handlers.py
@@ -24,7 +24,13 @@
     FanOutState,
 )
 from chestnuthall.core.fanout._targets import target_shards
-from chestnuthall.core.model import PartitionMap, ShardAnswer, ShardCall, is_idempotent
+from chestnuthall.core.model import (
+    DecisionEvent,
+    PartitionMap,
+    ShardAnswer,
+    ShardCall,
+    is_idempotent,
+)
 from chestnuthall.core.results import (
     CALL_MISMATCH,
     CONNECTION_LOST,
@@ -80,7 +86,16 @@
         event.now_ms,
         work=state.context.work,
     )
-    _take_answer(state, progress, answer, event.now_ms - running.started_ms)
+    elapsed_ms = event.now_ms - running.started_ms
+    _take_answer(state, progress, answer, elapsed_ms)
+    state.note(
+        DecisionEvent.CALL_ANSWERED,
+        event.now_ms,
+        answer.shard_id,
+        running.call.replica.name,
+        elapsed_ms,
+        None if answer.reply is None else answer.reply.status,
+    )
     actions = state.cancel_running(progress, event.now_ms)
     if running.is_probe or progress.has_lost:
         # Another replica of the shard ran the request and lives.
@@ -129,11 +144,20 @@
         state.n_not_started += 1
     if failure.kind in NOT_SENT_KINDS:
         progress.sent_names.discard(running.call.replica.name)
+    state.note(
+        DecisionEvent.CALL_FAILED,
+        now_ms,
+        running.call.shard_id,
+        running.call.replica.name,
+        now_ms - running.started_ms,
+        failure.kind.name,
+        failure.reason,
+    )
     _note_failure(state, progress, running, failure, now_ms)
     if progress.running:
         return []
     if not _may_retry(state, progress, failure, now_ms):
-        progress.is_given_up = True
+        state.give_up(progress, "no attempt left", now_ms)
         # Held shards do not wait for a probe that will not come any more.
         return probes.settle_held(state, now_ms) if running.is_probe else []
     if failure.kind is SNAPSHOT_GONE and not _is_held_elsewhere(
@@ -200,7 +224,7 @@
     budget = state.context.budget
     shard_id = progress.shard.shard_id
     if not is_free and not budget.try_take_retry(shard_id, now_ms, may_overdraw):
-        progress.is_given_up = True
+        state.give_up(progress, "budget", now_ms)
         return []
     state.n_retries += 1
     if failure.kind is SHED_BY_UPSTREAM:
--- a/chestnuthall/core/fanout/_hedges.py
+++ b/chestnuthall/core/fanout/_hedges.py
@@ -4,7 +4,7 @@
 from chestnuthall.core.fanout._progress import RunningCall, ShardProgress
 from chestnuthall.core.fanout._state import FanOutState
 from chestnuthall.core.fanout._targets import open_shard
-from chestnuthall.core.model import is_idempotent
+from chestnuthall.core.model import DecisionEvent, is_idempotent
 
 # A hedge that finds no free slot or no credit is considered again after this
 # time. The call that stays slow longest is the one worth a hedge most.
@@ -65,13 +65,27 @@
         needs_free_slot=True,
         work=state.context.work,
     )
+    age_ms = now_ms - oldest.started_ms
+    shard_id = progress.shard.shard_id
     if replica is None:
+        _note_withheld(state, progress, "no replica with a free slot", age_ms, now_ms)
         return []
     delay_ms = state.context.router.hedge_delay_ms(state.context.work)
-    lateness_ratio = (now_ms - oldest.started_ms) / delay_ms
-    shard_id = progress.shard.shard_id
+    lateness_ratio = age_ms / delay_ms
     if not state.context.budget.try_take_hedge(shard_id, now_ms, lateness_ratio):
+        _note_withheld(state, progress, "budget", age_ms, now_ms)
         return []
     progress.is_hedged = True
     state.n_hedges += 1
-    return [state.start(progress, replica, now_ms)]
+    return [state.start(progress, replica, now_ms, "hedge")]
+
+
+def _note_withheld(
+    state: FanOutState, progress: ShardProgress, why: str, age_ms: float, now_ms: float
+) -> None:
+    """Keep the first reason for a shard's missing hedge; later ones repeat it."""
+    if progress.is_hedge_withheld:
+        return
+    progress.is_hedge_withheld = True
+    shard_id = progress.shard.shard_id
+    state.note(DecisionEvent.HEDGE_WITHHELD, now_ms, shard_id, why, age_ms)
--- a/chestnuthall/core/fanout/_machine.py
+++ b/chestnuthall/core/fanout/_machine.py
@@ -12,7 +12,7 @@
 from chestnuthall.core.fanout._outcome import completion_of
 from chestnuthall.core.fanout._probes import held_shards
 from chestnuthall.core.fanout._state import FanOutState
-from chestnuthall.core.model import is_idempotent
+from chestnuthall.core.model import DecisionEvent, is_idempotent
 
 # An event loop may fire a timer early by its clock's resolution. Without this
 # distance the same timer would be set again for the same instant.
@@ -39,8 +39,15 @@
         is_plain_answer = isinstance(event, CallAnswered) and not actions
         return actions + self._settle(event.now_ms, is_plain_answer)
 
-    def complete(self, now_ms: float) -> list[Action]:
+    def complete(self, now_ms: float, why: str) -> list[Action]:
         """End the query with what was merged."""
+        self.note(
+            DecisionEvent.SETTLED,
+            now_ms,
+            why,
+            self.coverage().ratio,
+            self.partition_map.snapshot_id,
+        )
         completion = completion_of(self, now_ms)
         return [*self.abandon(now_ms), Complete(completion)]
 
@@ -55,21 +62,31 @@
         return actions
 
     def _settle(self, now_ms: float, may_keep_timer: bool) -> list[Action]:
-        if now_ms >= self.request.deadline_ms or self._may_stop_early(now_ms):
-            return self.complete(now_ms)
-        if self.is_settled and not self.is_replanning:
-            return self.complete(now_ms)
+        why = self._reason_to_stop(now_ms)
+        if why is not None:
+            return self.complete(now_ms, why)
         if may_keep_timer:
             return []
         earliest_ms = now_ms + TIMER_DISTANCE_MIN_MS
         return [SetTimer(max(earliest_ms, self._next_due_ms(now_ms)))]
 
-    def _may_stop_early(self, now_ms: float) -> bool:
+    def _reason_to_stop(self, now_ms: float) -> str | None:
+        """Return why the query ends now, or None while it goes on."""
+        if now_ms >= self.request.deadline_ms:
+            return "deadline"
         if self.is_quarantined(now_ms):
-            return True
-        if not self.may_reach_floor and not self.is_replanning:
+            return "quarantined"
+        if self.is_settled and not self.is_replanning:
+            return "all shards settled"
+        is_repeatable = is_idempotent(self.request)
+        if is_repeatable and not self.may_reach_floor and not self.is_replanning:
             # The caller can repeat the request sooner than it would be refused.
-            return is_idempotent(self.request)
+            return "floor out of reach"
+        if self._is_past_soft_deadline(now_ms):
+            return "soft deadline"
+        return None
+
+    def _is_past_soft_deadline(self, now_ms: float) -> bool:
         caller_class = self.context.caller_class
         if caller_class.soft_deadline_ms is None:
             return False
--- a/chestnuthall/core/fanout/_outcome.py
+++ b/chestnuthall/core/fanout/_outcome.py
@@ -33,6 +33,7 @@
         run=state.run_state(),
         reply=error_reply_of(state.request, state.error_reply) if failure else reply,
         parts=() if failure else parts,
+        decisions=tuple(state.decisions),
     )
 
 
--- a/chestnuthall/core/fanout/_probes.py
+++ b/chestnuthall/core/fanout/_probes.py
@@ -7,7 +7,7 @@
 
 from chestnuthall.core.fanout._events import Action, Warn
 from chestnuthall.core.fanout._progress import ProbeStep, ShardProgress
-from chestnuthall.core.fanout._state import N_ATTEMPTS_MAX, FanOutState
+from chestnuthall.core.fanout._state import N_ATTEMPTS_MAX, PROBE, FanOutState
 from chestnuthall.core.fanout._targets import open_shard
 from chestnuthall.core.model import Replica
 
@@ -63,9 +63,9 @@
             break
         progress.is_held = False
         state.probe_step = ProbeStep.RUNNING
-        return [state.start(progress, replica, now_ms, is_probe=True)]
+        return [state.start(progress, replica, now_ms, PROBE)]
     for progress in held_shards(state):
-        _give_up(progress)
+        _give_up(state, progress, now_ms)
     return []
 
 
@@ -101,9 +101,9 @@
     return True
 
 
-def _give_up(progress: ShardProgress) -> None:
+def _give_up(state: FanOutState, progress: ShardProgress, now_ms: float) -> None:
     progress.is_held = False
-    progress.is_given_up = True
+    state.give_up(progress, "no verdict on a suspected request", now_ms)
 
 
 def on_probe_answered(state: FanOutState, now_ms: float) -> list[Action]:
@@ -130,7 +130,7 @@
     for progress in held_shards(state):
         may_go_on = not is_quarantined and progress.n_attempts < N_ATTEMPTS_MAX
         if not may_go_on or not _take_credit(state, progress, now_ms):
-            _give_up(progress)
+            _give_up(state, progress, now_ms)
             continue
         progress.is_held = False
         actions += state.try_dispatch(progress, now_ms)
--- a/chestnuthall/core/fanout/_progress.py
+++ b/chestnuthall/core/fanout/_progress.py
@@ -45,6 +45,7 @@
     answer: ShardAnswer | None = None
     n_attempts: int = 0
     is_hedged: bool = False
+    is_hedge_withheld: bool = False
     is_given_up: bool = False
     is_held: bool = False
     has_lost: bool = False
--- a/chestnuthall/core/fanout/_state.py
+++ b/chestnuthall/core/fanout/_state.py
@@ -9,6 +9,8 @@
 from chestnuthall.core.model import (
     CallerClass,
     Coverage,
+    Decision,
+    DecisionEvent,
     FanOutAccount,
     PartitionMap,
     Replica,
@@ -35,6 +37,8 @@
 
 N_ATTEMPTS_MAX = 4
 N_REPLANS_MAX = 2
+# Reason of a call whose outcome is the verdict on a suspected request.
+PROBE = "probe"
 
 # Failures that prove that the replica did not begin the call.
 NOT_STARTED_KINDS: frozenset[FailureKind] = frozenset(
@@ -94,6 +98,19 @@
         self._shard_of_call: dict[str, str] = {}
         self._n_call_ids = 0
         self._unsettled: list[ShardProgress] = []
+        self.decisions: list[Decision] = []
+
+    def note(self, event: DecisionEvent, now_ms: float, *values: object) -> None:
+        """Keep a decision for the log."""
+        self.decisions.append(Decision(now_ms, event, values))
+
+    def give_up(self, progress: ShardProgress, why: str, now_ms: float) -> None:
+        """Make no further attempt at a shard; a call that runs may still answer."""
+        progress.is_given_up = True
+        shard_id = progress.shard.shard_id
+        self.note(
+            DecisionEvent.SHARD_GIVEN_UP, now_ms, shard_id, progress.n_attempts, why
+        )
 
     def plan(self, partition_map: PartitionMap) -> None:
         """Pin a map and forget everything that was merged from another one."""
@@ -129,9 +146,10 @@
             progress.tried_names.clear()
             replica = self._choose(progress, now_ms)
         if replica is None:
-            progress.is_given_up = True
+            self.give_up(progress, "no replica", now_ms)
             return []
-        return [self.start(progress, replica, now_ms)]
+        reason = "retry" if progress.n_attempts else "first"
+        return [self.start(progress, replica, now_ms, reason)]
 
     def _choose(self, progress: ShardProgress, now_ms: float) -> Replica | None:
         return self.context.router.choose(
@@ -147,7 +165,7 @@
         progress: ShardProgress,
         replica: Replica,
         now_ms: float,
-        is_probe: bool = False,
+        reason: str,
     ) -> Dispatch:
         """Start a call of a shard at a replica."""
         self._n_call_ids += 1
@@ -159,15 +177,37 @@
             deadline_ms=self.request.deadline_ms,
             request=self.request,
         )
+        is_probe = reason == PROBE
         progress.running[call.call_id] = RunningCall(call, now_ms, is_probe)
         progress.tried_names.add(replica.name)
         progress.sent_names.add(replica.name)
         progress.n_attempts += 1
         self._shard_of_call[call.call_id] = call.shard_id
         self.n_calls += 1
+        self._note_sent(call, progress, reason, now_ms)
         self.context.router.on_started(replica, now_ms, self.context.work)
         return Dispatch(call)
 
+    def _note_sent(
+        self, call: ShardCall, progress: ShardProgress, reason: str, now_ms: float
+    ) -> None:
+        replica = call.replica
+        seen = self.context.router.state_of(replica.name)
+        self.note(
+            DecisionEvent.CALL_SENT,
+            now_ms,
+            call.shard_id,
+            replica.name,
+            replica.incarnation,
+            replica.zone,
+            progress.n_attempts,
+            reason,
+            call.deadline_ms - now_ms,
+            seen.n_in_flight,
+            seen.latency_ms,
+            now_ms - seen.updated_ms,
+        )
+
     def take_running(self, call_id: str) -> tuple[ShardProgress, RunningCall] | None:
         """Remove a running call; None for one that was dropped before."""
         progress = self.shards.get(self._shard_of_call.pop(call_id, ""))
@@ -189,6 +229,13 @@
                 now_ms,
                 work=self.context.work,
             )
+            self.note(
+                DecisionEvent.CALL_CANCELLED,
+                now_ms,
+                running.call.shard_id,
+                running.call.replica.name,
+                now_ms - running.started_ms,
+            )
             actions.append(Cancel(call_id))
         progress.running.clear()
         return actions
--- a/chestnuthall/core/model/__init__.py
+++ b/chestnuthall/core/model/__init__.py
@@ -17,6 +17,10 @@
     ShardAnswer,
     ShardCall,
 )
+from chestnuthall.core.model._decisions import (
+    Decision,
+    DecisionEvent,
+)
 from chestnuthall.core.model._environment import (
     CallerClass,
     Configuration,
@@ -59,6 +63,8 @@
     "ClassStanding",
     "Configuration",
     "Coverage",
+    "Decision",
+    "DecisionEvent",
     "EnvironmentDocument",
     "ExtraLoadPolicy",
     "FanOutAccount",
--- a/chestnuthall/core/model/_accounts.py
+++ b/chestnuthall/core/model/_accounts.py
@@ -89,3 +89,5 @@
     snapshot_id: int
     configuration_revision: int
     result_code: int
+    # Whether the outcome came after the latency objective of the class.
+    is_late: bool = False
--- a/chestnuthall/core/routing/tests/test_routing.py
+++ b/chestnuthall/core/routing/tests/test_routing.py
@@ -15,6 +15,7 @@
     CALL_CANCELLED,
     CONNECTION_LOST,
     NO_REPLICA,
+    REPLICA_REPLACED,
     SNAPSHOT_GONE,
 )
 from chestnuthall.core.routing import (
@@ -204,3 +205,57 @@
             del shares[random.choice(list(shares))]
         budgets = [share.budget(n_connections_max) for share in shares.values()]
         assert sum(budgets) <= n_connections_max
+
+
+def test_replaced_replica_gets_no_calls_until_it_registers_anew():
+    """Calls to an address with a new holder count as load of its service."""
+    router, shard, replicas = make_router()
+    fail(router, replicas[0], REPLICA_REPLACED, 0.0)
+    assert "r0" not in chosen(router, shard, 60_000.0)
+    router.forget("r0")
+    assert "r0" in chosen(router, shard, 60_000.0)
+
+
+# (case, factor, local latency, remote latency, replicas chosen)
+ZONES = [
+    ("same latency", 4.0, 10.0, 10.0, {"r0"}),
+    ("local one a little slower", 4.0, 30.0, 10.0, {"r0"}),
+    ("local one much slower", 4.0, 80.0, 10.0, {"r1", "r2"}),
+    ("zones cost nothing", 1.0, 30.0, 10.0, {"r1", "r2"}),
+]
+
+
+@pytest.mark.parametrize(
+    ("factor", "local_ms", "remote_ms", "names"),
+    [case[1:] for case in ZONES],
+    ids=[case[0] for case in ZONES],
+)
+def test_zone_preference_gives_way_to_slowness(factor, local_ms, remote_ms, names):
+    """Bytes between zones are dear, but a slow local replica is dearer."""
+    router, shard, replicas = make_router(
+        other_zone_factor=factor, other_zone_cost_ms=0.0
+    )
+    for i in range(60):
+        for replica in replicas:
+            latency_ms = local_ms if replica.zone == "z0" else remote_ms
+            answer(router, replica, latency_ms, 100.0 * i)
+    assert chosen(router, shard, 6_000.0) == names
+
+
+def test_slow_replica_found_by_one_kind_of_work_is_known_to_others():
+    router, shard, replicas = make_router()
+    for i in range(40):
+        for replica in replicas:
+            slow = 8.0 if replica is replicas[0] and i > 30 else 1.0
+            started_ms = 1_000.0 * i
+            router.on_started(replica, started_ms, "sweep")
+            router.on_answered(
+                replica, started_ms, ANSWER, started_ms + 30.0 * slow, work="sweep"
+            )
+            if i <= 30:
+                router.on_started(replica, started_ms, "check")
+                router.on_answered(
+                    replica, started_ms, ANSWER, started_ms + 10.0, work="check"
+                )
+    assert "r0" not in chosen(router, shard, 39_300.0, work="check")
+    assert router.hedge_delay_ms("check") < 15.0 < router.hedge_delay_ms("sweep")
--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -6,13 +6,15 @@
 
 from chestnuthall.adapters.clock import LoopClock
 from chestnuthall.adapters.http import (
+    HttpRequest,
+    HttpResponse,
     HttpServer,
     KeepAliveProbes,
     PoolSettings,
     ServerLimits,
 )
 from chestnuthall.adapters.logs import RateLimitFilter
-from chestnuthall.adapters.metrics import NullMetrics
+from chestnuthall.adapters.metrics import CONTENT_TYPE, ExpositionMetrics
 from chestnuthall.adapters.objectapi import HttpObjectStore
 from chestnuthall.adapters.upstreams import HttpShardCaller
 from chestnuthall.core.model import Configuration
@@ -34,6 +36,7 @@
     ConfigurationKeeper,
     ConnectionBudgets,
     CountedObjectStore,
+    DecisionLog,
     EqualParts,
     Identity,
     Lifecycle,
@@ -74,6 +77,8 @@
 N_WARM_CONNECTIONS = 2
 RETRY_AFTER_MS = 50.0
 LOG_REPORT_INTERVAL_MS = 10_000.0
+METRICS_PATH = "/metrics"
+LAG_INTERVAL_MS = 1_000.0
 # Instances assumed for the division of connections until they are counted.
 N_INSTANCES_UNKNOWN = 16
 
@@ -100,7 +105,8 @@
         self._log_limit = log_limit
         self._clock = clock = LoopClock()
         random = Random()
-        self._metrics = metrics = NullMetrics()
+        self._metrics = metrics = ExpositionMetrics()
+        self._decisions = DecisionLog(clock, metrics)
         store = CountedObjectStore(
             HttpObjectStore(settings.store_address, DIALECT, STORE_PROBES),
             metrics,
@@ -163,6 +169,7 @@
             admissions=admissions,
             shared_budget=self._budget,
             retry_after_ms=RETRY_AFTER_MS,
+            decision_log=self._decisions,
         )
         relay = RelayService(query, self.configuration, clock)
         self.callers = HttpServer(
@@ -171,6 +178,7 @@
             respond_to_http_error,
         )
         self.readiness = HttpServer(ReadinessFrontend(self.is_ready).handle)
+        self.metrics_page = HttpServer(self._serve_metrics)
         self.configuration.on_change(self._apply_limits)
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -181,6 +189,23 @@
     def _knows_enough(self) -> bool:
         return self.configuration.is_ready and self.directory.is_ready
 
+    async def _serve_metrics(self, request: HttpRequest) -> HttpResponse:
+        if request.path != METRICS_PATH:
+            return HttpResponse(404)
+        self._set_gauges()
+        headers = {b"content-type": CONTENT_TYPE}
+        return HttpResponse(200, headers, self._metrics.text())
+
+    def _set_gauges(self) -> None:
+        metrics = self._metrics
+        metrics.gauge("configuration_revision", self.configuration.revision)
+        confirmed_ms = self.configuration.confirmation_age_ms
+        metrics.gauge("configuration_confirmed_ago_ms", confirmed_ms)
+        metrics.gauge("replicas", self.directory.n_replicas)
+        metrics.gauge("instances", self.presence.n_instances or 0)
+        metrics.gauge("requests_in_flight", self.lifecycle.n_in_flight)
+        metrics.gauge("ready", float(self.is_ready()))
+
     def _apply_limits(self, configuration: Configuration) -> None:
         limits = read_limits(configuration.text)
         self.callers.limits = ServerLimits(
@@ -195,6 +220,7 @@
         """Listen and start the background work."""
         await _listen(self.callers, self.settings.caller_address)
         await _listen(self.readiness, self.settings.ready_address)
+        await _listen(self.metrics_page, self.settings.metrics_address)
         loop = asyncio.get_running_loop()
         self._tasks = [
             loop.create_task(self.configuration.run()),
@@ -203,13 +229,23 @@
             loop.create_task(self._connections.run()),
             loop.create_task(self._parts.run()),
             loop.create_task(self._report_dropped_lines()),
+            loop.create_task(self._measure_loop_lag()),
         ]
         _log.info("instance started", extra={"zone": self.settings.zone})
 
     async def _report_dropped_lines(self) -> None:
-        while self._log_limit is not None:
+        while True:
             await self._clock.sleep_ms(LOG_REPORT_INTERVAL_MS)
-            self._log_limit.report_dropped()
+            self._decisions.report()
+            if self._log_limit is not None:
+                self._log_limit.report_dropped()
+
+    async def _measure_loop_lag(self) -> None:
+        """Record how late timers fire, which shows a loop that is kept busy."""
+        while True:
+            due_ms = self._clock.now_ms() + LAG_INTERVAL_MS
+            await self._clock.sleep_ms(LAG_INTERVAL_MS)
+            self._metrics.timing("loop_lag_ms", self._clock.now_ms() - due_ms)
 
     async def run(self) -> None:
         """Serve until a stop is announced, then finish what is in flight."""
@@ -229,6 +265,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.callers.close()
         await self.readiness.close()
+        await self.metrics_page.close()
         self._caller.close()
 
 
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -28,6 +28,10 @@
 from chestnuthall.services._connections import (
     ConnectionBudgets,
 )
+from chestnuthall.services._decision_log import (
+    DECISIONS,
+    DecisionLog,
+)
 from chestnuthall.services._directory import (
     Directory,
     PartitionMapReader,
@@ -108,6 +112,7 @@
 )
 
 __all__ = [
+    "DECISIONS",
     "Accepted",
     "Administration",
     "Admission",
@@ -121,6 +126,7 @@
     "ConfigurationStatus",
     "ConnectionBudgets",
     "CountedObjectStore",
+    "DecisionLog",
     "DigestPart",
     "Directory",
     "DrainNews",
--- a/chestnuthall/services/_outcomes.py
+++ b/chestnuthall/services/_outcomes.py
@@ -3,11 +3,12 @@
 import logging
 from functools import singledispatchmethod
 
-from chestnuthall.core.model import Account, Answer, Refusal
+from chestnuthall.core.model import Answer, Refusal
 from chestnuthall.core.results import INTERNAL_ERROR, ResultCode
 from chestnuthall.ports import Metrics
 from chestnuthall.services._burn import BurnRecorder
 from chestnuthall.services._configuration import ConfigurationKeeper
+from chestnuthall.services._decision_log import outcome_fields
 
 _log = logging.getLogger(__name__)
 
@@ -53,26 +54,12 @@
         # The fields are put together only if they are written, because answers
         # come at the full rate of requests.
         if _log.isEnabledFor(logging.DEBUG):
-            _log.debug("request answered", extra=_fields(outcome.account))
+            _log.debug("request answered", extra=outcome_fields(outcome.account))
 
     @_write.register
     def _(self, outcome: Refusal) -> None:
-        fields = _fields(outcome.account)
+        fields = outcome_fields(outcome.account)
         if outcome.failure.kind is INTERNAL_ERROR:
             _log.error("request failed", extra=fields)
         else:
             _log.info("request refused", extra=fields)
-
-
-def _fields(account: Account) -> dict[str, object]:
-    return {
-        "request_id": account.request_id,
-        "class_name": account.class_name,
-        "kind": account.kind,
-        "group": account.group,
-        "result_code": account.result_code,
-        "result": ResultCode(account.result_code).name,
-        "queued_ms": round(account.admission.queued_ms, 1),
-        "total_ms": round(account.finished_wall_ms - account.arrived_wall_ms, 1),
-        "revision": account.configuration_revision,
-    }
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -20,6 +20,8 @@
     Answer,
     CallerClass,
     Configuration,
+    Decision,
+    DecisionEvent,
     EnvironmentDocument,
     FanOutAccount,
     MutationRequest,
@@ -57,6 +59,7 @@
 )
 from chestnuthall.services._claims import ClaimLedger
 from chestnuthall.services._configuration import ConfigurationKeeper
+from chestnuthall.services._decision_log import DecisionLog
 from chestnuthall.services._fan_out_run import CallObserver, FanOutRun, NoOtherMap
 from chestnuthall.services._group_directory import GroupDirectory
 from chestnuthall.services._membership import Identity
@@ -80,6 +83,8 @@
     admission: AdmissionAccount
     admitted_wall_ms: float | None = None
     claim: KeyClaim | None = None
+    decisions: tuple[Decision, ...] = ()
+    objective_ms: float = float("inf")
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,7 +117,9 @@
         n_instances: Callable[[], int] = lambda: 1,
         shared_budget: ExtraLoad | None = None,
         retry_after_ms: float = RETRY_AFTER_MS,
+        decision_log: DecisionLog | None = None,
     ) -> None:
+        self._decision_log = decision_log
         self._retry_after_ms = retry_after_ms
         self._record_outcome = record_outcome
         self._identity = identity
@@ -150,8 +157,10 @@
     ) -> ExtraLoad:
         if self._shared_budget is not None:
             return self._shared_budget
-        is_kept = isinstance(previous, ExtraLoadBudget)
-        if is_kept and previous.policy == document.extra_load:
+        is_kept = isinstance(previous, ExtraLoadBudget) and (
+            previous.policy == document.extra_load
+        )
+        if previous is not None and is_kept:
             return previous
         return ExtraLoadBudget(document.extra_load)
 
@@ -177,20 +186,32 @@
             self._configuration.revision,
             account_of_unqueued(),
         )
-        outcome = await self._serve(progress)
+        try:
+            outcome = await self._serve(progress)
+        except asyncio.CancelledError:
+            self._note_abandoned(request)
+            raise
         code = _code_of(outcome)
         self._metrics.count(f"requests.{kind_of(request)}.{code.name.lower()}")
         duration_ms = self._clock.now_ms() - request.arrived_ms
         self._metrics.timing(f"request_ms.{kind_of(request)}", duration_ms)
         if self._record_outcome is not None:
             self._record_outcome(outcome)
+        if self._decision_log is not None:
+            self._decision_log.request_ended(outcome, progress.decisions)
         return outcome
 
+    def _note_abandoned(self, request: Request) -> None:
+        self._metrics.count(f"requests.{kind_of(request)}.abandoned")
+        if self._decision_log is not None:
+            self._decision_log.request_abandoned(request)
+
     async def _serve(self, progress: _Progress) -> Outcome:
         request = progress.request
         plan = self._plan(request)
         if isinstance(plan, Failure):
             return self._refuse(progress, plan)
+        progress.objective_ms = plan.caller_class.objective.latency_ms
         request = _within_class_deadline(request, plan.caller_class)
         progress.request = request
         failure = await self._claim(progress)
@@ -278,6 +299,7 @@
             completion = await self._run_here(request, partition_map, context, observer)
         if completion.account.n_calls == 0:
             self._abandon(progress)
+        progress.decisions = (_admission_decision(ticket), *completion.decisions)
         return self._finish(progress, completion)
 
     async def _run_here(
@@ -405,9 +427,19 @@
             snapshot_id=0 if completion is None else completion.snapshot_id,
             configuration_revision=progress.revision,
             result_code=int(code),
+            is_late=self._clock.now_ms() - request.arrived_ms > progress.objective_ms,
         )
 
 
+def _admission_decision(ticket: Admitted) -> Decision:
+    account = ticket.account
+    return Decision(
+        ticket.admitted_ms,
+        DecisionEvent.ADMITTED,
+        (account.rule.value, account.queued_ms, account.n_ahead_at_arrival),
+    )
+
+
 def _n_slots(group: UpstreamGroup, partition_map: PartitionMap) -> float:
     """Return the slots of all replicas; one that states none has its group's."""
     return float(
--- a/chestnuthall/services/_relay.py
+++ b/chestnuthall/services/_relay.py
@@ -75,23 +75,34 @@
         wait_ms = route.timeout_ms
         if call.deadline_in_ms is not None:
             wait_ms = min(wait_ms, call.deadline_in_ms)
-        shared = {
-            "request_id": call.request_id,
-            "class_name": route.class_name,
-            "group": self._group(route),
-            "arrived_ms": call.arrived_ms,
-            "deadline_ms": call.arrived_ms + wait_ms,
-            "fingerprint": _fingerprint(call),
-            "method": call.method,
-            "target": call.target,
-            "headers": call.headers,
-            "body": call.body,
-            "n_replicas_max": route.n_replicas_max,
-        }
+        group = self._group(route)
         if route.merge is None:
-            return ForwardRequest(**shared, is_repeatable=route.is_repeatable)
+            return ForwardRequest(
+                request_id=call.request_id,
+                class_name=route.class_name,
+                group=group,
+                arrived_ms=call.arrived_ms,
+                deadline_ms=call.arrived_ms + wait_ms,
+                fingerprint=_fingerprint(call),
+                method=call.method,
+                target=call.target,
+                headers=call.headers,
+                body=call.body,
+                n_replicas_max=route.n_replicas_max,
+                is_repeatable=route.is_repeatable,
+            )
         return ScatterRequest(
-            **shared,
+            request_id=call.request_id,
+            class_name=route.class_name,
+            group=group,
+            arrived_ms=call.arrived_ms,
+            deadline_ms=call.arrived_ms + wait_ms,
+            fingerprint=_fingerprint(call),
+            method=call.method,
+            target=call.target,
+            headers=call.headers,
+            body=call.body,
+            n_replicas_max=route.n_replicas_max,
             n_records_max=route.merge.n_records_max,
             n_record_bytes=route.merge.n_record_bytes,
         )
