Suspect a request of a crash only where its replica accepts no connection

Ruled out: shared fingerprints alone (losses came with many different requests). Change: a lost call without another live connection tries to open one, for 30 ms at most; only a replica that accepts none was lost. The quarantine lasts 30 s here.

--- a/chestnuthall/adapters/http/_pool.py
+++ b/chestnuthall/adapters/http/_pool.py
@@ -154,6 +154,16 @@
         """Whether a connection that no call uses is still open."""
         return any(connection.is_open for connection in self._idle)
 
+    async def accepts_connections(self, timeout_ms: float) -> bool:
+        """Return whether the address accepts a connection, which is kept."""
+        if self._n_open >= self.n_connections_max:
+            return False
+        connection = await self._open(timeout_ms)
+        if isinstance(connection, Failure):
+            return False
+        self.release(connection)
+        return True
+
     def close(self) -> None:
         """Close the idle connections, and the others as they are given back."""
         self._is_closed = True
--- a/chestnuthall/adapters/upstreams/_caller.py
+++ b/chestnuthall/adapters/upstreams/_caller.py
@@ -37,6 +37,9 @@
 # answer. Opening another one costs the upstream up to 6 ms.
 DRAIN_TIMEOUT_MS = 1_000.0
 CANCEL_TIMEOUT_MS = 100.0
+# A process that lives accepts a connection within this time; the retry of the call
+# waits for it.
+CRASH_CONNECT_MS = 30.0
 # When a process ends, all of its connections end within this time.
 CRASH_SPREAD_MS = 2.0
 
@@ -145,11 +148,10 @@
         if isinstance(result, Failure) and result.kind is CALL_TIMED_OUT:
             self._abandon(call, pool, connection)
             return result
-        answer: ShardAnswer | Failure
         if isinstance(result, Failure):
-            answer = await self._explain_loss(pool, result)
-        else:
-            answer = self._codec.read_answer(call, result)
+            pool.release(connection)
+            return await self._explain_loss(pool, result)
+        answer = self._codec.read_answer(call, result)
         if isinstance(answer, Failure) and answer.kind is CALL_MISMATCH:
             # Whatever else is on the connection may belong to other calls too.
             connection.close()
@@ -184,13 +186,17 @@
         await self._exchange(pool, cancel, CANCEL_TIMEOUT_MS)
 
     async def _explain_loss(self, pool: ConnectionPool, failure: Failure) -> Failure:
-        """Tell a lost connection from a lost process, which loses all of them."""
-        if failure.kind is not CONNECTION_LOST or not pool.has_live_idle:
-            return failure
-        await self._clock.sleep_ms(CRASH_SPREAD_MS)
-        if not pool.has_live_idle:
+        """Tell a lost connection from a lost process.
+
+        A process that has ended has lost all of its connections and accepts none.
+        """
+        if failure.kind is not CONNECTION_LOST:
             return failure
-        return ANSWER_CUT.because(failure.reason)
+        if pool.has_live_idle:
+            await self._clock.sleep_ms(CRASH_SPREAD_MS)
+        if pool.has_live_idle or await pool.accepts_connections(CRASH_CONNECT_MS):
+            return ANSWER_CUT.because(failure.reason)
+        return failure
 
     async def _exchange(
         self, pool: ConnectionPool, request: HttpRequest, timeout_ms: float
--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -74,6 +74,10 @@
 # Left of the platform's grace for the end of the process.
 STOP_MARGIN_MS = 500.0
 CONNECT_TIMEOUT_MS = 400.0
+# A crashed replica is back after some seconds. A request that crashes replicas has
+# to fail only often enough to be refused again, and another one with the same
+# content is not refused for long.
+QUARANTINE_MS = 30_000.0
 N_WARM_CONNECTIONS = 2
 RETRY_AFTER_MS = 50.0
 LOG_REPORT_INTERVAL_MS = 10_000.0
@@ -165,7 +169,9 @@
             directory=self.directory,
             configuration=self.configuration,
             ledger=None,
-            quarantine=QuarantineRegister(QuarantineSettings()),
+            quarantine=QuarantineRegister(
+                QuarantineSettings(quarantine_ms=QUARANTINE_MS)
+            ),
             admissions=admissions,
             shared_budget=self._budget,
             retry_after_ms=RETRY_AFTER_MS,
