--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -96,7 +96,7 @@
         other_zone_cost_ms=1.0,
         other_zone_factor=4.0,
         unknown_latency_ms=20.0,
-        hedge_quantile=0.95,
+        hedge_quantile=0.9,
         hedge_delay_unknown_ms=60.0,
         hedge_delay_min_ms=8.0,
     )
