Refuse at once what no known replica can serve, and send callers elsewhere

Three instances were cut from the store while the index was cut into other shards; their old shards had no replicas left, so admission's limit was 0 and every request waited in the queue until its deadline. Ruled out: overload (timers were never late), exceptions (no ERROR line), slow replicas (nothing was sent). Change: a query that cannot reach its floor with the replicas known is refused before admission, as not run and with Retry-After. An instance whose searches cannot reach their floors, or whose event loop is steadily late, reports itself not ready and ends connections with their next response. A failed forward names its last failure.

--- a/chestnuthall/adapters/http/_server.py
+++ b/chestnuthall/adapters/http/_server.py
@@ -65,6 +65,8 @@
         self.limits = limits or ServerLimits()
         self.error_responder = error_responder
         self.is_closing = False
+        # Ends each connection with its next response while it is set.
+        self.ends_connections = False
         self.n_connections_peak = 0
         self._connections: set[_ServerConnection] = set()
         self._server: asyncio.Server | None = None
@@ -310,7 +312,7 @@
             *response.all_headers,
             (b"content-length", b"%d" % len(response.body)),
         ]
-        if self._server.is_closing:
+        if self._server.is_closing or self._server.ends_connections:
             headers.append((b"connection", b"close"))
         head = h11.Response(status_code=response.status, headers=headers)
         data = self._h11.send(head) or b""
--- a/chestnuthall/core/fanout/_outcome.py
+++ b/chestnuthall/core/fanout/_outcome.py
@@ -1,11 +1,14 @@
 """How a fan-out ends: its answer, or the failure that it ends with."""
 
+from functools import singledispatch
+
 from chestnuthall.core.fanout._events import Completion
 from chestnuthall.core.fanout._merge import error_reply_of, merge_hits, merge_replies
 from chestnuthall.core.fanout._state import NOT_STARTED_KINDS, FanOutState
 from chestnuthall.core.fanout._targets import n_hits_wanted
-from chestnuthall.core.model import Coverage, is_idempotent
+from chestnuthall.core.model import Coverage, ForwardRequest, Request, is_idempotent
 from chestnuthall.core.results import (
+    CALL_TIMED_OUT,
     COVERAGE_BELOW_FLOOR,
     DEADLINE_PASSED,
     NO_REPLICA,
@@ -51,11 +54,26 @@
         return None
     if state.n_calls == 0:
         return _failure_without_calls(state, now_ms)
+    return _failure_below_floor(state.request, state, coverage)
+
+
+@singledispatch
+def _failure_below_floor(
+    request: Request, state: FanOutState, coverage: Coverage
+) -> Failure:
+    floor = state.context.caller_class.coverage_floor_ratio
     return COVERAGE_BELOW_FLOOR.because(
         f"coverage {coverage.ratio:.4f} is below the floor {floor:.4f}"
     )
 
 
+@_failure_below_floor.register
+def _(request: ForwardRequest, state: FanOutState, coverage: Coverage) -> Failure:
+    if state.last_failure is None or not state.is_settled:
+        return CALL_TIMED_OUT.because("no replica answered in time")
+    return state.last_failure
+
+
 def _failure_without_calls(state: FanOutState, now_ms: float) -> Failure:
     if state.is_quarantined(now_ms):
         return QUARANTINED.because("the request crashed the replicas that ran it")
--- a/chestnuthall/core/model/__init__.py
+++ b/chestnuthall/core/model/__init__.py
@@ -34,6 +34,7 @@
     PartitionMap,
     Replica,
     Shard,
+    reachable_ratio,
 )
 from chestnuthall.core.model._requests import (
     ForwardRequest,
@@ -94,4 +95,5 @@
     "WeightedSplit",
     "is_idempotent",
     "kind_of",
+    "reachable_ratio",
 ]
--- a/chestnuthall/core/model/_partition_map.py
+++ b/chestnuthall/core/model/_partition_map.py
@@ -71,3 +71,23 @@
             if shard.key_range.contains(key):
                 return shard
         return None
+
+
+def reachable_ratio(partition_map: PartitionMap) -> float:
+    """Return the part of the documents in shards that have a replica.
+
+    Examples
+    --------
+    >>> replica = Replica("r", "10.0.0.1:80", "a")
+    >>> shards = (
+    ...     Shard("s0", KeyRange("", "m"), 3, (replica,)),
+    ...     Shard("s1", KeyRange("m", ""), 1, ()),
+    ... )
+    >>> reachable_ratio(PartitionMap("g", 1, shards))
+    0.75
+    """
+    total = partition_map.n_documents
+    if total == 0:
+        return 1.0
+    reachable = sum(item.n_documents for item in partition_map.shards if item.replicas)
+    return reachable / total
--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -18,6 +18,7 @@
 from chestnuthall.adapters.objectapi import HttpObjectStore
 from chestnuthall.adapters.upstreams import HttpShardCaller
 from chestnuthall.core.model import Configuration
+from chestnuthall.core.overload import LagSettings, OverloadDetector
 from chestnuthall.core.quarantine import QuarantineRegister, QuarantineSettings
 from chestnuthall.core.registry import ReplicaRegister
 from chestnuthall.core.routing import RepeatBudget, RepeatLimits, RouterSettings
@@ -87,7 +88,7 @@
 RETRY_AFTER_MS = 50.0
 LOG_REPORT_INTERVAL_MS = 10_000.0
 METRICS_PATH = "/metrics"
-LAG_INTERVAL_MS = 1_000.0
+LAG_INTERVAL_MS = 250.0
 
 
 def _router_settings(zone: str) -> RouterSettings:
@@ -189,20 +190,26 @@
             retry_after_ms=RETRY_AFTER_MS,
             decision_log=self._decisions,
         )
-        relay = RelayService(query, self.configuration, clock)
+        self._relay = RelayService(query, self.configuration, self.directory)
         self.callers = HttpServer(
-            RelayFrontend(relay, self.lifecycle, clock).handle,
+            RelayFrontend(self._relay, self.lifecycle, clock).handle,
             ServerLimits(cancels_at_eof=True),
             respond_to_http_error,
         )
         self.readiness = HttpServer(ReadinessFrontend(self.is_ready).handle)
         self.metrics_page = HttpServer(self._serve_metrics)
         self.configuration.on_change(self._apply_limits)
+        self._overload = OverloadDetector(LagSettings())
         self._tasks: list[asyncio.Task[None]] = []
 
     def is_ready(self) -> bool:
         """Whether callers may be sent here."""
-        return self._knows_enough() and not self.lifecycle.is_leaving
+        return self._is_able() and not self.lifecycle.is_leaving
+
+    def _is_able(self) -> bool:
+        """Whether this instance can serve what its configuration names."""
+        has_time = not self._overload.is_overloaded
+        return has_time and self._knows_enough() and self._relay.reaches_floors()
 
     def _knows_enough(self) -> bool:
         return self.configuration.is_ready and self.directory.is_ready
@@ -260,11 +267,33 @@
                 self._log_limit.report_dropped()
 
     async def _measure_loop_lag(self) -> None:
-        """Record how late timers fire, which shows a loop that is kept busy."""
+        """Record how late timers fire, which shows a loop that is kept busy.
+
+        While they are late, the balancer and the callers are told to go elsewhere.
+        """
         while True:
             due_ms = self._clock.now_ms() + LAG_INTERVAL_MS
             await self._clock.sleep_ms(LAG_INTERVAL_MS)
-            self._metrics.timing("loop_lag_ms", self._clock.now_ms() - due_ms)
+            lag_ms = self._clock.now_ms() - due_ms
+            self._metrics.timing("loop_lag_ms", lag_ms)
+            self._overload.observe(lag_ms)
+            self._follow_ability(lag_ms)
+
+    def _follow_ability(self, lag_ms: float) -> None:
+        """Send callers on kept connections elsewhere while nothing can be served."""
+        is_able = self._is_able()
+        if self.callers.ends_connections == (not is_able):
+            return
+        self.callers.ends_connections = not is_able
+        _log.warning(
+            "ability to serve changed",
+            extra={
+                "is_able": is_able,
+                "is_overloaded": self._overload.is_overloaded,
+                "lag_ms": round(lag_ms, 1),
+                "knows_enough": self._knows_enough(),
+            },
+        )
 
     async def run(self) -> None:
         """Serve until a stop is announced, then finish what is in flight."""
--- a/chestnuthall/platform/tests/standins.py
+++ b/chestnuthall/platform/tests/standins.py
@@ -12,6 +12,7 @@
     HttpResponse,
     HttpServer,
     PoolSettings,
+    ServerLimits,
 )
 from chestnuthall.platform._instance import PlatformInstance
 from chestnuthall.platform._settings import PlatformSettings
@@ -105,7 +106,7 @@
         self.respond = None
         self.received = []
         self.n_cancelled = 0
-        self.server = HttpServer(self.handle)
+        self.server = HttpServer(self.handle, ServerLimits(cancels_at_eof=True))
         self.address = ""
 
     async def start(self):
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -31,10 +31,12 @@
     SearchRequest,
     UpstreamGroup,
     kind_of,
+    reachable_ratio,
 )
 from chestnuthall.core.quarantine import QuarantineRegister
 from chestnuthall.core.results import (
     DEADLINE_PASSED,
+    NO_REPLICA,
     NOT_READY,
     QUARANTINED,
     UNKNOWN_CLASS,
@@ -214,7 +216,7 @@
         progress.objective_ms = plan.caller_class.objective.latency_ms
         request = _within_class_deadline(request, plan.caller_class)
         progress.request = request
-        failure = await self._claim(progress)
+        failure = _failure_without_replicas(plan) or await self._claim(progress)
         if failure is not None:
             return self._refuse(progress, failure)
         cost = float(len(target_shards(request, plan.partition_map)))
@@ -440,6 +442,21 @@
     )
 
 
+def _failure_without_replicas(plan: _Plan) -> Failure | None:
+    """Return why a query that cannot reach its floor is refused, or None.
+
+    A group without replicas has no slots, so that the query would wait for
+    admission until its deadline.
+    """
+    floor = plan.caller_class.coverage_floor_ratio
+    reachable = reachable_ratio(plan.partition_map)
+    if reachable > 0.0 and reachable >= floor:
+        return None
+    return NO_REPLICA.because(
+        f"replicas are known for {reachable:.4f} of the index, the floor is {floor:.4f}"
+    )
+
+
 def _n_slots(group: UpstreamGroup, partition_map: PartitionMap) -> float:
     """Return the slots of all replicas; one that states none has its group's."""
     return float(
--- a/chestnuthall/services/_relay.py
+++ b/chestnuthall/services/_relay.py
@@ -10,10 +10,12 @@
     Route,
     ScatterRequest,
     WeightedSplit,
+    reachable_ratio,
 )
 from chestnuthall.core.results import NOT_FOUND, NOT_READY, Failure
-from chestnuthall.ports import Clock, RequestHandler
+from chestnuthall.ports import RequestHandler
 from chestnuthall.services._configuration import ConfigurationKeeper
+from chestnuthall.services._group_directory import GroupDirectory
 from chestnuthall.services._query import Outcome
 
 N_FINGERPRINT_BYTES = 16
@@ -42,13 +44,18 @@
     """Finds the route of each request and has the query service serve it."""
 
     def __init__(
-        self, query: RequestHandler, configuration: ConfigurationKeeper, clock: Clock
+        self,
+        query: RequestHandler,
+        configuration: ConfigurationKeeper,
+        directory: GroupDirectory,
     ) -> None:
         self._query = query
+        self._directory = directory
         self._configuration = configuration
-        self._clock = clock
         self._splits: dict[str, WeightedSplit] = {}
+        self._floors: dict[str, float] = {}
         configuration.on_change(self._forget_splits)
+        configuration.on_change(self._note_floors)
 
     def _forget_splits(self, configuration: Configuration) -> None:
         """Keep the credit of a split that a revision leaves as it was."""
@@ -61,6 +68,31 @@
             if targets.get(name) == split.targets
         }
 
+    def _note_floors(self, configuration: Configuration) -> None:
+        """Keep the lowest coverage floor of each set of shards that routes name."""
+        document = configuration.document
+        floors = {item.name: item.coverage_floor_ratio for item in document.classes}
+        self._floors = {}
+        for route in document.routes.routes:
+            if route.merge is None:
+                continue
+            floor = floors[route.class_name]
+            for target in route.targets:
+                lowest = self._floors.get(target.group, floor)
+                self._floors[target.group] = min(lowest, floor)
+
+    def reaches_floors(self) -> bool:
+        """Return whether the shards of every search have replicas enough.
+
+        Where they have not, this instance has an old configuration or directory,
+        or all of them are gone; another instance may still serve.
+        """
+        for group, floor in self._floors.items():
+            partition_map = self._directory.pin(group)
+            if partition_map is None or reachable_ratio(partition_map) < floor:
+                return False
+        return True
+
     async def serve(self, call: RelayCall) -> Outcome | Failure:
         """Serve a call; a ``Failure`` means that it has no route."""
         configuration = self._configuration.in_force
--- /dev/null
+++ b/chestnuthall/tests/test_platform_names.py
@@ -0,0 +1,43 @@
+"""Guards the rule that only the platform folder knows the platform's names."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+import chestnuthall
+
+PACKAGE = Path(chestnuthall.__file__).parent
+ROOT = PACKAGE.parent
+# Names of the platform's wire, settings and store that the product never uses.
+NAMES = (
+    "X-Server-Stamp",
+    "X-Part-Stamps",
+    "X-Missing-Parts",
+    "X-Expect-Instance",
+    "X-Not-Executed",
+    "X-Request-Deadline-Ms",
+    "TrafficSplit",
+    "MinShardShare",
+    "MaxAttempts",
+    "TargetLatencyMs",
+    "WarmupLeftMs",
+    "AllowStale",
+    "WaitMs",
+    "StableWindowMs",
+    "CHESTNUTHALL_BOOT",
+)
+PATTERN = re.compile("|".join(map(re.escape, NAMES)), re.IGNORECASE)
+SOURCES = sorted(
+    path
+    for folder in ("chestnuthall", "benchmarks", "examples")
+    for path in (ROOT / folder).rglob("*.py")
+    if not path.is_relative_to(PACKAGE / "platform") and path != Path(__file__)
+)
+
+
+@pytest.mark.parametrize("path", SOURCES, ids=lambda path: str(path.relative_to(ROOT)))
+def test_source_names_nothing_of_the_platform(path):
+    found = PATTERN.findall(path.read_text())
+    assert not found
+    assert "chestnuthall.platform" not in path.read_text()
