--- a/chestnuthall/cli/_main.py
+++ b/chestnuthall/cli/_main.py
@@ -10,6 +10,7 @@
     _burn_commands,
     _document_commands,
     _fleet_commands,
+    _log_commands,
 )
 from chestnuthall.cli._exits import ExitCode
 from chestnuthall.cli._output import Output
@@ -48,6 +49,7 @@
     _fleet_commands.register(app)
     _account_commands.register(app)
     _burn_commands.register(app)
+    _log_commands.register(app)
     # For developers, so it is not among the commands that the help lists.
     app.command(write_docs, show=False)
     app.register_install_completion_command(add_to_startup=False)
--- /dev/null
+++ b/chestnuthall/cli/tests/test_why.py
@@ -0,0 +1,88 @@
+"""Guards the way from a request's id to the decision that settled it."""
+
+import json
+
+import pytest
+
+from chestnuthall.cli import main
+
+
+def line(event, instance="entry-1", time="2026-12-04 10:00:00,500", **fields):
+    values = {"event": event, "time": time, "instance": instance, **fields}
+    return json.dumps(values)
+
+
+SENT = line("call_sent", request_id="q1", ago_ms=90.0, shard_id="s", reason="first")
+FAILED = line("call_failed", request_id="q1", ago_ms=10.0, result="CONNECTION_LOST")
+SETTLED = line("request_settled", request_id="q1", ago_ms=5.0, why="deadline")
+REFUSED = line("request_refused", request_id="q1", reason="no answer")
+OTHER = line("request_answered", request_id="q2")
+LATER = line(
+    "request_answered",
+    instance="entry-2",
+    time="2026-12-04 10:00:01,000",
+    request_id="q1",
+)
+TORN = '{"event": "call_sent", "request_id": "q1", "ti'
+
+# (case, log files, request, exit code, parts of the output in their order)
+CASES = [
+    (
+        "in order of the decisions",
+        [[REFUSED, SETTLED, OTHER, FAILED, SENT]],
+        "q1",
+        0,
+        ["call_sent", "call_failed", "request_settled", "settled by", "deadline"],
+    ),
+    (
+        "over two instances",
+        [[LATER], [SENT, REFUSED]],
+        "q1",
+        0,
+        ["entry-1 call_sent", "request_refused", "entry-2 request_answered"],
+    ),
+    (
+        "behind the name of a machine",
+        [[f"  0.5 entry-1 {SENT}", "not a log line"]],
+        "q1",
+        0,
+        ["call_sent", "no decision settled the request"],
+    ),
+    ("torn line", [[TORN, REFUSED]], "q1", 0, ["request_refused", "1 lines"]),
+    ("only a torn line", [[TORN]], "q1", 8, ["1 of them name it"]),
+    ("no such request", [[OTHER]], "q1", 8, ["no line of request q1 in 1 lines"]),
+    ("id inside another id", [[REFUSED]], "q", 8, ["no line of request q"]),
+    ("another format", [["plain text", ""]], "q1", 1, ["no line in the format"]),
+]
+
+
+@pytest.mark.parametrize(
+    ("logs", "request_id", "code", "parts"),
+    [case[1:] for case in CASES],
+    ids=[case[0] for case in CASES],
+)
+def test_story(logs, request_id, code, parts, capsys, tmp_path):
+    paths = []
+    for number, lines in enumerate(logs):
+        path = tmp_path / f"{number}.log"
+        path.write_text("\n".join(lines))
+        paths.append(str(path))
+    with pytest.raises(SystemExit) as stopped:
+        main(["why", request_id, *paths])
+    printed = capsys.readouterr()
+    text = " ".join((printed.out + printed.err).split())
+    assert stopped.value.code == code, text
+    for part in parts:
+        assert part in text, text
+        text = text[text.index(part) + len(part) :]
+
+
+@pytest.mark.parametrize(
+    ("arguments", "part"),
+    [(["why", "q1"], "at least one log"), (["why", "q1", "/nowhere"], "cannot read")],
+)
+def test_mistakes(arguments, part, capsys):
+    with pytest.raises(SystemExit) as stopped:
+        main(arguments)
+    assert stopped.value.code == 2
+    assert part in " ".join(capsys.readouterr().err.split())
--- /dev/null
+++ b/chestnuthall/services/tests/test_decision_log.py
@@ -0,0 +1,103 @@
+"""Guards the bound on decision lines, and what is kept when it is reached."""
+
+import logging
+from dataclasses import replace
+
+import pytest
+
+from chestnuthall.core.model import (
+    Account,
+    AdmissionAccount,
+    AdmissionRule,
+    Answer,
+    Coverage,
+    Decision,
+    DecisionEvent,
+    FanOutAccount,
+    Refusal,
+)
+from chestnuthall.core.results import (
+    NO_REPLICA,
+    Repeat,
+    ResultCode,
+    RunState,
+)
+from chestnuthall.services import DECISIONS, DecisionLog
+from chestnuthall.services._decision_log import N_LINES_BURST
+
+ACCOUNT = Account(
+    request_id="q",
+    instance="i",
+    zone="z",
+    class_name="c",
+    kind="scatter",
+    group="g",
+    arrived_wall_ms=0.0,
+    admitted_wall_ms=0.0,
+    finished_wall_ms=1.0,
+    deadline_in_ms=1.0,
+    admission=AdmissionAccount(AdmissionRule.IMMEDIATE, 0.0, 0),
+    fan_out=FanOutAccount(),
+    coverage_ratio=1.0,
+    snapshot_id=1,
+    configuration_revision=1,
+    result_code=1000,
+)
+COVERAGE = Coverage(1, 1, 1, 1)
+ORDINARY = Answer("q", ResultCode.OK, (), COVERAGE, 1, 1, ACCOUNT)
+LATE = replace(ORDINARY, account=replace(ACCOUNT, is_late=True))
+PARTIAL = replace(ORDINARY, result_code=ResultCode.OK_PARTIAL)
+REFUSED = Refusal(
+    "q", NO_REPLICA.because("x"), RunState.NO, Repeat.SAFE, 1, replace(ACCOUNT)
+)
+DECISIONS_MADE = [Decision(0.0, DecisionEvent.SETTLED, ("deadline", 1.0, 7))] * 9
+
+
+class Clock:
+    def now_ms(self):
+        return 0.0
+
+
+class Metrics:
+    def count(self, name, n=1):
+        pass
+
+
+@pytest.fixture
+def lines(caplog):
+    logging.getLogger(DECISIONS).propagate = True
+    caplog.set_level(logging.INFO, logger=DECISIONS)
+    return lambda: caplog.records
+
+
+# (case, outcome, lines written of a hundred requests with nine decisions each)
+FLOODS = [
+    ("ordinary", ORDINARY, 240 + 76),
+    ("late", LATE, 600),
+    ("partial", PARTIAL, 600),
+    ("refused", REFUSED, 600),
+]
+
+
+@pytest.mark.parametrize(
+    ("outcome", "n_lines"),
+    [case[1:] for case in FLOODS],
+    ids=[case[0] for case in FLOODS],
+)
+def test_volume_is_bounded(outcome, n_lines, lines):
+    log = DecisionLog(Clock(), Metrics())
+    for _ in range(100):
+        log.request_ended(outcome, DECISIONS_MADE)
+    assert len(lines()) <= N_LINES_BURST
+    assert abs(len(lines()) - n_lines) <= 20
+    assert log.budget.n_suppressed > 0
+
+
+def test_lines_of_failures_go_before_those_of_ordinary_requests(lines):
+    """The on-call engineer asks for failed requests, also in a flood of others."""
+    log = DecisionLog(Clock(), Metrics())
+    for _ in range(500):
+        log.request_ended(ORDINARY, DECISIONS_MADE)
+    n_before = len(lines())
+    log.request_ended(REFUSED, DECISIONS_MADE)
+    assert len(lines()) - n_before == len(DECISIONS_MADE) + 1
