--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.chestnuthall-installed
 
-.PHONY: setup demo test lint check-types unit faults fuzz bench
+.PHONY: setup demo test lint check-types unit faults soak fuzz bench
 
 setup: $(STAMP)
 
@@ -34,6 +34,14 @@
 	$(PYTHON) -m pytest -m timing
 	$(PYTHON) -m benchmarks.faults
 
+# Real processes on the platform's stand-ins under faults from outside; prints one
+# line for each seed.
+SOAK_SEED ?= 1
+SOAK_SEEDS ?= 10
+
+soak: setup
+	$(PYTHON) -m chestnuthall.platform.tests.soak --seed $(SOAK_SEED) --seeds $(SOAK_SEEDS)
+
 bench: setup
 	$(PYTHON) -m benchmarks
 
--- /dev/null
+++ b/chestnuthall/platform/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real processes of an instance under faults from outside."""
--- /dev/null
+++ b/chestnuthall/platform/tests/soak/__main__.py
@@ -0,0 +1,306 @@
+"""Runs the soak: ``python -m chestnuthall.platform.tests.soak --seed 1 --seeds 50``."""
+
+import argparse
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from random import Random
+
+from chestnuthall.adapters.http import (
+    ConnectionPool,
+    HttpRequest,
+    HttpResponse,
+    PoolSettings,
+)
+from chestnuthall.core.results import Failure
+from chestnuthall.platform.tests.soak.checks import Evidence
+from chestnuthall.platform.tests.soak.proxy import FaultProxy, Mode
+from chestnuthall.platform.tests.standins import (
+    LOOPBACK,
+    World,
+    forward_route,
+    free_port,
+    scatter_route,
+)
+
+N_INSTANCES = 3
+SERVICES = ("s0", "s1", "s2", "t")
+N_REPLICAS = 3
+DURATION_S = 10.0
+REQUEST_TIMEOUT_S = 3.0
+READY_TIMEOUT_S = 15.0
+# Part of the callers' requests that must be served although faults never end.
+SERVED_RATIO_MIN = 0.5
+
+
+class Instance:
+    """One real process with its own way to the store."""
+
+    def __init__(self, number, folder, store_port):
+        self.name = f"entry-{number}"
+        self.log = folder / f"{self.name}.log"
+        self.settings = folder / f"{self.name}.jsonc"
+        self.proxy = FaultProxy(store_port)
+        self.process = None
+        self.addresses = {}
+
+    async def prepare(self):
+        await self.proxy.start()
+        for name in ("caller", "ready", "metrics"):
+            self.addresses[name] = f"{LOOPBACK}:{await free_port()}"
+        values = {f"{name}_address": text for name, text in self.addresses.items()}
+        values |= {
+            "name": self.name,
+            "zone": "a",
+            "store_address": f"{LOOPBACK}:{self.proxy.port}",
+            "drain_ms": 3000,
+            "grace_s": 6,
+            "repeat_ratio": 0.2,
+            "repeat_window_s": 10,
+            "n_repeats_floor": 58,
+        }
+        self.settings.write_text(json.dumps(values))
+
+    def start(self):
+        command = [sys.executable, "-m", "chestnuthall.platform", str(self.settings)]
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(command, stdout=log, stderr=log)
+
+    def send(self, number):
+        if self.process.poll() is None:
+            os.kill(self.process.pid, number)
+
+    async def wait_end(self):
+        await asyncio.get_running_loop().run_in_executor(None, self.process.wait)
+
+
+class Soak:
+    """One seed: callers, faults and checks around real instances."""
+
+    def __init__(self, seed, folder, duration_s=DURATION_S):
+        self.duration_s = duration_s
+        self.random = Random(seed)
+        self.folder = folder
+        self.world = World()
+        self.evidence = Evidence()
+        self.instances = []
+        self.n_requests = 0
+        self.version = 1
+
+    async def run(self):
+        await self._set_up()
+        loop = asyncio.get_running_loop()
+        ends_at_s = loop.time() + self.duration_s
+        try:
+            await asyncio.gather(
+                *(self._call(ends_at_s) for _ in range(4)),
+                *(self._break_instances(ends_at_s) for _ in range(2)),
+                self._break_upstreams(ends_at_s),
+            )
+        finally:
+            await self._tear_down()
+        n_served = sum(
+            n for (_, status), n in self.evidence.results.items() if status == 200
+        )
+        n_all = sum(self.evidence.results.values())
+        if n_served < SERVED_RATIO_MIN * n_all:
+            self.evidence.broken.append(f"only {n_served} of {n_all} were served")
+        return self.evidence
+
+    async def _set_up(self):
+        for service in SERVICES:
+            for index in range(N_REPLICAS):
+                await self._add_replica(service, f"{service}r{index}")
+        self._configure()
+        store_port = await self.world.store.server.start(LOOPBACK, 0)
+        self.instances = [
+            Instance(number, self.folder, store_port) for number in range(N_INSTANCES)
+        ]
+        for instance in self.instances:
+            await instance.prepare()
+            instance.start()
+        await self.world.until(self._are_listening, READY_TIMEOUT_S)
+
+    def _are_listening(self):
+        logs = (item.log.read_bytes() for item in self.instances)
+        return all(b"configuration_in_force" in log for log in logs)
+
+    async def _add_replica(self, service, name):
+        records = b"".join(self.random.randbytes(16) for _ in range(4))
+        replica = await self.world.add_replica(name, service, records)
+        replica.respond = lambda request: self._respond(replica, request)
+
+    def _respond(self, replica, request):
+        request_id = request.headers[b"x-request-id"].decode()
+        now_s = asyncio.get_running_loop().time()
+        self.evidence.note_call(request_id, replica.service, replica.name, now_s)
+        if replica.fault == "drop":
+            return None
+        if replica.fault == "shed":
+            self.evidence.calls[request_id].pop()
+            return HttpResponse(503, {b"x-not-executed": b"1"})
+        mark = f"{replica.service}/{replica.name}/{request_id}"
+        self.evidence.bodies[mark] = replica.records
+        echoed = b"crossed" if replica.fault == "cross" else request_id.encode()
+        headers = {b"x-server-stamp": mark.encode(), b"x-request-id": echoed}
+        return HttpResponse(200, headers, replica.records)
+
+    def _configure(self):
+        self.world.configure(
+            self.version,
+            [
+                scatter_route(SERVICES[:3]),
+                forward_route("t"),
+                forward_route(
+                    "t", Name="hold", PathPrefix="/hold/", Kind="non_idempotent"
+                ),
+            ],
+        )
+
+    async def _call(self, ends_at_s):
+        loop = asyncio.get_running_loop()
+        pools = {}
+        while loop.time() < ends_at_s:
+            instance = self.random.choice(self.instances)
+            address = instance.addresses["caller"]
+            pool = pools.setdefault(address, ConnectionPool(address, PoolSettings()))
+            self.n_requests += 1
+            request_id = f"q{self.n_requests}"
+            kind = self.random.choice(("sweep", "sweep", "fetch", "hold"))
+            response = await self._send(pool, kind, request_id)
+            self.evidence.note_answer(request_id, kind, response)
+            await asyncio.sleep(self.random.uniform(0.0, 0.03))
+        for pool in pools.values():
+            pool.close()
+
+    async def _send(self, pool, kind, request_id):
+        connection = await pool.acquire(500.0)
+        if isinstance(connection, Failure):
+            return None
+        headers = {
+            b"host": b"h.example",
+            b"x-request-id": request_id.encode(),
+            b"x-request-deadline-ms": b"800",
+        }
+        request = HttpRequest("GET", f"/{kind}/{request_id}", headers)
+        try:
+            async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                response = await connection.request(request)
+        except TimeoutError:
+            connection.close()
+            return None
+        finally:
+            pool.release(connection)
+        return None if isinstance(response, Failure) else response
+
+    async def _break_instances(self, ends_at_s):
+        loop = asyncio.get_running_loop()
+        while loop.time() < ends_at_s:
+            await asyncio.sleep(self.random.uniform(0.2, 1.5))
+            instance = self.random.choice(self.instances)
+            fault = self.random.choice(
+                ("pause", "kill", "stop", "silent", "one_way", "reset", "delay")
+            )
+            await getattr(self, f"_{fault}")(instance)
+
+    async def _pause(self, instance):
+        instance.send(signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(0.1, 1.0))
+        instance.send(signal.SIGCONT)
+
+    async def _kill(self, instance):
+        instance.send(signal.SIGKILL)
+        await instance.wait_end()
+        instance.start()
+
+    async def _stop(self, instance):
+        instance.send(signal.SIGTERM)
+        if self.random.random() < 0.5:
+            instance.send(signal.SIGTERM)
+        await instance.wait_end()
+        instance.start()
+
+    async def _silent(self, instance):
+        await self._cut(instance, Mode.SILENT)
+
+    async def _one_way(self, instance):
+        await self._cut(instance, Mode.ONE_WAY)
+
+    async def _delay(self, instance):
+        await self._cut(instance, Mode.DELAY)
+
+    async def _cut(self, instance, mode):
+        instance.proxy.set_mode(mode)
+        await asyncio.sleep(self.random.uniform(0.2, 2.0))
+        instance.proxy.set_mode(Mode.PASS)
+
+    async def _reset(self, instance):
+        instance.proxy.reset_all()
+
+    async def _break_upstreams(self, ends_at_s):
+        loop = asyncio.get_running_loop()
+        while loop.time() < ends_at_s:
+            await asyncio.sleep(self.random.uniform(0.1, 0.6))
+            replica = self.random.choice(list(self.world.replicas.values()))
+            fault = self.random.choice(
+                ("drop", "shed", "cross", "slow", "drain", "change", "outage")
+            )
+            if fault == "change":
+                self.version += self.random.randint(1, 3)
+                self._configure()
+            elif fault == "outage":
+                self.world.store.is_down = True
+                await asyncio.sleep(self.random.uniform(0.1, 1.0))
+                self.world.store.is_down = False
+            elif fault == "drain":
+                await self._drain(replica)
+            else:
+                replica.fault = fault
+                replica.delay_s = 0.3 if fault == "slow" else 0.0
+                await asyncio.sleep(self.random.uniform(0.1, 0.8))
+                replica.fault = ""
+                replica.delay_s = 0.0
+
+    async def _drain(self, replica):
+        """Let a replica leave and another one take its place."""
+        if replica.name in self.evidence.drained_s:
+            return
+        await self._add_replica(replica.service, f"{replica.name}x")
+        put = self.world.store.put
+        put("servers", replica.name, replica.entry(State="draining", Sequence=2))
+        self.evidence.drained_s[replica.name] = asyncio.get_running_loop().time()
+
+    async def _tear_down(self):
+        for instance in self.instances:
+            instance.send(signal.SIGCONT)
+            instance.send(signal.SIGKILL)
+            await instance.wait_end()
+            await instance.proxy.close()
+        await self.world.close()
+
+
+def main():
+    """Run seeds one after the other; exit with 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1)
+    arguments = parser.parse_args()
+    n_failed = 0
+    for seed in range(arguments.seed, arguments.seed + arguments.seeds):
+        with tempfile.TemporaryDirectory() as folder:
+            evidence = asyncio.run(Soak(seed, Path(folder)).run())
+        counts = sorted(evidence.results.items(), key=str)
+        results = {f"{kind} {status}": n for (kind, status), n in counts}
+        report = {"seed": seed, "broken": evidence.broken, "results": results}
+        print(json.dumps(report), flush=True)
+        n_failed += bool(evidence.broken)
+    raise SystemExit(1 if n_failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/chestnuthall/platform/tests/standins.py
+++ b/chestnuthall/platform/tests/standins.py
@@ -104,6 +104,7 @@
         self.records = records
         self.delay_s = 0.0
         self.respond = None
+        self.fault = ""
         self.received = []
         self.n_cancelled = 0
         self.server = HttpServer(self.handle, ServerLimits(cancels_at_eof=True))
@@ -218,7 +219,7 @@
 
     async def start(self, *, wait=True, grace_s=6.0):
         store_port = await self.store.server.start(LOOPBACK, 0)
-        ports = [await _free_port() for _ in range(3)]
+        ports = [await free_port() for _ in range(3)]
         settings = PlatformSettings(
             name="entry-1",
             zone="a",
@@ -275,7 +276,7 @@
         await self.store.server.close()
 
 
-async def _free_port():
+async def free_port():
     server = HttpServer(lambda request: None)
     port = await server.start(LOOPBACK, 0)
     await server.close()
