--- a/chestnuthall/adapters/upstreams/_caller.py
+++ b/chestnuthall/adapters/upstreams/_caller.py
@@ -80,7 +80,9 @@
         replicas to which a connection stays open when it is idle, where there is
         not even one for each instance.
         """
-        if self._budgets.get(group) == (n_connections, kept_ratio):
+        is_known = self._budgets.get(group) == (n_connections, kept_ratio)
+        if is_known and self._pool_settings.idle_close_ms is not None:
+            # Connections that were closed for being idle are not opened again.
             return
         self._budgets[group] = (n_connections, kept_ratio)
         for address, pool in self._pools.items():
--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -91,6 +91,12 @@
 
 
 def _router_settings(zone: str) -> RouterSettings:
+    """Return the constants of replica choice; trials are in the journal.
+
+    Bytes between zones are priced, so a replica elsewhere has to be four times
+    faster. Objectives are a few times the usual latency, so hedges start at the
+    90th percentile; until latencies are known, at about twice the usual one.
+    """
     return RouterSettings(
         zone=zone,
         other_zone_cost_ms=1.0,
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from functools import partial
 from typing import TypeAlias
 
@@ -21,7 +21,6 @@
     CallerClass,
     Configuration,
     Decision,
-    DecisionEvent,
     EnvironmentDocument,
     FanOutAccount,
     MutationRequest,
@@ -31,12 +30,10 @@
     SearchRequest,
     UpstreamGroup,
     kind_of,
-    reachable_ratio,
 )
 from chestnuthall.core.quarantine import QuarantineRegister
 from chestnuthall.core.results import (
     DEADLINE_PASSED,
-    NO_REPLICA,
     NOT_READY,
     QUARANTINED,
     UNKNOWN_CLASS,
@@ -65,6 +62,12 @@
 from chestnuthall.services._fan_out_run import CallObserver, FanOutRun, NoOtherMap
 from chestnuthall.services._group_directory import GroupDirectory
 from chestnuthall.services._membership import Identity
+from chestnuthall.services._query_rules import (
+    admission_decision,
+    failure_without_replicas,
+    n_slots,
+    within_class_deadline,
+)
 from chestnuthall.services._suspects import Suspects
 
 RETRY_AFTER_MS = 1_000.0
@@ -178,7 +181,7 @@
         partition_map = self._directory.pin(group.name)
         if partition_map is None:
             return float(group.n_slots)
-        return _n_slots(group, partition_map)
+        return n_slots(group, partition_map)
 
     async def serve(self, request: Request) -> Outcome:
         """Serve a request; every expected failure is a ``Refusal``."""
@@ -214,9 +217,11 @@
         if isinstance(plan, Failure):
             return self._refuse(progress, plan)
         progress.objective_ms = plan.caller_class.objective.latency_ms
-        request = _within_class_deadline(request, plan.caller_class)
+        request = within_class_deadline(request, plan.caller_class)
         progress.request = request
-        failure = _failure_without_replicas(plan) or await self._claim(progress)
+        failure = failure_without_replicas(
+            plan.caller_class, plan.partition_map
+        ) or await self._claim(progress)
         if failure is not None:
             return self._refuse(progress, failure)
         cost = float(len(target_shards(request, plan.partition_map)))
@@ -301,7 +306,7 @@
             completion = await self._run_here(request, partition_map, context, observer)
         if completion.account.n_calls == 0:
             self._abandon(progress)
-        progress.decisions = (_admission_decision(ticket), *completion.decisions)
+        progress.decisions = (admission_decision(ticket), *completion.decisions)
         return self._finish(progress, completion)
 
     async def _run_here(
@@ -365,8 +370,8 @@
         """
         group_name = plan.group.name
         router = self._directory.router(group_name)
-        n_slots = _n_slots(plan.group, plan.partition_map) / self._n_instances()
-        ratio = min(1.0, router.n_in_flight / n_slots) if n_slots else 1.0
+        n_own_slots = n_slots(plan.group, plan.partition_map) / self._n_instances()
+        ratio = min(1.0, router.n_in_flight / n_own_slots) if n_own_slots else 1.0
         if ticket.account.queued_ms > router.hedge_delay_ms():
             ratio = 1.0
         average = self._utilisation.setdefault(group_name, UtilisationAverage())
@@ -433,49 +438,6 @@
         )
 
 
-def _admission_decision(ticket: Admitted) -> Decision:
-    account = ticket.account
-    return Decision(
-        ticket.admitted_ms,
-        DecisionEvent.ADMITTED,
-        (account.rule.value, account.queued_ms, account.n_ahead_at_arrival),
-    )
-
-
-def _failure_without_replicas(plan: _Plan) -> Failure | None:
-    """Return why a query that cannot reach its floor is refused, or None.
-
-    A group without replicas has no slots, so that the query would wait for
-    admission until its deadline.
-    """
-    floor = plan.caller_class.coverage_floor_ratio
-    reachable = reachable_ratio(plan.partition_map)
-    if reachable > 0.0 and reachable >= floor:
-        return None
-    return NO_REPLICA.because(
-        f"replicas are known for {reachable:.4f} of the index, the floor is {floor:.4f}"
-    )
-
-
-def _n_slots(group: UpstreamGroup, partition_map: PartitionMap) -> float:
-    """Return the slots of all replicas; one that states none has its group's."""
-    return float(
-        sum(
-            replica.n_slots or group.n_slots
-            for shard in partition_map.shards
-            for replica in shard.replicas
-        )
-    )
-
-
-def _within_class_deadline(request: Request, caller_class: CallerClass) -> Request:
-    """Return the request with its deadline bounded by that of its class."""
-    latest_ms = request.arrived_ms + caller_class.deadline_ms
-    if request.deadline_ms <= latest_ms:
-        return request
-    return replace(request, deadline_ms=latest_ms)
-
-
 def _code_of(outcome: Outcome) -> ResultCode:
     if isinstance(outcome, Answer):
         return outcome.result_code
--- /dev/null
+++ b/chestnuthall/services/_query_rules.py
@@ -0,0 +1,61 @@
+"""Rules of the query service that need no state of it."""
+
+from dataclasses import replace
+
+from chestnuthall.core.model import (
+    CallerClass,
+    Decision,
+    DecisionEvent,
+    PartitionMap,
+    Request,
+    UpstreamGroup,
+    reachable_ratio,
+)
+from chestnuthall.core.results import NO_REPLICA, Failure
+from chestnuthall.services._admission import Admitted
+
+
+def admission_decision(ticket: Admitted) -> Decision:
+    """Return why a query was admitted, for the log."""
+    account = ticket.account
+    return Decision(
+        ticket.admitted_ms,
+        DecisionEvent.ADMITTED,
+        (account.rule.value, account.queued_ms, account.n_ahead_at_arrival),
+    )
+
+
+def failure_without_replicas(
+    caller_class: CallerClass, partition_map: PartitionMap
+) -> Failure | None:
+    """Return why a query that cannot reach its floor is refused, or None.
+
+    A group without replicas has no slots, so that the query would wait for
+    admission until its deadline.
+    """
+    floor = caller_class.coverage_floor_ratio
+    reachable = reachable_ratio(partition_map)
+    if reachable > 0.0 and reachable >= floor:
+        return None
+    return NO_REPLICA.because(
+        f"replicas are known for {reachable:.4f} of the index, the floor is {floor:.4f}"
+    )
+
+
+def n_slots(group: UpstreamGroup, partition_map: PartitionMap) -> float:
+    """Return the slots of all replicas; one that states none has its group's."""
+    return float(
+        sum(
+            replica.n_slots or group.n_slots
+            for shard in partition_map.shards
+            for replica in shard.replicas
+        )
+    )
+
+
+def within_class_deadline(request: Request, caller_class: CallerClass) -> Request:
+    """Return the request with its deadline bounded by that of its class."""
+    latest_ms = request.arrived_ms + caller_class.deadline_ms
+    if request.deadline_ms <= latest_ms:
+        return request
+    return replace(request, deadline_ms=latest_ms)
