--- a/chestnuthall/adapters/upstreams/tests/test_contract.py
+++ b/chestnuthall/adapters/upstreams/tests/test_contract.py
@@ -5,7 +5,8 @@
 import pytest
 
 from chestnuthall.adapters.clock import LoopClock
-from chestnuthall.adapters.upstreams import HttpShardCaller
+from chestnuthall.adapters.http import HttpResponse
+from chestnuthall.adapters.upstreams import HttpShardCaller, read_answer
 from chestnuthall.core.model import (
     MutationRequest,
     PartitionMap,
@@ -190,3 +191,17 @@
     found = asyncio.run(with_upstream(use))
     assert isinstance(found, PartitionMap)
     assert found.snapshot_id == 3
+
+
+@pytest.mark.parametrize(
+    ("header", "is_draining"), [(b"1", True), (b"0", False), (None, False)]
+)
+def test_draining_mark_of_an_answer_is_read(header, is_draining):
+    """An upstream says first in its answers that it leaves."""
+    call = make_call(1, "127.0.0.1:1", 0.0)
+    headers = {b"x-call-id": b"q1.1", b"x-snapshot-id": b"1", b"x-shard-id": b"s0"}
+    if header is not None:
+        headers[b"x-draining"] = header
+    body = b'{"hits": [], "n_documents_searched": 0}'
+    answer = read_answer(call, HttpResponse(200, headers, body))
+    assert answer.is_draining == is_draining
--- a/chestnuthall/core/model/_partition_map.py
+++ b/chestnuthall/core/model/_partition_map.py
@@ -1,5 +1,6 @@
 """Partition maps: which shard holds which keys in one snapshot of an index."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 
@@ -73,7 +74,7 @@
         return None
 
 
-def reachable_ratio(partition_map: PartitionMap) -> float:
+def reachable_ratio(shards: Sequence[Shard]) -> float:
     """Return the part of the documents in shards that have a replica.
 
     Examples
@@ -83,11 +84,11 @@
     ...     Shard("s0", KeyRange("", "m"), 3, (replica,)),
     ...     Shard("s1", KeyRange("m", ""), 1, ()),
     ... )
-    >>> reachable_ratio(PartitionMap("g", 1, shards))
+    >>> reachable_ratio(shards)
     0.75
     """
-    total = partition_map.n_documents
+    total = sum(item.n_documents for item in shards)
     if total == 0:
         return 1.0
-    reachable = sum(item.n_documents for item in partition_map.shards if item.replicas)
+    reachable = sum(item.n_documents for item in shards if item.replicas)
     return reachable / total
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -220,7 +220,7 @@
         request = within_class_deadline(request, plan.caller_class)
         progress.request = request
         failure = failure_without_replicas(
-            plan.caller_class, plan.partition_map
+            request, plan.caller_class, plan.partition_map
         ) or await self._claim(progress)
         if failure is not None:
             return self._refuse(progress, failure)
--- a/chestnuthall/services/_query_rules.py
+++ b/chestnuthall/services/_query_rules.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+from chestnuthall.core.fanout import target_shards
 from chestnuthall.core.model import (
     CallerClass,
     Decision,
@@ -26,7 +27,7 @@
 
 
 def failure_without_replicas(
-    caller_class: CallerClass, partition_map: PartitionMap
+    request: Request, caller_class: CallerClass, partition_map: PartitionMap
 ) -> Failure | None:
     """Return why a query that cannot reach its floor is refused, or None.
 
@@ -34,7 +35,7 @@
     admission until its deadline.
     """
     floor = caller_class.coverage_floor_ratio
-    reachable = reachable_ratio(partition_map)
+    reachable = reachable_ratio(target_shards(request, partition_map))
     if reachable > 0.0 and reachable >= floor:
         return None
     return NO_REPLICA.because(
--- a/chestnuthall/services/_relay.py
+++ b/chestnuthall/services/_relay.py
@@ -89,7 +89,7 @@
         """
         for group, floor in self._floors.items():
             partition_map = self._directory.pin(group)
-            if partition_map is None or reachable_ratio(partition_map) < floor:
+            if partition_map is None or reachable_ratio(partition_map.shards) < floor:
                 return False
         return True
 
