--- a/chestnuthall/platform/tests/soak/__main__.py
+++ b/chestnuthall/platform/tests/soak/__main__.py
@@ -68,6 +68,9 @@
         self.settings.write_text(json.dumps(values))
 
     def start(self):
+        if self.process is not None and self.process.poll() is None:
+            # Two faults at once waited for the same end; one has started it anew.
+            return
         command = [sys.executable, "-m", "chestnuthall.platform", str(self.settings)]
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(command, stdout=log, stderr=log)
