Let a peer answer for the shards that have no replica in an instance's zone

Change: the far shards of a search form a set; the fan-out offers it to a peer in a zone that has them, which answers with its merged part. A set that no peer begins is called from here, one that may have run is not run again. Peers are known from their entries in the store. Where connections are scarce, those in a replica's zone have their own part of its cap, kept open.

--- a/chestnuthall/adapters/upstreams/_caller.py
+++ b/chestnuthall/adapters/upstreams/_caller.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from hashlib import blake2b
 
 from chestnuthall.adapters.documents import read_partition_map
@@ -32,8 +32,6 @@
 )
 from chestnuthall.ports import CallListener, CancelCall, Clock
 
-# Until the group of a replica, and with it the budget, is known.
-BUDGET_DEFAULT = (1, 0.0)
 # Connections to one replica where a fleet is too large for a fixed part of the cap.
 N_CONNECTIONS_SCARCE = 2
 IDLE_CLOSE_INTERVAL_MS = 500.0
@@ -48,6 +46,19 @@
 CRASH_SPREAD_MS = 2.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Budget:
+    """Connections to each replica; see ``set_connection_budget``."""
+
+    n_connections: int
+    kept_ratio: float
+    n_near: int | None = None
+
+
+# Until the group of a replica, and with it the budget, is known.
+BUDGET_DEFAULT = _Budget(1, 0.0)
+
+
 class HttpShardCaller:
     """Calls replicas over keep-alive connections within a budget for each.
 
@@ -61,82 +72,101 @@
         codec: UpstreamCodec | None = None,
         pool_settings: PoolSettings | None = None,
         name: str = "",
+        zone: str = "",
     ) -> None:
         self._name = name
+        self._zone = zone
         self._clock = clock
         self._codec: UpstreamCodec = codec or SearchCodec()
         self._pool_settings = pool_settings or PoolSettings()
         self._pools: dict[str, ConnectionPool] = {}
         self._group_of_address: dict[str, str] = {}
-        self._budgets: dict[str, tuple[int, float]] = {}
+        self._budgets: dict[str, _Budget] = {}
+        self._default_budget = BUDGET_DEFAULT
+        self._near_addresses: set[str] = set()
         self._background: set[asyncio.Task[None]] = set()
 
     def set_connection_budget(
-        self, group: str, n_connections: int, kept_ratio: float = 1.0
+        self,
+        group: str,
+        n_connections: int,
+        kept_ratio: float = 1.0,
+        n_near: int | None = None,
     ) -> None:
         """Set how many connections may be open to each replica of a group.
 
         ``group`` may also be the id of a shard. ``kept_ratio`` is the part of the
         replicas to which a connection stays open when it is idle, where there is
-        not even one for each instance.
+        not even one for each instance. ``n_near`` is the number for replicas in the
+        own zone, if they have one of their own.
         """
-        is_known = self._budgets.get(group) == (n_connections, kept_ratio)
+        budget = _Budget(n_connections, kept_ratio, n_near)
+        is_known = self._budgets.get(group) == budget
         if is_known and self._pool_settings.idle_close_ms is not None:
             # Connections that were closed for being idle are not opened again.
             return
-        self._budgets[group] = (n_connections, kept_ratio)
+        self._budgets[group] = budget
         for address, pool in self._pools.items():
             if self._group_of_address.get(address) == group:
-                self._apply_budget(address, pool, n_connections, kept_ratio)
+                self._apply_budget(address, pool, budget)
                 self._spawn(pool.warm_up())
 
+    def set_default_budget(self, n_connections: int) -> None:
+        """Set the connections to each address whose group has no budget."""
+        self._default_budget = _Budget(n_connections, 1.0)
+
     def _apply_budget(
-        self,
-        address: str,
-        pool: ConnectionPool,
-        n_connections: int,
-        kept_ratio: float,
+        self, address: str, pool: ConnectionPool, budget: "_Budget"
     ) -> None:
         """Bound a pool, and say how many of its connections stay when idle.
 
         Where a replica has not two connections for each instance, one stays open
         to a part of the replicas, which differs between instances, and short-lived
-        ones serve the rest.
+        ones serve the rest. If the own zone has enough, they stay open to its
+        replicas only.
         """
+        n_connections = budget.n_connections
         is_scarce = self._pool_settings.idle_close_ms is not None and n_connections < 2
+        if is_scarce and budget.n_near and address in self._near_addresses:
+            is_scarce, n_connections = False, budget.n_near
         if not is_scarce:
             pool.n_idle_kept = n_connections
             pool.set_budget(n_connections)
             return
-        pool.n_idle_kept = 1 if _place(self._name, address) < kept_ratio else 0
+        is_kept = not budget.n_near and _place(self._name, address) < budget.kept_ratio
+        pool.n_idle_kept = 1 if is_kept else 0
         pool.set_budget(N_CONNECTIONS_SCARCE)
 
     def _pool(self, address: str, group: str) -> ConnectionPool:
         pool = self._pools.get(address)
         if pool is None:
-            n_connections, kept_ratio = self._budgets.get(group, BUDGET_DEFAULT)
+            budget = self._budgets.get(group, self._default_budget)
             pool = ConnectionPool(
                 address,
-                replace(self._pool_settings, n_connections_max=n_connections),
+                replace(self._pool_settings, n_connections_max=budget.n_connections),
             )
             self._pools[address] = pool
             self._group_of_address[address] = group
-            self._apply_budget(address, pool, n_connections, kept_ratio)
+            self._apply_budget(address, pool, budget)
             self._spawn(pool.warm_up())
         elif group and not self._group_of_address[address]:
             # A map was fetched from the replica before its first call.
             self._group_of_address[address] = group
-            pool.set_budget(self._budgets.get(group, BUDGET_DEFAULT)[0])
+            budget = self._budgets.get(group, BUDGET_DEFAULT)
+            pool.set_budget(budget.n_connections)
         return pool
 
     def prepare(self, replica: Replica, shard_id: str) -> None:
         """Open connections to a replica ahead of the first call."""
+        if replica.zone == self._zone:
+            self._near_addresses.add(replica.address)
         self._pool(replica.address, shard_id)
 
     def forget(self, address: str) -> None:
         """Close the connections to a replica that has left."""
         pool = self._pools.pop(address, None)
         self._group_of_address.pop(address, None)
+        self._near_addresses.discard(address)
         if pool is not None:
             pool.close()
 
--- a/chestnuthall/core/fanout/_handlers.py
+++ b/chestnuthall/core/fanout/_handlers.py
@@ -51,9 +51,12 @@
 
 @apply_event.register
 def _(event: Begin, state: FanOutState) -> list[Action]:
-    state.plan(state.partition_map)
+    # The probe of a suspected request is one call to one replica.
+    may_bundle = not state.is_suspected(event.now_ms)
+    state.plan(state.partition_map, may_bundle)
     context = state.context
-    context.budget.earn(state.shards, context.utilisation_ratio, event.now_ms)
+    shard_ids = state.own_shard_ids()
+    context.budget.earn(shard_ids, context.utilisation_ratio, event.now_ms)
     return _begin_plan(state, event.now_ms)
 
 
@@ -84,7 +87,7 @@
         running.started_ms,
         answer,
         event.now_ms,
-        work=state.context.work,
+        work=state.work_of(progress),
     )
     elapsed_ms = event.now_ms - running.started_ms
     _take_answer(state, progress, answer, elapsed_ms)
@@ -179,7 +182,8 @@
     now_ms: float,
 ) -> None:
     context = state.context
-    is_lost = failure.kind is CONNECTION_LOST
+    # A peer that ends is no sign of a request that crashes replicas.
+    is_lost = failure.kind is CONNECTION_LOST and not progress.shard.members
     is_explained = is_lost and state.is_suspected(now_ms)
     if is_lost:
         progress.has_lost = True
@@ -198,7 +202,7 @@
         running.started_ms,
         now_ms,
         is_explained=is_explained,
-        work=context.work,
+        work=state.work_of(progress),
     )
 
 
@@ -208,7 +212,10 @@
     request = state.request
     if now_ms >= request.deadline_ms or progress.n_attempts >= N_ATTEMPTS_MAX:
         return False
-    if not is_idempotent(request) and failure.kind not in NOT_STARTED_KINDS:
+    # A peer that may have begun a set has called replicas, which count against the
+    # bound of the request.
+    is_repeatable = is_idempotent(request) and not progress.shard.members
+    if not is_repeatable and failure.kind not in NOT_STARTED_KINDS:
         return False
     return not state.is_quarantined(now_ms)
 
@@ -219,6 +226,7 @@
     # A call of which nothing was written, or that a replica refused for its
     # snapshot, put no work on any upstream; only other retries are extra load.
     is_free = failure.kind in NOT_SENT_KINDS or failure.kind is SNAPSHOT_GONE
+    is_free = is_free or bool(progress.shard.members)
     # An upstream that sheds has no room, so its calls wait for earned credit.
     may_overdraw = failure.kind is not SHED_BY_UPSTREAM
     budget = state.context.budget
@@ -297,7 +305,7 @@
     if state.is_replanning or event.now_ms >= state.request.deadline_ms:
         return []
     actions: list[Action] = []
-    for progress in state.shards.values():
+    for progress in tuple(state.shards.values()):
         retry_at_ms = progress.retry_at_ms
         if retry_at_ms is not None and event.now_ms >= retry_at_ms:
             actions += _retry_now(state, progress, event.now_ms)
--- a/chestnuthall/core/fanout/_merge.py
+++ b/chestnuthall/core/fanout/_merge.py
@@ -85,7 +85,8 @@
     """Return the coverage of the answers that were merged, by shard id.
 
     A replica that reports more documents than the map gives the shard counts
-    as the whole shard, and one that reports fewer counts as it reports.
+    as the whole shard, and one that reports fewer counts as it reports. The members
+    of a set have one document each.
     """
     n_covered = 0
     n_full = 0
@@ -95,13 +96,14 @@
         n_searched = 0 if answer is None else answer.n_documents_searched
         n_covered += min(n_searched, shard.n_documents)
         if answer is not None and n_searched >= shard.n_documents:
-            n_full += 1
+            n_full += max(1, len(shard.members))
         else:
+            n_full += min(n_searched, len(shard.members))
             missing.append(shard.key_range)
     return Coverage(
         n_documents_covered=n_covered,
         n_documents_total=sum(shard.n_documents for shard in shards),
         n_shards_covered=n_full,
-        n_shards_total=len(shards),
+        n_shards_total=sum(max(1, len(shard.members)) for shard in shards),
         missing_ranges=tuple(missing),
     )
--- a/chestnuthall/core/fanout/_state.py
+++ b/chestnuthall/core/fanout/_state.py
@@ -1,5 +1,6 @@
 """State of one query over its shards, and the steps that change it."""
 
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from chestnuthall.core.fanout._events import Action, Cancel, Dispatch
@@ -16,8 +17,10 @@
     Replica,
     Reply,
     Request,
+    Shard,
     ShardAnswer,
     ShardCall,
+    ShardSet,
     is_idempotent,
 )
 from chestnuthall.core.quarantine import QuarantineRegister
@@ -37,6 +40,8 @@
 
 N_ATTEMPTS_MAX = 4
 N_REPLANS_MAX = 2
+# Peers that a set of shards is offered to before its members are called from here.
+N_PEERS_TRIED = 2
 # Reason of a call whose outcome is the verdict on a suspected request.
 PROBE = "probe"
 
@@ -69,6 +74,8 @@
     utilisation_ratio: float = 0.0
     # Names the kind of call for the router's latencies; see ``Router``.
     work: str = ""
+    # Joins shards into sets that peers answer for; None where there are no sets.
+    bundle: Callable[[Sequence[Shard]], tuple[Shard, ...]] | None = None
 
 
 class FanOutState:
@@ -114,15 +121,28 @@
             DecisionEvent.SHARD_GIVEN_UP, now_ms, shard_id, progress.n_attempts, why
         )
 
-    def plan(self, partition_map: PartitionMap) -> None:
+    def plan(self, partition_map: PartitionMap, may_bundle: bool = False) -> None:
         """Pin a map and forget everything that was merged from another one."""
         self.partition_map = partition_map
-        self.shards = {
-            shard.shard_id: ShardProgress(shard)
-            for shard in target_shards(self.request, partition_map)
-        }
+        shards = target_shards(self.request, partition_map)
+        if may_bundle and self.context.bundle is not None:
+            shards = self.context.bundle(shards)
+        self.shards = {shard.shard_id: ShardProgress(shard) for shard in shards}
         self._unsettled = list(self.shards.values())
 
+    def own_shard_ids(self) -> list[str]:
+        """Return the shards whose replicas are called from here."""
+        return [
+            shard_id
+            for shard_id, progress in self.shards.items()
+            if not progress.shard.members
+        ]
+
+    def work_of(self, progress: ShardProgress) -> str:
+        """Return the kind of call that a shard needs; a set takes longer."""
+        work = self.context.work
+        return f"{work} set" if progress.shard.members else work
+
     @property
     def is_settled(self) -> bool:
         """Whether nothing more will come from any shard.
@@ -136,13 +156,15 @@
     def dispatch_all(self, now_ms: float) -> list[Action]:
         """Start the first call of every shard."""
         actions: list[Action] = []
-        for progress in self.shards.values():
+        for progress in tuple(self.shards.values()):
             actions += self.try_dispatch(progress, now_ms)
         return actions
 
     def try_dispatch(self, progress: ShardProgress, now_ms: float) -> list[Action]:
         """Start a call of a shard, or give the shard up if nothing can run it."""
         progress.retry_at_ms = None
+        if progress.shard.members:
+            return self._dispatch_set(progress, now_ms)
         replica = self._choose(progress, now_ms)
         if replica is None and progress.tried_names and is_idempotent(self.request):
             progress.tried_names.clear()
@@ -153,15 +175,50 @@
         reason = "retry" if progress.n_attempts else "first"
         return [self.start(progress, replica, now_ms, reason)]
 
+    def _dispatch_set(self, progress: ShardProgress, now_ms: float) -> list[Action]:
+        """Offer a set to a peer, or call its members where no peer takes it."""
+        replica = None
+        if progress.n_attempts < N_PEERS_TRIED:
+            replica = self._choose(progress, now_ms)
+        if replica is None:
+            return self._open_set(progress, now_ms)
+        reason = "retry" if progress.n_attempts else "first"
+        return [self.start(progress, replica, now_ms, reason)]
+
+    def _open_set(self, progress: ShardProgress, now_ms: float) -> list[Action]:
+        """Put the members of a set in its place; no replica of theirs was called."""
+        del self.shards[progress.shard.shard_id]
+        self._unsettled.remove(progress)
+        members = [ShardProgress(shard) for shard in progress.shard.members]
+        self.shards |= {item.shard.shard_id: item for item in members}
+        self._unsettled += members
+        context = self.context
+        member_ids = [item.shard.shard_id for item in members]
+        context.budget.earn(member_ids, context.utilisation_ratio, now_ms)
+        actions: list[Action] = []
+        for item in members:
+            actions += self.try_dispatch(item, now_ms)
+        return actions
+
     def _choose(self, progress: ShardProgress, now_ms: float) -> Replica | None:
         return self.context.router.choose(
             open_shard(self.request, progress),
             self.partition_map.snapshot_id,
             progress.tried_names,
             now_ms,
-            work=self.context.work,
+            work=self.work_of(progress),
         )
 
+    def _shard_set(self, shard: Shard) -> ShardSet | None:
+        if not shard.members:
+            return None
+        floor = self.context.caller_class.coverage_floor_ratio
+        n_total = len(self.partition_map.shards)
+        # Binary fractions put a product such as 0.1 * 30 just below its integer.
+        n_missing_max = int((1.0 - floor) * n_total + 1e-9)
+        shard_ids = tuple(item.shard_id for item in shard.members)
+        return ShardSet(shard_ids, n_missing_max)
+
     def start(
         self,
         progress: ShardProgress,
@@ -178,6 +235,7 @@
             snapshot_id=self.partition_map.snapshot_id,
             deadline_ms=self.request.deadline_ms,
             request=self.request,
+            shard_set=self._shard_set(progress.shard),
         )
         is_probe = reason == PROBE
         progress.running[call.call_id] = RunningCall(call, now_ms, is_probe)
@@ -187,7 +245,7 @@
         self._shard_of_call[call.call_id] = call.shard_id
         self.n_calls += 1
         self._note_sent(call, progress, reason, now_ms)
-        self.context.router.on_started(replica, now_ms, self.context.work)
+        self.context.router.on_started(replica, now_ms, self.work_of(progress))
         return Dispatch(call)
 
     def _note_sent(
@@ -229,7 +287,7 @@
                 running.call.snapshot_id,
                 running.started_ms,
                 now_ms,
-                work=self.context.work,
+                work=self.work_of(progress),
             )
             self.note(
                 DecisionEvent.CALL_CANCELLED,
--- a/chestnuthall/core/fanout/_targets.py
+++ b/chestnuthall/core/fanout/_targets.py
@@ -10,6 +10,7 @@
     PartitionMap,
     RelayedRequest,
     Request,
+    ScatterRequest,
     SearchRequest,
     Shard,
 )
@@ -40,6 +41,15 @@
     return partition_map.shards
 
 
+@target_shards.register
+def _(request: ScatterRequest, partition_map: PartitionMap) -> tuple[Shard, ...]:
+    if not request.shard_ids:
+        return partition_map.shards
+    return tuple(
+        shard for shard in partition_map.shards if shard.shard_id in request.shard_ids
+    )
+
+
 @singledispatch
 def work_of(request: Request) -> str:
     """Return the name of the kind of call that the router tells apart."""
--- a/chestnuthall/core/model/__init__.py
+++ b/chestnuthall/core/model/__init__.py
@@ -16,6 +16,7 @@
     Reply,
     ShardAnswer,
     ShardCall,
+    ShardSet,
 )
 from chestnuthall.core.model._decisions import (
     Decision,
@@ -90,6 +91,7 @@
     "Shard",
     "ShardAnswer",
     "ShardCall",
+    "ShardSet",
     "Target",
     "UpstreamGroup",
     "WeightedSplit",
--- a/chestnuthall/core/model/_answers.py
+++ b/chestnuthall/core/model/_answers.py
@@ -17,9 +17,24 @@
     record: str
 
 
+@dataclass(frozen=True, slots=True)
+class ShardSet:
+    """Shards that a peer answers for in one call.
+
+    ``n_missing_max`` of them may be missing from an answer in time, as far as the
+    coverage floor of the whole request allows it.
+    """
+
+    shard_ids: tuple[str, ...]
+    n_missing_max: int
+
+
 @dataclass(frozen=True, slots=True)
 class ShardCall:
-    """One call to one replica; ``deadline_ms`` is on the instance's clock."""
+    """One call to one replica, or to a peer for a set of shards.
+
+    ``deadline_ms`` is on the instance's clock.
+    """
 
     call_id: str
     replica: Replica
@@ -27,6 +42,7 @@
     snapshot_id: int
     deadline_ms: float
     request: Request
+    shard_set: ShardSet | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnuthall/core/model/_partition_map.py
+++ b/chestnuthall/core/model/_partition_map.py
@@ -42,12 +42,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Shard:
-    """One part of an index with the replicas that serve it."""
+    """One part of an index with the replicas that serve it.
+
+    A set of shards has them as its ``members``; its replicas are instances that
+    answer for all of them.
+    """
 
     shard_id: str
     key_range: KeyRange
     n_documents: int
     replicas: tuple[Replica, ...]
+    members: tuple["Shard", ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnuthall/core/model/_requests.py
+++ b/chestnuthall/core/model/_requests.py
@@ -76,11 +76,15 @@
 class ScatterRequest(RelayedRequest):
     """A relayed request to every shard; the largest records are merged.
 
-    A replica's answer is a sequence of records of ``n_record_bytes`` each.
+    A replica's answer is a sequence of records of ``n_record_bytes`` each. A peer
+    that divides a search asks for ``shard_ids`` only, of which ``n_missing_max`` may
+    be missing; without them, the search is for all shards.
     """
 
     n_records_max: int
     n_record_bytes: int
+    shard_ids: frozenset[str] = frozenset()
+    n_missing_max: int = 0
 
 
 @singledispatch
--- a/chestnuthall/core/routing/__init__.py
+++ b/chestnuthall/core/routing/__init__.py
@@ -15,6 +15,9 @@
     N_INSTANCES_ASSUMED,
     ConnectionShare,
 )
+from chestnuthall.core.routing._delegation import (
+    bundle_far_shards,
+)
 from chestnuthall.core.routing._latency import (
     LatencyWindow,
 )
@@ -48,4 +51,5 @@
     "SnapshotCatalog",
     "UtilisationAverage",
     "assign_shards",
+    "bundle_far_shards",
 ]
--- a/chestnuthall/core/routing/_connections.py
+++ b/chestnuthall/core/routing/_connections.py
@@ -7,6 +7,12 @@
 N_INSTANCES_SPARE = 1
 # Part of an upstream's cap that idle connections may take up.
 KEPT_RATIO_MAX = 0.8
+# Part of an upstream's cap that instances in its own zone may take up where there
+# are not two connections for each instance. They call it first, so that theirs
+# serve most calls; the rest opens short-lived ones.
+NEAR_RATIO = 0.6
+# Connections of an instance to one upstream that count as enough.
+N_CONNECTIONS_ENOUGH = 2
 # Assumed by an instance that starts, until it has known its fleet for the delay.
 N_INSTANCES_ASSUMED = 12
 
@@ -57,3 +63,21 @@
     def budget(self, n_connections_max: int) -> int:
         """Return this instance's part of an upstream's cap; at least one."""
         return max(1, n_connections_max // (self.n_instances + N_INSTANCES_SPARE))
+
+    def near_budget(self, n_connections_max: int, n_near: int) -> int | None:
+        """Return the part for an upstream in this zone, which ``n_near`` share.
+
+        None where the equal part is enough, or where even those in its zone have
+        less than one each.
+
+        Examples
+        --------
+        >>> share = ConnectionShare(0.0, 65)
+        >>> share.near_budget(64, 16), share.near_budget(400, 16)
+        (2, None)
+        """
+        if self.budget(n_connections_max) >= N_CONNECTIONS_ENOUGH:
+            return None
+        cap = int(NEAR_RATIO * n_connections_max)
+        n_each = cap // (n_near + N_INSTANCES_SPARE)
+        return min(n_each, N_CONNECTIONS_ENOUGH) or None
--- a/chestnuthall/platform/_frontend.py
+++ b/chestnuthall/platform/_frontend.py
@@ -1,6 +1,7 @@
 """What callers and the balancer see of an instance on the platform."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from functools import singledispatch
 
 from chestnuthall.adapters.http import HttpRequest, HttpResponse
@@ -8,15 +9,16 @@
 from chestnuthall.core.results import NOT_FOUND, NOT_READY, Failure, RunState
 from chestnuthall.platform._relayed_calls import (
     DEADLINE_MS,
+    PART_SIGNATURES,
     REQUEST_ID,
     SIGNATURE,
     end_to_end,
+    read_number,
     relayed_headers,
 )
 from chestnuthall.ports import Clock, RequestTracker
 from chestnuthall.services import RelayCall, RelayService
 
-PART_SIGNATURES = b"x-part-stamps"
 N_MISSING_PARTS = b"x-missing-parts"
 READY_PATH = "/v1/ready"
 # Statuses that promise that the request has not run; others promise nothing.
@@ -39,7 +41,29 @@
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Serve one request of a caller."""
+        return await self._serve(self._read_call(request))
+
+    async def handle_part(
+        self,
+        request: HttpRequest,
+        shard_ids: frozenset[str],
+        n_missing_max: int,
+        waited_ms: float,
+    ) -> HttpResponse:
+        """Serve some shards of a search that reached a peer ``waited_ms`` ago."""
         call = self._read_call(request)
+        if call is not None:
+            left_ms = call.deadline_in_ms
+            call = replace(
+                call,
+                arrived_ms=call.arrived_ms - waited_ms,
+                deadline_in_ms=None if left_ms is None else left_ms + waited_ms,
+                shard_ids=shard_ids,
+                n_missing_max=n_missing_max,
+            )
+        return await self._serve(call)
+
+    async def _serve(self, call: RelayCall | None) -> HttpResponse:
         if call is None:
             return respond_to_http_error(400, "the request has no id")
         self._lifecycle.begin_request()
@@ -63,7 +87,7 @@
             headers=relayed_headers(request.all_headers),
             body=request.body,
             arrived_ms=self._clock.now_ms(),
-            deadline_in_ms=_read_ms(headers.get(DEADLINE_MS)),
+            deadline_in_ms=read_number(headers.get(DEADLINE_MS)),
         )
 
 
@@ -80,13 +104,6 @@
         return HttpResponse(200 if self._is_ready() else 503)
 
 
-def _read_ms(value: bytes | None) -> float | None:
-    try:
-        return None if value is None else max(0.0, float(value))
-    except ValueError:
-        return None
-
-
 @singledispatch
 def encode(outcome: object) -> HttpResponse:
     """Return the response to the caller; registered per type of outcome."""
@@ -99,7 +116,7 @@
     assert reply is not None
     if len(outcome.parts) == 1 and outcome.parts[0] is reply:
         return _pass_on(reply)
-    signatures = [dict(part.headers)[SIGNATURE] for part in outcome.parts]
+    signatures = [_signatures_of(part) for part in outcome.parts]
     n_missing = outcome.coverage.n_shards_total - outcome.coverage.n_shards_covered
     headers = {
         b"content-type": b"application/octet-stream",
@@ -130,6 +147,12 @@
     return _own_response(outcome, NOT_RUN_STATUS, retry_after_ms)
 
 
+def _signatures_of(part: Reply) -> bytes:
+    """Return the signature of a replica's part, or those of a peer's merged parts."""
+    headers = dict(part.headers)
+    return headers.get(PART_SIGNATURES) or headers[SIGNATURE]
+
+
 def _pass_on(reply: Reply) -> HttpResponse:
     pairs = end_to_end(reply.headers)
     return HttpResponse(reply.status, dict(pairs), reply.body, pairs)
--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -30,6 +30,8 @@
     RelayFrontend,
     respond_to_http_error,
 )
+from chestnuthall.platform._instances import read_instance, write_instance
+from chestnuthall.platform._peer_calls import PeerCodec, PeerFrontend
 from chestnuthall.platform._registrations import read_registration
 from chestnuthall.platform._relayed_calls import RelayCodec
 from chestnuthall.platform._settings import PlatformSettings
@@ -41,7 +43,10 @@
     DecisionLog,
     EqualParts,
     Identity,
+    InstanceEntry,
     Lifecycle,
+    PeerAwareCaller,
+    PeerSets,
     Presence,
     QueryService,
     RelayService,
@@ -85,6 +90,14 @@
 IDLE_CLOSE_MS = 1_000.0
 RETRY_AFTER_MS = 50.0
 LOG_REPORT_INTERVAL_MS = 10_000.0
+# Connections to a peer; a search that finds none idle opens another one.
+N_PEER_CONNECTIONS = 16
+# A peer in the same region accepts within a few ms; a dark one does not.
+PEER_CONNECT_TIMEOUT_MS = 20.0
+# Ends the connections to a peer that has gone silent.
+PEER_PROBES = KeepAliveProbes(idle_s=1, interval_s=1, n_probes=1)
+# What a peer adds to the headers of a caller.
+N_PEER_HEADER_BYTES = 512
 METRICS_PATH = "/metrics"
 LAG_INTERVAL_MS = 250.0
 
@@ -140,6 +153,7 @@
                 idle_close_ms=IDLE_CLOSE_MS,
             ),
             settings.name,
+            settings.zone,
         )
         self.lifecycle = Lifecycle(
             clock,
@@ -167,7 +181,12 @@
             watch_timeout_ms,
         )
         self.presence = Presence(
-            settings.name, store, clock, self._budget.set_n_instances
+            InstanceEntry(settings.name, settings.peer_address, settings.zone),
+            store,
+            clock,
+            self._budget.set_n_instances,
+            read_instance,
+            write_instance,
         )
         self._connections = ConnectionBudgets(
             self._caller,
@@ -175,16 +194,19 @@
             self.configuration,
             lambda: self.presence.n_instances,
             n_assumed=1,
+            n_near=self.presence.n_near,
         )
         admissions = Admissions(clock)
         self._parts = EqualParts(
             clock, admissions, lambda: self.presence.n_instances or 1
         )
+        self._peer_caller = self._make_peer_caller()
+        sets = PeerSets(settings.name, settings.zone, lambda: self.presence.peers)
         query = QueryService(
             identity=Identity(settings.name, settings.caller_address, settings.zone),
             clock=clock,
             metrics=metrics,
-            caller=self._caller,
+            caller=PeerAwareCaller(self._caller, self._peer_caller),
             directory=self.directory,
             configuration=self.configuration,
             ledger=None,
@@ -195,10 +217,19 @@
             shared_budget=self._budget,
             retry_after_ms=RETRY_AFTER_MS,
             decision_log=self._decisions,
+            bundle=sets.bundle,
         )
         self._relay = RelayService(query, self.configuration, self.directory)
+        frontend = RelayFrontend(self._relay, self.lifecycle, clock)
         self.callers = HttpServer(
-            RelayFrontend(self._relay, self.lifecycle, clock).handle,
+            frontend.handle,
+            ServerLimits(cancels_at_eof=True),
+            respond_to_http_error,
+        )
+        self.peers = HttpServer(
+            PeerFrontend(
+                frontend, self.is_ready, lambda: self.configuration.revision
+            ).handle,
             ServerLimits(cancels_at_eof=True),
             respond_to_http_error,
         )
@@ -208,6 +239,21 @@
         self._overload = OverloadDetector(LagSettings())
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _make_peer_caller(self) -> HttpShardCaller:
+        caller = HttpShardCaller(
+            self._clock,
+            PeerCodec(lambda: self.configuration.revision),
+            PoolSettings(
+                n_connections_max=N_PEER_CONNECTIONS,
+                connect_timeout_ms=PEER_CONNECT_TIMEOUT_MS,
+                n_warm=1,
+                probes=PEER_PROBES,
+            ),
+            self.settings.name,
+        )
+        caller.set_default_budget(N_PEER_CONNECTIONS)
+        return caller
+
     def is_ready(self) -> bool:
         """Whether callers may be sent here."""
         return self._is_able() and not self.lifecycle.is_leaving
@@ -246,10 +292,16 @@
             idle_timeout_ms=limits.idle_timeout_ms,
             cancels_at_eof=True,
         )
+        self.peers.limits = ServerLimits(
+            n_header_bytes_max=limits.n_header_bytes_max + N_PEER_HEADER_BYTES,
+            n_body_bytes_max=limits.n_body_bytes_max,
+            cancels_at_eof=True,
+        )
 
     async def start(self) -> None:
         """Listen and start the background work."""
         await _listen(self.callers, self.settings.caller_address)
+        await _listen(self.peers, self.settings.peer_address)
         await _listen(self.readiness, self.settings.ready_address)
         await _listen(self.metrics_page, self.settings.metrics_address)
         loop = asyncio.get_running_loop()
@@ -318,9 +370,11 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.callers.close()
+        await self.peers.close()
         await self.readiness.close()
         await self.metrics_page.close()
         self._caller.close()
+        self._peer_caller.close()
 
 
 async def _listen(server: HttpServer, address: str) -> None:
--- a/chestnuthall/platform/_relayed_calls.py
+++ b/chestnuthall/platform/_relayed_calls.py
@@ -25,6 +25,14 @@
 # The replica's signature of the answer that it gave.
 SIGNATURE: Final = b"x-server-stamp"
 NOT_RUN: Final = b"x-not-executed"
+# Signatures of the parts that an answer to a search was merged from.
+PART_SIGNATURES: Final = b"x-part-stamps"
+# Between instances: the sender's configuration, the shards that the peer is to
+# search, how many of them may be missing, and the time since the search came.
+REVISION: Final = b"x-chestnuthall-revision"
+SHARD_IDS: Final = b"x-chestnuthall-shards"
+N_MISSING_MAX: Final = b"x-chestnuthall-missing-max"
+WAITED_MS: Final = b"x-chestnuthall-waited-ms"
 # Status of a replica that is not the expected one; it has not run the call.
 MISDIRECTED: Final = 421
 
@@ -44,7 +52,9 @@
         b"expect",
     }
 )
-_SET_BY_SENDER: Final = frozenset({DEADLINE_MS, EXPECTED_REPLICA})
+_SET_BY_SENDER: Final = frozenset(
+    {DEADLINE_MS, EXPECTED_REPLICA, REVISION, SHARD_IDS, N_MISSING_MAX, WAITED_MS}
+)
 
 
 def end_to_end(
@@ -64,6 +74,14 @@
     return end_to_end(headers, _SET_BY_SENDER)
 
 
+def read_number(value: bytes | None) -> float | None:
+    """Return the number of a header, 0 for a negative one; None for none."""
+    try:
+        return None if value is None else max(0.0, float(value))
+    except ValueError:
+        return None
+
+
 class RelayCodec:
     """Encodes relayed requests and checks the replies of replicas."""
 
--- a/chestnuthall/platform/_settings.py
+++ b/chestnuthall/platform/_settings.py
@@ -27,8 +27,8 @@
     """Address of the readiness check."""
     metrics_address: Address
     """Address of the metrics page."""
-    peer_address: Address | None = None
-    """Address on which other instances fetch what this one knows."""
+    peer_address: Address
+    """Address for the other instances."""
     seed_addresses: tuple[Address, ...] = ()
     """Peer addresses of a few instances, which may be stale."""
     store_address: Address
--- a/chestnuthall/platform/tests/soak/__main__.py
+++ b/chestnuthall/platform/tests/soak/__main__.py
@@ -51,7 +51,7 @@
 
     async def prepare(self):
         await self.proxy.start()
-        for name in ("caller", "ready", "metrics"):
+        for name in ("caller", "ready", "metrics", "peer"):
             self.addresses[name] = f"{LOOPBACK}:{await free_port()}"
         values = {f"{name}_address": text for name, text in self.addresses.items()}
         values |= {
--- a/chestnuthall/platform/tests/standins.py
+++ b/chestnuthall/platform/tests/standins.py
@@ -205,6 +205,8 @@
         self.instance = None
         self.pool = None
         self.run = None
+        self.peer_runs = {}
+        self._store_port = 0
 
     async def add_replica(self, name, service, records=b"", **changes):
         replica = ReplicaProcess(name, service, records)
@@ -217,16 +219,39 @@
         services = sorted({item.service for item in self.replicas.values()})
         self.store.put("config", "main", document(version, routes, services))
 
-    async def start(self, *, wait=True, grace_s=6.0):
-        store_port = await self.store.server.start(LOOPBACK, 0)
-        ports = [await free_port() for _ in range(3)]
-        settings = PlatformSettings(
-            name="entry-1",
-            zone="a",
+    async def start(self, *, wait=True, grace_s=6.0, zone="a"):
+        await self.listen()
+        settings = await self._settings("entry-1", zone, grace_s)
+        self.instance = PlatformInstance(settings)
+        self.run = asyncio.get_running_loop().create_task(self.instance.run())
+        await self.until(lambda: self.instance.callers.is_listening)
+        self.pool = ConnectionPool(settings.caller_address, PoolSettings())
+        if wait:
+            await self.until(self.instance.is_ready)
+
+    async def listen(self):
+        """Start the store, once."""
+        if not self.store.server.is_listening:
+            self._store_port = await self.store.server.start(LOOPBACK, 0)
+
+    async def add_peer(self, name, zone):
+        """Start another instance and return it once it is ready."""
+        await self.listen()
+        peer = PlatformInstance(await self._settings(name, zone, 6.0))
+        self.peer_runs[name] = asyncio.get_running_loop().create_task(peer.run())
+        await self.until(peer.is_ready)
+        return peer
+
+    async def _settings(self, name, zone, grace_s):
+        ports = [await free_port() for _ in range(4)]
+        return PlatformSettings(
+            name=name,
+            zone=zone,
             caller_address=f"{LOOPBACK}:{ports[0]}",
             ready_address=f"{LOOPBACK}:{ports[1]}",
             metrics_address=f"{LOOPBACK}:{ports[2]}",
-            store_address=f"{LOOPBACK}:{store_port}",
+            peer_address=f"{LOOPBACK}:{ports[3]}",
+            store_address=f"{LOOPBACK}:{self._store_port}",
             store_settle_ms=4_000.0,
             drain_ms=3_000.0,
             grace_s=grace_s,
@@ -234,12 +259,6 @@
             repeat_window_s=10.0,
             n_repeats_floor=58.0,
         )
-        self.instance = PlatformInstance(settings)
-        self.run = asyncio.get_running_loop().create_task(self.instance.run())
-        await self.until(lambda: self.instance.callers.is_listening)
-        self.pool = ConnectionPool(settings.caller_address, PoolSettings())
-        if wait:
-            await self.until(self.instance.is_ready)
 
     async def until(self, condition, timeout_s=5.0):
         loop = asyncio.get_running_loop()
@@ -270,6 +289,9 @@
         if self.run is not None:
             self.run.cancel()
             await asyncio.gather(self.run, return_exceptions=True)
+        for run in self.peer_runs.values():
+            run.cancel()
+        await asyncio.gather(*self.peer_runs.values(), return_exceptions=True)
         if self.pool is not None:
             self.pool.close()
         for replica in self.replicas.values():
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -72,7 +72,12 @@
 from chestnuthall.services._outcomes import (
     OutcomeRecorder,
 )
+from chestnuthall.services._peer_sets import (
+    PeerAwareCaller,
+    PeerSets,
+)
 from chestnuthall.services._presence import (
+    InstanceEntry,
     Presence,
 )
 from chestnuthall.services._publication import (
@@ -138,6 +143,7 @@
     "GroupDirectory",
     "HealthChecks",
     "Identity",
+    "InstanceEntry",
     "InstanceList",
     "Lifecycle",
     "ListEntryReader",
@@ -149,6 +155,8 @@
     "PartitionCodec",
     "PartitionMapReader",
     "PeerConfigurations",
+    "PeerAwareCaller",
+    "PeerSets",
     "Presence",
     "Publication",
     "QuarantineNews",
--- a/chestnuthall/services/_connections.py
+++ b/chestnuthall/services/_connections.py
@@ -13,7 +13,8 @@
     """Divides each upstream's cap over the instances as they come and go.
 
     ``n_instances`` returns None until it is known, and at the start as many as
-    ``n_assumed`` are assumed.
+    ``n_assumed`` are assumed. ``n_near`` returns how many are in the zone of this
+    one, or None where all zones share alike.
     """
 
     def __init__(
@@ -23,7 +24,9 @@
         configuration: ConfigurationKeeper,
         n_instances: Callable[[], int | None],
         n_assumed: int = N_INSTANCES_ASSUMED,
+        n_near: Callable[[], int | None] = lambda: None,
     ) -> None:
+        self._n_near = n_near
         self._n_assumed = n_assumed
         self._caller = caller
         self._clock = clock
@@ -39,10 +42,14 @@
         if n_instances is None or in_force is None:
             return
         share = self._observe(n_instances)
+        n_near = self._n_near()
         for group in in_force.document.groups:
             budget = share.budget(group.n_connections_max)
             kept_ratio = share.kept_ratio(group.n_connections_max)
-            self._caller.set_connection_budget(group.name, budget, kept_ratio)
+            near = None
+            if n_near is not None:
+                near = share.near_budget(group.n_connections_max, n_near)
+            self._caller.set_connection_budget(group.name, budget, kept_ratio, near)
 
     def _observe(self, n_instances: int) -> ConnectionShare:
         now_ms = self._clock.now_ms()
--- a/chestnuthall/services/_drain_news.py
+++ b/chestnuthall/services/_drain_news.py
@@ -193,7 +193,11 @@
         return await self._caller.fetch_partition_map(replica, timeout_ms)
 
     def set_connection_budget(
-        self, group: str, n_connections: int, kept_ratio: float = 1.0
+        self,
+        group: str,
+        n_connections: int,
+        kept_ratio: float = 1.0,
+        n_near: int | None = None,
     ) -> None:
         """Set how many connections may be open to each replica of a group."""
-        self._caller.set_connection_budget(group, n_connections, kept_ratio)
+        self._caller.set_connection_budget(group, n_connections, kept_ratio, n_near)
--- a/chestnuthall/services/_fan_out_run.py
+++ b/chestnuthall/services/_fan_out_run.py
@@ -172,7 +172,8 @@
     ) -> None:
         self._calls.pop(call.call_id, None)
         now_ms = self._clock.now_ms()
-        self._on_call_result(call, result, now_ms - started_ms)
+        if call.shard_set is None:
+            self._on_call_result(call, result, now_ms - started_ms)
         if isinstance(result, Failure):
             self._handle(CallFailed(now_ms, call.call_id, result))
         else:
--- /dev/null
+++ b/chestnuthall/services/_peer_sets.py
@@ -0,0 +1,95 @@
+"""Peers that answer for sets of shards."""
+
+from collections.abc import Callable, Sequence
+
+from chestnuthall.core.model import PartitionMap, Replica, Shard, ShardAnswer, ShardCall
+from chestnuthall.core.results import Failure
+from chestnuthall.core.routing import HashRing, bundle_far_shards
+from chestnuthall.ports import (
+    CallListener,
+    CancelCall,
+    DirectShardCaller,
+    ShardCaller,
+)
+from chestnuthall.services._presence import InstanceEntry
+
+# Peers that one instance calls; connections to more would seldom be warm.
+N_PEERS_USED = 6
+
+
+class PeerSets:
+    """Joins shards that are far from this instance into sets for its peers."""
+
+    def __init__(
+        self,
+        own_name: str,
+        own_zone: str,
+        peers: Callable[[], Sequence[InstanceEntry]],
+    ) -> None:
+        self._own_name = own_name
+        self._own_zone = own_zone
+        self._peers = peers
+        self._known: Sequence[InstanceEntry] = ()
+        self._chosen: dict[frozenset[str], tuple[Replica, ...]] = {}
+
+    def bundle(self, shards: Sequence[Shard]) -> tuple[Shard, ...]:
+        """Return the shards, those far away as one set where a peer is nearer."""
+        return bundle_far_shards(shards, self._own_zone, self._peers_in)
+
+    def _peers_in(self, zones: frozenset[str]) -> tuple[Replica, ...]:
+        """Return a few peers in the zones, other ones for each instance."""
+        known = self._peers()
+        if known is not self._known:
+            self._known = known
+            self._chosen.clear()
+        chosen = self._chosen.get(zones)
+        if chosen is None:
+            chosen = self._chosen[zones] = self._choose(zones)
+        return chosen
+
+    def _choose(self, zones: frozenset[str]) -> tuple[Replica, ...]:
+        by_name = {item.name: item for item in self._known if item.zone in zones}
+        if not by_name:
+            return ()
+        names = HashRing(by_name).owners(self._own_name, N_PEERS_USED)
+        return tuple(
+            Replica(name, by_name[name].address, by_name[name].zone) for name in names
+        )
+
+
+class PeerAwareCaller:
+    """Calls replicas for single shards, and peers for sets of shards."""
+
+    def __init__(self, replicas: ShardCaller, peers: ShardCaller) -> None:
+        self._replicas = replicas
+        self._peers = peers
+
+    def _caller(self, call: ShardCall) -> ShardCaller:
+        return self._replicas if call.shard_set is None else self._peers
+
+    async def call(self, call: ShardCall) -> ShardAnswer | Failure:
+        """Run one call and return the whole answer that echoes its id."""
+        return await self._caller(call).call(call)
+
+    def begin(self, call: ShardCall, on_result: CallListener) -> CancelCall | None:
+        """Start a call and return its cancellation; None if it has to wait."""
+        caller = self._caller(call)
+        if not isinstance(caller, DirectShardCaller):
+            return None
+        return caller.begin(call, on_result)
+
+    async def fetch_partition_map(
+        self, replica: Replica, timeout_ms: float
+    ) -> PartitionMap | Failure:
+        """Return the newest partition map that a replica knows."""
+        return await self._replicas.fetch_partition_map(replica, timeout_ms)
+
+    def set_connection_budget(
+        self,
+        group: str,
+        n_connections: int,
+        kept_ratio: float = 1.0,
+        n_near: int | None = None,
+    ) -> None:
+        """Set how many connections may be open to each replica of a group."""
+        self._replicas.set_connection_budget(group, n_connections, kept_ratio, n_near)
--- a/chestnuthall/services/_presence.py
+++ b/chestnuthall/services/_presence.py
@@ -1,10 +1,11 @@
 """How many instances there are, from their entries in the store."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 
 from chestnuthall.core.results import OBJECT_CONFLICT, Failure
-from chestnuthall.ports import Clock, ObjectStore
+from chestnuthall.ports import Clock, ObjectStore, StoredObject
 
 _log = logging.getLogger(__name__)
 
@@ -17,27 +18,49 @@
 LISTING_INTERVAL_MS = 10_000.0
 
 
+@dataclass(frozen=True, slots=True)
+class InstanceEntry:
+    """What an instance says of itself; ``address`` is the one for its peers."""
+
+    name: str
+    address: str
+    zone: str
+
+
+EntryReader = Callable[[StoredObject], InstanceEntry | Failure]
+EntryWriter = Callable[[InstanceEntry], str]
+
+
 class Presence:
     """Enters this instance in the store once, and counts the entries.
 
-    An entry stays until its instance leaves gracefully, also across restarts,
-    so the count is an upper bound of the instances that may be running. That
-    is what the division of a fleet-wide allowance needs.
+    An entry stays when its instance ends, so the count is an upper bound of the
+    instances that may be running. That is what the division of a fleet-wide
+    allowance needs.
     """
 
     def __init__(
         self,
-        name: str,
+        own: InstanceEntry,
         store: ObjectStore,
         clock: Clock,
         on_counted: Callable[[int], None],
+        read: EntryReader,
+        write: EntryWriter,
     ) -> None:
-        self._name = name
+        self._own = own
         self._store = store
         self._clock = clock
         self._on_counted = on_counted
-        self._version = 0
+        self._read = read
+        self._write = write
         self.n_instances: int | None = None
+        # The other instances, also those that are down.
+        self.peers: tuple[InstanceEntry, ...] = ()
+
+    def n_near(self) -> int:
+        """Return the number of instances in this zone, with this one."""
+        return 1 + sum(item.zone == self._own.zone for item in self.peers)
 
     async def run(self) -> None:
         """Enter this instance, then list the entries until cancelled."""
@@ -51,12 +74,9 @@
 
     async def _enter(self) -> bool:
         created = await self._store.create(
-            PRESENCE_KIND, self._name, "{}", STORE_TIMEOUT_MS
+            PRESENCE_KIND, self._own.name, self._write(self._own), STORE_TIMEOUT_MS
         )
-        if not isinstance(created, Failure):
-            self._version = created.version
-            return True
-        if created.kind is OBJECT_CONFLICT:
+        if not isinstance(created, Failure) or created.kind is OBJECT_CONFLICT:
             return True
         _log.warning("cannot enter the instance", extra={"result_code": created.code})
         return False
@@ -66,9 +86,39 @@
         if isinstance(listed, Failure):
             _log.warning("cannot list instances", extra={"result_code": listed.code})
             return False
-        names = {item.name for item in listed} | {self._name}
+        names = {item.name for item in listed} | {self._own.name}
         if len(names) != self.n_instances:
             self.n_instances = len(names)
             _log.info("instances counted", extra={"n_instances": self.n_instances})
         self._on_counted(len(names))
+        self._note_peers(listed)
+        return await self._correct_own(listed)
+
+    async def _correct_own(self, listed: Sequence[StoredObject]) -> bool:
+        """Replace the entry of an earlier start that said something else."""
+        value = self._write(self._own)
+        for stored in listed:
+            if stored.name == self._own.name and self._read(stored) != self._own:
+                written = await self._store.update(
+                    PRESENCE_KIND,
+                    stored.name,
+                    value,
+                    stored.version,
+                    STORE_TIMEOUT_MS,
+                )
+                return not isinstance(written, Failure)
         return True
+
+    def _note_peers(self, listed: Sequence[StoredObject]) -> None:
+        peers = []
+        for stored in listed:
+            entry = self._read(stored)
+            if isinstance(entry, Failure):
+                _log.warning(
+                    "instance entry ignored",
+                    extra={"instance": stored.name, "reason": entry.reason},
+                )
+            elif entry.name != self._own.name:
+                peers.append(entry)
+        if tuple(peers) != self.peers:
+            self.peers = tuple(peers)
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -1,7 +1,7 @@
 """One request from admission to its answer."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from functools import partial
 from typing import TypeAlias
@@ -28,6 +28,7 @@
     Refusal,
     Request,
     SearchRequest,
+    Shard,
     UpstreamGroup,
     kind_of,
 )
@@ -64,7 +65,9 @@
 from chestnuthall.services._membership import Identity
 from chestnuthall.services._query_rules import (
     admission_decision,
+    class_of,
     failure_without_replicas,
+    may_be_bundled,
     n_slots,
     within_class_deadline,
 )
@@ -123,7 +126,9 @@
         shared_budget: ExtraLoad | None = None,
         retry_after_ms: float = RETRY_AFTER_MS,
         decision_log: DecisionLog | None = None,
+        bundle: Callable[[Sequence[Shard]], tuple[Shard, ...]] | None = None,
     ) -> None:
+        self._bundle = bundle
         self._decision_log = decision_log
         self._retry_after_ms = retry_after_ms
         self._record_outcome = record_outcome
@@ -256,6 +261,7 @@
         if partition_map is None:
             return NOT_READY.because(f"no partition map of {request.group!r} is known")
         budget = self._budgets[request.class_name]
+        caller_class = class_of(request, caller_class)
         return _Plan(caller_class, group, partition_map, budget)
 
     async def _claim(self, progress: _Progress) -> Failure | None:
@@ -298,6 +304,7 @@
                 self._sample_utilisation(plan, ticket), admission.utilisation_ratio
             ),
             work=work_of(request),
+            bundle=self._bundle if may_be_bundled(request) else None,
         )
         if self._divided_search is not None and isinstance(request, SearchRequest):
             completion = await self._divided_search(request, partition_map, context)
--- a/chestnuthall/services/_query_rules.py
+++ b/chestnuthall/services/_query_rules.py
@@ -9,6 +9,7 @@
     DecisionEvent,
     PartitionMap,
     Request,
+    ScatterRequest,
     UpstreamGroup,
     reachable_ratio,
 )
@@ -54,6 +55,38 @@
     )
 
 
+def may_be_bundled(request: Request) -> bool:
+    """Return whether peers may answer for some shards of a request.
+
+    A part that a peer has asked for is not divided further.
+    """
+    return isinstance(request, ScatterRequest) and not request.shard_ids
+
+
+def class_of(request: Request, caller_class: CallerClass) -> CallerClass:
+    """Return the class with the coverage floor of the part that a peer asked for.
+
+    Examples
+    --------
+    >>> whole = CallerClass(
+    ...     name="c", share=1.0, urgency=1, coverage_floor_ratio=0.9, deadline_ms=500.0
+    ... )
+    >>> part = ScatterRequest(
+    ...     request_id="q", class_name="c", group="g", arrived_ms=0.0,
+    ...     deadline_ms=500.0, fingerprint="f", method="GET", target="/", headers=(),
+    ...     body=b"", n_replicas_max=2, n_records_max=5, n_record_bytes=16,
+    ...     shard_ids=frozenset({"s0", "s1", "s2", "s3"}), n_missing_max=1,
+    ... )
+    >>> class_of(part, whole).coverage_floor_ratio
+    0.75
+    """
+    if not isinstance(request, ScatterRequest) or not request.shard_ids:
+        return caller_class
+    n_shards = len(request.shard_ids)
+    n_wanted = max(1, n_shards - request.n_missing_max)
+    return replace(caller_class, coverage_floor_ratio=n_wanted / n_shards)
+
+
 def within_class_deadline(request: Request, caller_class: CallerClass) -> Request:
     """Return the request with its deadline bounded by that of its class."""
     latest_ms = request.arrived_ms + caller_class.deadline_ms
--- a/chestnuthall/services/_relay.py
+++ b/chestnuthall/services/_relay.py
@@ -26,7 +26,8 @@
     """A caller's request before it has a route.
 
     ``path`` is the target without its query string, and ``deadline_in_ms`` how
-    long the caller waits, or None if it does not say.
+    long the caller waits, or None if it does not say. A peer that
+    divides a search asks for ``shard_ids``, of which ``n_missing_max`` may be missing.
     """
 
     request_id: str
@@ -38,6 +39,8 @@
     body: bytes
     arrived_ms: float
     deadline_in_ms: float | None
+    shard_ids: frozenset[str] = frozenset()
+    n_missing_max: int = 0
 
 
 class RelayService:
@@ -137,6 +140,8 @@
             n_replicas_max=route.n_replicas_max,
             n_records_max=route.merge.n_records_max,
             n_record_bytes=route.merge.n_record_bytes,
+            shard_ids=call.shard_ids,
+            n_missing_max=call.n_missing_max,
         )
 
     def _group(self, route: Route) -> str:
