Let the instances of a zone follow one of them in place of the store

An instance that started without the store knew nothing until its return, and one that the store did not serve kept an old set of shards (inc-7a0f).

Change: instances of a zone have a fixed order; each follows the first one that has news of the store, and the store where there is none. A leader asks the store every 1.4 s of a 5 s deadline and refuses when its news is older than 2.3 s. Zones of fewer than five go on as before. Without the store, an instance takes what its peers or the seeds know, if it is newer.

A test failed once, test_fetch[error is passed on], since an address was in use before the instance listened: ports were chosen from the range of outgoing connections. The stand-in now takes them from below it.

--- /dev/null
+++ b/chestnuthall/adapters/feeds/_client.py
@@ -0,0 +1,102 @@
+"""Peer feeds port over HTTP."""
+
+import asyncio
+from urllib.parse import quote
+
+from chestnuthall.adapters.feeds._models import decode_batch
+from chestnuthall.adapters.feeds._server import FEED_PATH
+from chestnuthall.adapters.http import (
+    ConnectionPool,
+    HttpRequest,
+    HttpResponse,
+    KeepAliveProbes,
+    PoolSettings,
+)
+from chestnuthall.core.results import HISTORY_TRIMMED, STORE_UNAVAILABLE, Failure
+from chestnuthall.ports import StoredObject, WatchBatch
+
+# Time that a peer may add to the wait that a watch asks for.
+WATCH_MARGIN_MS = 400.0
+# A peer in the same region accepts within a few ms; a dark one does not.
+CONNECT_TIMEOUT_MS = 100.0
+# One for each kind that is watched, and one for a snapshot.
+N_CONNECTIONS_MAX = 4
+
+
+class HttpPeerFeeds:
+    """Reads the feeds of peers at their addresses."""
+
+    def __init__(self, probes: KeepAliveProbes | None = None) -> None:
+        self._probes = probes
+        self._pools: dict[str, ConnectionPool] = {}
+
+    def _pool(self, address: str) -> ConnectionPool:
+        pool = self._pools.get(address)
+        if pool is None:
+            settings = PoolSettings(
+                n_connections_max=N_CONNECTIONS_MAX,
+                connect_timeout_ms=CONNECT_TIMEOUT_MS,
+                probes=self._probes,
+            )
+            pool = self._pools[address] = ConnectionPool(address, settings)
+        return pool
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for pool in self._pools.values():
+            pool.close()
+
+    async def watch(
+        self, address: str, kind: str, after_version: int, timeout_ms: float
+    ) -> WatchBatch | Failure:
+        """Wait for changes after a version; an empty batch on timeout."""
+        query = f"?after={after_version}&wait_ms={timeout_ms:.0f}"
+        response = await self._exchange(
+            address, _path(kind) + query, timeout_ms + WATCH_MARGIN_MS
+        )
+        if isinstance(response, Failure):
+            return response
+        if response.status == 410:
+            return HISTORY_TRIMMED.because("the peer keeps no changes so old")
+        return _read(kind, response)
+
+    async def snapshot(
+        self, address: str, kind: str, timeout_ms: float
+    ) -> tuple[StoredObject, ...] | Failure:
+        """Return all objects of a kind, whatever their age."""
+        response = await self._exchange(address, _path(kind), timeout_ms)
+        if isinstance(response, Failure):
+            return response
+        batch = _read(kind, response)
+        return batch if isinstance(batch, Failure) else batch.changed
+
+    async def _exchange(
+        self, address: str, target: str, timeout_ms: float
+    ) -> HttpResponse | Failure:
+        pool = self._pool(address)
+        ends_at_s = asyncio.get_running_loop().time() + timeout_ms / 1000.0
+        connection = await pool.acquire(timeout_ms)
+        if isinstance(connection, Failure):
+            return STORE_UNAVAILABLE.because(connection.reason)
+        try:
+            async with asyncio.timeout_at(ends_at_s):
+                response = await connection.request(HttpRequest("GET", target))
+        except TimeoutError:
+            # The late answer would be taken for that of the next request.
+            connection.close()
+            return STORE_UNAVAILABLE.because("the peer did not answer in time")
+        finally:
+            pool.release(connection)
+        if isinstance(response, Failure):
+            return STORE_UNAVAILABLE.because(response.reason)
+        return response
+
+
+def _path(kind: str) -> str:
+    return FEED_PATH + quote(kind, safe="")
+
+
+def _read(kind: str, response: HttpResponse) -> WatchBatch | Failure:
+    if response.status != 200:
+        return STORE_UNAVAILABLE.because(f"the peer answered {response.status}")
+    return decode_batch(kind, response.body)
--- /dev/null
+++ b/chestnuthall/adapters/feeds/_models.py
@@ -0,0 +1,64 @@
+"""Bodies of feeds: JSON, compressed, since one is sent to many peers."""
+
+import json
+import zlib
+from collections.abc import Sequence
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from chestnuthall.core.results import STORE_UNAVAILABLE, Failure
+from chestnuthall.ports import StoredObject, WatchBatch
+
+# Documents compress to about a tenth; the fastest level costs 3 ms for 300 KB.
+COMPRESSION_LEVEL = 1
+# Longest body that a peer may send, unpacked; a few times the store's objects.
+N_BYTES_MAX = 16 * 1024 * 1024
+
+
+class _Object(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    name: str
+    version: int
+    value: str
+
+
+class _Batch(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    version: int
+    changed: tuple[_Object, ...] = ()
+    deleted_names: tuple[str, ...] = ()
+
+
+def encode_batch(batch: WatchBatch) -> bytes:
+    """Return the body for changes, or for all objects at a version."""
+    value = {
+        "version": batch.version,
+        "changed": [
+            {"name": item.name, "version": item.version, "value": item.value}
+            for item in batch.changed
+        ],
+        "deleted_names": list(batch.deleted_names),
+    }
+    return zlib.compress(json.dumps(value).encode(), COMPRESSION_LEVEL)
+
+
+def decode_batch(kind: str, body: bytes) -> WatchBatch | Failure:
+    """Return the changes of a body, or why it cannot be read."""
+    try:
+        unpacked = zlib.decompressobj().decompress(body, N_BYTES_MAX)
+        batch = _Batch.model_validate_json(unpacked)
+    except (zlib.error, ValidationError) as error:
+        return STORE_UNAVAILABLE.because(f"invalid feed of a peer: {error!s:.100}")
+    changed = tuple(
+        StoredObject(kind, item.name, item.version, item.value, batch.version)
+        for item in batch.changed
+    )
+    return WatchBatch(batch.version, changed, batch.deleted_names)
+
+
+def as_snapshot(objects: Sequence[StoredObject]) -> WatchBatch:
+    """Return all objects as the changes since nothing."""
+    version = objects[0].seen_version if objects else 0
+    return WatchBatch(version, tuple(objects))
--- a/chestnuthall/core/configuration/__init__.py
+++ b/chestnuthall/core/configuration/__init__.py
@@ -20,6 +20,10 @@
     WatchTrimmed,
     safe_watch_timeout_ms,
 )
+from chestnuthall.core.configuration._leaders import (
+    FeedTiming,
+    LeaderChoice,
+)
 from chestnuthall.core.configuration._promotion import (
     InstanceEvidence,
     PromotionDecision,
@@ -55,7 +59,9 @@
     "Difference",
     "Draft",
     "FollowAction",
+    "FeedTiming",
     "FollowEvent",
+    "LeaderChoice",
     "History",
     "InForce",
     "InstanceEvidence",
--- /dev/null
+++ b/chestnuthall/core/configuration/_leaders.py
@@ -0,0 +1,90 @@
+"""Which instance of a zone another one follows instead of the store."""
+
+from collections.abc import Collection
+from dataclasses import dataclass, field
+from hashlib import blake2b
+
+# With fewer instances in a zone, the more frequent watches of a leader cost more
+# than the watches that it saves.
+N_INSTANCES_MIN = 5
+# Leaders that an instance asks in turn.
+N_LEADERS_MAX = 3
+# How long a leader that failed is passed over.
+AVOID_MS = 3_000.0
+# Leaves the next leader time to turn to the store itself after its own has failed.
+STAGGER_MS = 20.0
+N_STAGGERED_MAX = 8
+# A leader asks the store so often, as a part of the time in which news has to arrive.
+WATCH_RATIO = 0.28
+# Age at which its news is too old to be followed, likewise. It covers a watch and
+# the pause after a burst of changes.
+AGE_RATIO_MAX = 0.46
+
+
+@dataclass(frozen=True, slots=True)
+class FeedTiming:
+    """How often a leader asks the store, and how old its news may be.
+
+    A follower that learns of a change from its leader, or that its leader has no
+    news, has the rest of ``in_force_ms`` to act on it or to read the store.
+    """
+
+    in_force_ms: float
+
+    @property
+    def watch_timeout_ms(self) -> float:
+        """Length of a leader's watches."""
+        return WATCH_RATIO * self.in_force_ms
+
+    @property
+    def age_max_ms(self) -> float:
+        """Age of the last confirmation from which on a leader is not followed."""
+        return AGE_RATIO_MAX * self.in_force_ms
+
+
+def _rank(name: str) -> bytes:
+    return blake2b(name.encode(), digest_size=8).digest()
+
+
+@dataclass(slots=True)
+class LeaderChoice:
+    """Orders the instances of a zone, so that each follows earlier ones only.
+
+    All instances with the same view agree without a message. The first one follows
+    none, and another one follows the first that is not passed over.
+
+    Examples
+    --------
+    >>> names = ["a", "b", "c", "d", "e"]
+    >>> choices = [LeaderChoice(name) for name in names]
+    >>> sorted(choice.leader(names, 0.0) or "" for choice in choices)
+    ['', 'e', 'e', 'e', 'e']
+    """
+
+    own_name: str
+    position: int = 0
+    may_lead: bool = False
+    _avoided_until_ms: dict[str, float] = field(default_factory=dict)
+
+    def leader(self, names: Collection[str], now_ms: float) -> str | None:
+        """Return the instance to follow now; None is the store."""
+        everyone = {*names, self.own_name}
+        if len(everyone) < N_INSTANCES_MIN:
+            self.may_lead = False
+            return None
+        ordered = sorted(everyone, key=_rank)
+        self.position = ordered.index(self.own_name)
+        self.may_lead = self.position < N_LEADERS_MAX
+        for name in ordered[: min(self.position, N_LEADERS_MAX)]:
+            if now_ms >= self._avoided_until_ms.get(name, 0.0):
+                return name
+        return None
+
+    def avoid(self, name: str, now_ms: float) -> None:
+        """Pass over an instance that gave no news for a while."""
+        self._avoided_until_ms[name] = now_ms + AVOID_MS
+
+    @property
+    def stagger_ms(self) -> float:
+        """Return how long to wait before the next leader is asked."""
+        return STAGGER_MS * min(self.position, N_STAGGERED_MAX)
--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from chestnuthall.adapters.clock import LoopClock
+from chestnuthall.adapters.feeds import FeedFrontend, HttpPeerFeeds
 from chestnuthall.adapters.http import (
     HttpRequest,
     HttpResponse,
@@ -17,7 +18,11 @@
 from chestnuthall.adapters.metrics import CONTENT_TYPE, ExpositionMetrics
 from chestnuthall.adapters.objectapi import HttpObjectStore
 from chestnuthall.adapters.upstreams import HttpShardCaller
-from chestnuthall.core.configuration import safe_watch_timeout_ms
+from chestnuthall.core.configuration import (
+    FeedTiming,
+    LeaderChoice,
+    safe_watch_timeout_ms,
+)
 from chestnuthall.core.model import Configuration
 from chestnuthall.core.overload import LagSettings, OverloadDetector
 from chestnuthall.core.quarantine import QuarantineRegister, QuarantineSettings
@@ -51,6 +56,7 @@
     QueryService,
     RelayService,
     ServiceDirectory,
+    SharedObjectStore,
 )
 from chestnuthall.services._configuration import ENVIRONMENT_KIND
 from chestnuthall.services._presence import PRESENCE_KIND
@@ -137,6 +143,17 @@
             metrics,
             clock,
         )
+        self._feeds = HttpPeerFeeds(PEER_PROBES)
+        shared = SharedObjectStore(
+            store,
+            clock,
+            self._feeds,
+            (ENVIRONMENT_KIND, REGISTRATION_KIND),
+            FeedTiming(min(settings.configuration_deadline_ms, settings.drain_ms)),
+            LeaderChoice(settings.name),
+            lambda: self.presence.near_peers,
+            [x for x in settings.seed_addresses if x != settings.peer_address],
+        )
         self._budget = RepeatBudget(
             RepeatLimits(
                 ratio=settings.repeat_ratio,
@@ -165,13 +182,13 @@
         watch_timeout_ms = safe_watch_timeout_ms(settings.store_settle_ms)
         self.configuration = ConfigurationKeeper(
             SINGLETON,
-            store,
+            shared,
             clock,
             read_configuration,
             watch_timeout_ms=watch_timeout_ms,
         )
         self.directory = ServiceDirectory(
-            store,
+            shared,
             self._caller,
             clock,
             read_registration,
@@ -228,7 +245,10 @@
         )
         self.peers = HttpServer(
             PeerFrontend(
-                frontend, self.is_ready, lambda: self.configuration.revision
+                frontend,
+                FeedFrontend(shared.feed, shared.known).handle,
+                self.is_ready,
+                lambda: self.configuration.revision,
             ).handle,
             ServerLimits(cancels_at_eof=True),
             respond_to_http_error,
@@ -375,6 +395,7 @@
         await self.metrics_page.close()
         self._caller.close()
         self._peer_caller.close()
+        self._feeds.close()
 
 
 async def _listen(server: HttpServer, address: str) -> None:
--- a/chestnuthall/platform/_peer_calls.py
+++ b/chestnuthall/platform/_peer_calls.py
@@ -1,6 +1,6 @@
 """Parts of searches between instances, in the form in which callers send searches."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from chestnuthall.adapters.http import HttpRequest, HttpResponse
 from chestnuthall.core.model import RelayedRequest, Reply, ShardAnswer, ShardCall
@@ -81,7 +81,7 @@
 
 
 class PeerFrontend:
-    """Serves the parts of searches that peers ask this instance for.
+    """Serves the parts of searches that peers ask this instance for, and its feeds.
 
     A search is refused as not run where this instance has another configuration
     than its peer, since the shards could be those of another set.
@@ -90,19 +90,23 @@
     def __init__(
         self,
         frontend: RelayFrontend,
+        feeds: Callable[[HttpRequest], Awaitable[HttpResponse]],
         is_ready: Callable[[], bool],
         revision: Callable[[], int],
     ) -> None:
         self._frontend = frontend
+        self._feeds = feeds
         self._is_ready = is_ready
         self._revision = revision
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Serve one call of a peer."""
         headers = request.headers
-        shard_ids = headers.get(SHARD_IDS, b"").decode("latin-1")
+        if SHARD_IDS not in headers:
+            return await self._feeds(request)
+        shard_ids = headers[SHARD_IDS].decode("latin-1")
         is_same = read_number(headers.get(REVISION)) == self._revision()
-        if not self._is_ready() or not is_same or not shard_ids:
+        if not self._is_ready() or not is_same:
             return respond_to_http_error(NOT_RUN_STATUS, "not ready for this search")
         return await self._frontend.handle_part(
             request,
--- a/chestnuthall/platform/_settings.py
+++ b/chestnuthall/platform/_settings.py
@@ -35,6 +35,8 @@
     """Address of the platform's store."""
     store_settle_ms: Positive
     """A store counts as stable after so long without disruption."""
+    configuration_deadline_ms: Positive
+    """Within this time of its acceptance, a configuration has to be in force."""
     drain_ms: Positive
     """Within this time of its notice, a leaving replica gets no new calls."""
     grace_s: Positive
--- a/chestnuthall/platform/tests/soak/__main__.py
+++ b/chestnuthall/platform/tests/soak/__main__.py
@@ -59,6 +59,7 @@
             "zone": "a",
             "store_address": f"{LOOPBACK}:{self.proxy.port}",
             "store_settle_ms": 4000,
+            "configuration_deadline_ms": 3000,
             "drain_ms": 3000,
             "grace_s": 6,
             "repeat_ratio": 0.2,
--- a/chestnuthall/platform/tests/standins.py
+++ b/chestnuthall/platform/tests/standins.py
@@ -1,7 +1,9 @@
 """Small stand-ins of the platform's store and of its replicas, in one process."""
 
 import asyncio
+import itertools
 import json
+import os
 from contextlib import asynccontextmanager
 from urllib.parse import parse_qs
 
@@ -219,9 +221,9 @@
         services = sorted({item.service for item in self.replicas.values()})
         self.store.put("config", "main", document(version, routes, services))
 
-    async def start(self, *, wait=True, grace_s=6.0, zone="a"):
+    async def start(self, *, wait=True, grace_s=6.0, zone="a", seeds=()):
         await self.listen()
-        settings = await self._settings("entry-1", zone, grace_s)
+        settings = await self._settings("entry-1", zone, grace_s, seeds)
         self.instance = PlatformInstance(settings)
         self.run = asyncio.get_running_loop().create_task(self.instance.run())
         await self.until(lambda: self.instance.callers.is_listening)
@@ -242,7 +244,7 @@
         await self.until(peer.is_ready)
         return peer
 
-    async def _settings(self, name, zone, grace_s):
+    async def _settings(self, name, zone, grace_s, seeds=()):
         ports = [await free_port() for _ in range(4)]
         return PlatformSettings(
             name=name,
@@ -251,8 +253,10 @@
             ready_address=f"{LOOPBACK}:{ports[1]}",
             metrics_address=f"{LOOPBACK}:{ports[2]}",
             peer_address=f"{LOOPBACK}:{ports[3]}",
+            seed_addresses=seeds,
             store_address=f"{LOOPBACK}:{self._store_port}",
             store_settle_ms=4_000.0,
+            configuration_deadline_ms=3_000.0,
             drain_ms=3_000.0,
             grace_s=grace_s,
             repeat_ratio=0.2,
@@ -264,6 +268,8 @@
         loop = asyncio.get_running_loop()
         ends_at_s = loop.time() + timeout_s
         while not condition():
+            if self.run is not None and self.run.done():
+                await self.run
             assert loop.time() < ends_at_s, "the condition did not come true in time"
             await asyncio.sleep(0.005)
 
@@ -299,11 +305,24 @@
         await self.store.server.close()
 
 
+# Below the range from which the system takes the ports of outgoing connections,
+# which took a port between its choice and its use.
+PORT_MIN = 12_000
+N_PORTS = 18_000
+_ports = itertools.count(os.getpid() * 97)
+
+
 async def free_port():
-    server = HttpServer(lambda request: None)
-    port = await server.start(LOOPBACK, 0)
-    await server.close()
-    return port
+    """Return a port that nothing listens on and that was not returned before."""
+    for offset in _ports:
+        port = PORT_MIN + offset % N_PORTS
+        server = HttpServer(lambda request: None)
+        try:
+            await server.start(LOOPBACK, port)
+        except OSError:
+            continue
+        await server.close()
+        return port
 
 
 @asynccontextmanager
--- a/chestnuthall/platform/tests/test_whole_path.py
+++ b/chestnuthall/platform/tests/test_whole_path.py
@@ -322,3 +322,19 @@
     text = asyncio.run(scenario())
     assert 'chestnuthall_requests_total{of="scatter.ok"} 1.0' in text
     assert 'chestnuthall_replicas{of=""} 6.0' in text
+
+
+def test_instance_that_starts_without_the_store_serves_what_a_seed_knows():
+    """It answered 503 until the store was back (inc-7a0f)."""
+
+    async def scenario():
+        async with world() as made:
+            await made.add_replica("t0", "t", b"body of t")
+            made.configure(1, [forward_route("t")])
+            peer = await made.add_peer("entry-2", "a")
+            made.store.is_down = True
+            await made.start(seeds=(peer.settings.peer_address,))
+            return await made.send("/fetch/x")
+
+    response = asyncio.run(scenario())
+    assert (response.status, response.body) == (200, b"body of t")
--- a/chestnuthall/ports/__init__.py
+++ b/chestnuthall/ports/__init__.py
@@ -11,6 +11,10 @@
     RequestHandler,
     RequestTracker,
 )
+from chestnuthall.ports._feeds import (
+    FeedSource,
+    PeerFeeds,
+)
 from chestnuthall.ports._instances import (
     InstanceRole,
     ListEntry,
@@ -66,7 +70,9 @@
     "ListedInstance",
     "MemberUpdate",
     "Metrics",
+    "FeedSource",
     "ObjectStore",
+    "PeerFeeds",
     "PeerConfiguration",
     "PeerDigest",
     "PeerService",
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -69,6 +69,9 @@
     Identity,
     Membership,
 )
+from chestnuthall.services._object_feed import (
+    ObjectFeed,
+)
 from chestnuthall.services._outcomes import (
     OutcomeRecorder,
 )
@@ -102,6 +105,9 @@
 from chestnuthall.services._service_directory import (
     ServiceDirectory,
 )
+from chestnuthall.services._shared_store import (
+    SharedObjectStore,
+)
 from chestnuthall.services._status import (
     ConfigurationStatus,
     FleetStatus,
@@ -150,7 +156,9 @@
     "Membership",
     "NewsStatus",
     "NotAdmitted",
+    "ObjectFeed",
     "Outcome",
+    "SharedObjectStore",
     "OutcomeRecorder",
     "PartitionCodec",
     "PartitionMapReader",
--- /dev/null
+++ b/chestnuthall/services/_object_feed.py
@@ -0,0 +1,121 @@
+"""The objects of one kind that an instance knows, for its peers to follow."""
+
+import asyncio
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import replace
+
+from chestnuthall.core.results import HISTORY_TRIMMED, STORE_UNAVAILABLE, Failure
+from chestnuthall.ports import Clock, StoredObject, WatchBatch
+
+# Batches of changes kept for peers; one that is further behind reads the store.
+N_BATCHES_KEPT = 64
+
+
+class ObjectFeed:
+    """Objects of one kind with their latest changes.
+
+    ``confirm`` notes that the store said at a time that nothing else has changed.
+    A watch is served only while that is at most ``age_max_ms`` ago, since a peer
+    that follows this instance has no other news.
+    """
+
+    def __init__(self, clock: Clock, age_max_ms: float) -> None:
+        self._clock = clock
+        self._age_max_ms = age_max_ms
+        self._objects: dict[str, StoredObject] = {}
+        self._batches: deque[WatchBatch] = deque()
+        self._complete_from = 0
+        self._confirmed_ms = float("-inf")
+        self._changed = asyncio.Event()
+        self.version = 0
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the objects were read once."""
+        return self.version > 0
+
+    @property
+    def age_ms(self) -> float:
+        """Time since the store confirmed what is known here."""
+        return self._clock.now_ms() - self._confirmed_ms
+
+    def confirm(self) -> None:
+        """Note that the store has just confirmed what is known."""
+        self._confirmed_ms = self._clock.now_ms()
+
+    def load(self, objects: Sequence[StoredObject], version: int) -> None:
+        """Take in all objects as they were at a version, as changes since the last."""
+        if version < self.version:
+            return
+        changed = tuple(item for item in objects if self._is_news(item))
+        names = {item.name for item in objects}
+        deleted = tuple(name for name in self._objects if name not in names)
+        if not self.is_loaded:
+            self._complete_from = version
+        self.apply(WatchBatch(version, changed, deleted))
+
+    def _is_news(self, item: StoredObject) -> bool:
+        known = self._objects.get(item.name)
+        return known is None or known.version < item.version
+
+    def apply(self, batch: WatchBatch) -> None:
+        """Take in changes, and wake the peers that wait for them."""
+        for item in batch.changed:
+            self._objects[item.name] = item
+        for name in batch.deleted_names:
+            self._objects.pop(name, None)
+        self.version = max(self.version, batch.version)
+        if not batch.changed and not batch.deleted_names:
+            return
+        self._batches.append(batch)
+        if len(self._batches) > N_BATCHES_KEPT:
+            self._complete_from = self._batches.popleft().version
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def snapshot(self) -> tuple[StoredObject, ...]:
+        """Return all objects, with the version from which to follow."""
+        return tuple(
+            replace(item, seen_version=self.version) for item in self._objects.values()
+        )
+
+    async def watch(
+        self, after_version: int, timeout_ms: float
+    ) -> WatchBatch | Failure:
+        """Return the changes after a version once there are any, or nothing."""
+        ends_ms = self._clock.now_ms() + timeout_ms
+        while True:
+            if not self.is_loaded or self.age_ms > self._age_max_ms:
+                return STORE_UNAVAILABLE.because("no news from the store")
+            if after_version < self._complete_from:
+                return HISTORY_TRIMMED.because("the changes are no longer kept")
+            batch = self._changes_after(after_version)
+            left_ms = ends_ms - self._clock.now_ms()
+            if batch.changed or batch.deleted_names or left_ms <= 0.0:
+                return batch
+            # The age is looked at again while there is no news.
+            await self._wait_changed(min(left_ms, self._age_max_ms / 4.0))
+
+    async def _wait_changed(self, timeout_ms: float) -> None:
+        try:
+            async with asyncio.timeout(timeout_ms / 1000.0):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    def _changes_after(self, after_version: int) -> WatchBatch:
+        """Return the last state of each object that changed after a version."""
+        changed: dict[str, StoredObject] = {}
+        deleted: dict[str, None] = {}
+        for batch in self._batches:
+            if batch.version <= after_version:
+                continue
+            for name in batch.deleted_names:
+                changed.pop(name, None)
+                deleted[name] = None
+            for item in batch.changed:
+                deleted.pop(item.name, None)
+                changed[item.name] = item
+        version = max(self.version, after_version)
+        return WatchBatch(version, tuple(changed.values()), tuple(deleted))
--- a/chestnuthall/services/_presence.py
+++ b/chestnuthall/services/_presence.py
@@ -58,9 +58,14 @@
         # The other instances, also those that are down.
         self.peers: tuple[InstanceEntry, ...] = ()
 
+    @property
+    def near_peers(self) -> tuple[InstanceEntry, ...]:
+        """The other instances in this zone, also those that are down."""
+        return tuple(item for item in self.peers if item.zone == self._own.zone)
+
     def n_near(self) -> int:
         """Return the number of instances in this zone, with this one."""
-        return 1 + sum(item.zone == self._own.zone for item in self.peers)
+        return 1 + len(self.near_peers)
 
     async def run(self) -> None:
         """Enter this instance, then list the entries until cancelled."""
--- /dev/null
+++ b/chestnuthall/services/tests/test_shared_store.py
@@ -0,0 +1,317 @@
+"""Guards news of the store that instances of a zone take from a leader."""
+
+import asyncio
+
+import pytest
+
+from chestnuthall.core.configuration import FeedTiming, LeaderChoice
+from chestnuthall.core.results import HISTORY_TRIMMED, STORE_UNAVAILABLE, Failure
+from chestnuthall.ports import StoredObject, WatchBatch
+from chestnuthall.services import InstanceEntry, ObjectFeed, SharedObjectStore
+from chestnuthall.services.tests._world import LoopTimeClock
+from chestnuthall.standins.virtual_time import run_virtual
+
+KIND = "k"
+IN_FORCE_MS = 5_000.0
+WATCH_MS = 5_000.0
+N_INSTANCES = 6
+
+
+class Store:
+    """One revision for all objects; instances may be cut from it, by name."""
+
+    def __init__(self):
+        self.objects = {}
+        self.version = 1
+        self.n_calls = 0
+        self.refused = set()
+        self.silent = set()
+        self._changed = asyncio.Event()
+
+    def put(self, name, value):
+        self.version += 1
+        self.objects[name] = StoredObject(KIND, name, self.version, value)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def way_of(self, name):
+        return WayToStore(self, name)
+
+
+class WayToStore:
+    def __init__(self, store, name):
+        self._store = store
+        self._name = name
+
+    async def _enter(self, timeout_ms):
+        self._store.n_calls += 1
+        if self._name in self._store.silent:
+            await asyncio.sleep(timeout_ms / 1000.0)
+            return STORE_UNAVAILABLE.because("silent")
+        await asyncio.sleep(0.004)
+        if self._name in self._store.refused:
+            return STORE_UNAVAILABLE.because("refused")
+        return None
+
+    async def list_kind(self, kind, timeout_ms):
+        store = self._store
+        return await self._enter(timeout_ms) or tuple(
+            StoredObject(KIND, item.name, item.version, item.value, store.version)
+            for item in store.objects.values()
+        )
+
+    async def watch(self, kind, after_version, timeout_ms):
+        store = self._store
+        failure = await self._enter(timeout_ms + 1_000.0)
+        if failure is not None:
+            return failure
+        loop = asyncio.get_running_loop()
+        ends_at_s = loop.time() + timeout_ms / 1000.0
+        while True:
+            changed = tuple(
+                item for item in store.objects.values() if item.version > after_version
+            )
+            if changed or loop.time() >= ends_at_s:
+                return WatchBatch(store.version, changed)
+            try:
+                async with asyncio.timeout_at(ends_at_s):
+                    await store._changed.wait()
+            except TimeoutError:
+                continue
+
+
+class Feeds:
+    """Ways between instances; a gone one refuses, a silent one does not answer."""
+
+    def __init__(self):
+        self.stores = {}
+        self.gone = set()
+        self.silent = set()
+
+    async def _enter(self, address, timeout_ms):
+        if address in self.silent:
+            await asyncio.sleep(timeout_ms / 1000.0 + 0.4)
+            return STORE_UNAVAILABLE.because("silent")
+        await asyncio.sleep(0.001)
+        if address in self.gone:
+            return STORE_UNAVAILABLE.because("refused")
+        return None
+
+    async def watch(self, address, kind, after_version, timeout_ms):
+        failure = await self._enter(address, timeout_ms)
+        if failure is not None:
+            return failure
+        feed = self.stores[address].feed(kind)
+        if feed is None:
+            return STORE_UNAVAILABLE.because("no feed")
+        return await feed.watch(after_version, timeout_ms)
+
+    async def snapshot(self, address, kind, timeout_ms):
+        return await self._enter(address, timeout_ms) or self.stores[address].known(
+            kind
+        )
+
+
+class Fleet:
+    """Instances of one zone, each of which follows one kind as a directory does."""
+
+    def __init__(self):
+        self.clock = LoopTimeClock()
+        self.store = Store()
+        self.feeds = Feeds()
+        self.store.put("a", "1")
+        self.seen = {}
+        self.tasks = []
+        names = [f"entry-{i}" for i in range(N_INSTANCES)]
+        entries = [InstanceEntry(name, name, "z") for name in names]
+        choices = {name: LeaderChoice(name) for name in names}
+        for name in names:
+            choices[name].leader(names, 0.0)
+            self.feeds.stores[name] = SharedObjectStore(
+                self.store.way_of(name),
+                self.clock,
+                self.feeds,
+                (KIND,),
+                FeedTiming(IN_FORCE_MS),
+                choices[name],
+                lambda name=name: [item for item in entries if item.name != name],
+            )
+        self.names = sorted(names, key=lambda name: choices[name].position)
+
+    def start(self, name):
+        loop = asyncio.get_running_loop()
+        self.tasks.append(loop.create_task(self._follow(name)))
+
+    async def _follow(self, name):
+        shared = self.feeds.stores[name]
+        while True:
+            listed = await shared.list_kind(KIND, 1_000.0)
+            if isinstance(listed, Failure):
+                await asyncio.sleep(0.25)
+                continue
+            self.seen[name] = {item.name: item.value for item in listed}
+            version = max(item.seen_version or item.version for item in listed)
+            while True:
+                batch = await shared.watch(KIND, version, WATCH_MS)
+                if isinstance(batch, Failure):
+                    break
+                version = max(version, batch.version)
+                self.seen[name] |= {item.name: item.value for item in batch.changed}
+
+    async def until_all_see(self, names, value, timeout_s):
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        while any(self.seen.get(name, {}).get("a") != value for name in names):
+            if loop.time() - started_s > timeout_s:
+                return None
+            await asyncio.sleep(0.01)
+        return 1000.0 * (loop.time() - started_s)
+
+
+def nothing(fleet):
+    """Leave everything as it is."""
+
+
+def leader_gone(fleet):
+    fleet.feeds.gone.add(fleet.names[0])
+
+
+def leader_silent(fleet):
+    fleet.feeds.silent.add(fleet.names[0])
+
+
+def leader_refused_by_the_store(fleet):
+    fleet.store.refused.add(fleet.names[0])
+
+
+def leader_cut_from_the_store(fleet):
+    fleet.store.silent.add(fleet.names[0])
+
+
+def first_two_gone(fleet):
+    fleet.feeds.gone.update(fleet.names[:2])
+
+
+def follower_cut_from_the_store(fleet):
+    fleet.store.silent.add(fleet.names[-1])
+
+
+# (case, fault right before a change, instances that see the change)
+FAULTS = [
+    ("none", nothing, slice(None)),
+    ("leader gone", leader_gone, slice(1, None)),
+    ("leader silent", leader_silent, slice(1, None)),
+    ("store refuses the leader", leader_refused_by_the_store, slice(1, None)),
+    ("leader cut from the store", leader_cut_from_the_store, slice(1, None)),
+    ("two leaders gone", first_two_gone, slice(2, None)),
+    ("follower cut from the store", follower_cut_from_the_store, slice(None)),
+]
+
+
+@pytest.mark.parametrize("lead_s", [0.0, 0.4, 1.1])
+@pytest.mark.parametrize(
+    ("fault", "who"), [case[1:] for case in FAULTS], ids=[case[0] for case in FAULTS]
+)
+def test_change_arrives_in_time(fault, who, lead_s):
+    """An instance that is in order must not miss a change since its leader is not."""
+
+    async def scenario():
+        fleet = Fleet()
+        for name in fleet.names:
+            fleet.start(name)
+        await asyncio.sleep(7.0 + lead_s)
+        fault(fleet)
+        # Watches that have begun hear nothing of a silent fault.
+        if fleet.store.silent:
+            for task in fleet.tasks:
+                task.cancel()
+            for name in fleet.names:
+                fleet.start(name)
+        await asyncio.sleep(0.05)
+        fleet.store.put("a", "2")
+        return await fleet.until_all_see(fleet.names[who], "2", 20.0)
+
+    elapsed_ms = run_virtual(scenario())
+    assert elapsed_ms is not None
+    assert elapsed_ms < IN_FORCE_MS - 1_000.0
+
+
+def test_calm_zone_costs_the_calls_of_its_leader():
+    async def scenario():
+        fleet = Fleet()
+        for name in fleet.names:
+            fleet.start(name)
+        await asyncio.sleep(6.0)
+        n_before = fleet.store.n_calls
+        await asyncio.sleep(30.0)
+        return fleet.store.n_calls - n_before
+
+    n_calls = run_virtual(scenario())
+    assert n_calls <= 30_000.0 / FeedTiming(IN_FORCE_MS).watch_timeout_ms + 1
+
+
+def test_start_without_the_store_takes_what_a_peer_knows():
+    """An instance killed during an outage of the store served nothing until its end
+    (inc-7a0f)."""
+
+    async def scenario():
+        fleet = Fleet()
+        for name in fleet.names[:-1]:
+            fleet.start(name)
+        await asyncio.sleep(1.0)
+        fleet.store.refused.update(fleet.names)
+        fleet.start(fleet.names[-1])
+        return await fleet.until_all_see(fleet.names[-1:], "1", 3.0)
+
+    assert run_virtual(scenario()) is not None
+
+
+# (case, batches after the load at version 10, watch after, changed, deleted or None)
+CHANGES = [
+    ("nothing new", [], 10, [], []),
+    ("one batch", [(12, ["a"], [])], 10, ["a"], []),
+    ("seen already", [(12, ["a"], [])], 12, [], []),
+    ("deleted later", [(12, ["a"], []), (13, [], ["a"])], 10, [], ["a"]),
+    ("created again", [(12, [], ["a"]), (13, ["a"], [])], 11, ["a"], []),
+    ("older than kept", [(12, ["a"], [])], 9, None, None),
+]
+
+
+@pytest.mark.parametrize(
+    ("batches", "after", "changed", "deleted"),
+    [case[1:] for case in CHANGES],
+    ids=[case[0] for case in CHANGES],
+)
+def test_changes_after_a_version(batches, after, changed, deleted):
+    """A follower that misses a deletion calls a replica that has left."""
+
+    async def scenario():
+        feed = ObjectFeed(LoopTimeClock(), 1_000.0)
+        feed.load((StoredObject(KIND, "z", 5, "0"),), 10)
+        for version, names, gone in batches:
+            objects = tuple(StoredObject(KIND, name, version, "1") for name in names)
+            feed.apply(WatchBatch(version, objects, tuple(gone)))
+        feed.confirm()
+        return await feed.watch(after, 10.0)
+
+    batch = run_virtual(scenario())
+    if changed is None:
+        assert batch.kind is HISTORY_TRIMMED
+        return
+    assert [item.name for item in batch.changed] == changed
+    assert list(batch.deleted_names) == deleted
+    assert batch.version >= after
+
+
+def test_feed_without_news_of_the_store_is_refused():
+    async def scenario():
+        feed = ObjectFeed(LoopTimeClock(), 1_000.0)
+        feed.load((StoredObject(KIND, "z", 5, "0"),), 10)
+        feed.confirm()
+        started_s = asyncio.get_running_loop().time()
+        result = await feed.watch(10, 5_000.0)
+        return result, asyncio.get_running_loop().time() - started_s
+
+    result, duration_s = run_virtual(scenario())
+    assert isinstance(result, Failure)
+    assert duration_s < 1.5
