Write the lines of a request after its response, and know the peers at once after a restart

Cause: the 110 lines of a search over 36 shards took 4 ms before its response was written. A restarted instance waited 3 s for the entries of the others, which were there already, and watched the store itself meanwhile.

--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from random import Random
 
 from chestnuthall.adapters.clock import LoopClock
@@ -126,6 +127,10 @@
     )
 
 
+def _call_soon(function: Callable[[], None]) -> None:
+    asyncio.get_running_loop().call_soon(function)
+
+
 class PlatformInstance:
     """One entry instance with its listeners and background work."""
 
@@ -137,7 +142,7 @@
         self._clock = clock = LoopClock()
         random = Random()
         self._metrics = metrics = ExpositionMetrics()
-        self._decisions = DecisionLog(clock, metrics)
+        self._decisions = DecisionLog(clock, metrics, _call_soon)
         store = CountedObjectStore(
             HttpObjectStore(settings.store_address, DIALECT, STORE_PROBES),
             metrics,
--- a/chestnuthall/services/_decision_log.py
+++ b/chestnuthall/services/_decision_log.py
@@ -1,8 +1,9 @@
 """The log of the decisions on each request, within a bound on its volume."""
 
 import logging
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from functools import partial
 
 from chestnuthall.core.model import (
     Account,
@@ -62,15 +63,28 @@
         return True
 
 
+Defer = Callable[[Callable[[], None]], object]
+
+
+def _call_now(function: Callable[[], None]) -> None:
+    function()
+
+
 class DecisionLog:
     """Writes what was decided on a request once it has ended.
 
     A request that was refused, late, partial or repeated has a line for each
     decision; an ordinary one has them while there is room, and one line for its
     end otherwise. What finds no room is counted.
+
+    ``defer`` calls a function later. The lines of a search over 36 shards take 4 ms,
+    which its response does not wait for.
     """
 
-    def __init__(self, clock: Clock, metrics: Metrics) -> None:
+    def __init__(
+        self, clock: Clock, metrics: Metrics, defer: Defer = _call_now
+    ) -> None:
+        self._defer = defer
         self._clock = clock
         self._metrics = metrics
         self.budget = LineBudget(N_LINES_BURST, N_LINES_PER_S, 0.0)
@@ -83,7 +97,11 @@
             self._metrics.count(f"decisions.{decision.event.name.lower()}")
         if not _log.isEnabledFor(logging.INFO):
             return
-        now_ms = self._clock.now_ms()
+        self._defer(partial(self._write, outcome, decisions, self._clock.now_ms()))
+
+    def _write(
+        self, outcome: Answer | Refusal, decisions: Sequence[Decision], now_ms: float
+    ) -> None:
         is_ordinary = _is_ordinary(outcome)
         n_lines = len(decisions) + 1
         if self.budget.take(n_lines, KEPT_FROM_DETAILS if is_ordinary else 0.0, now_ms):
--- a/chestnuthall/services/_presence.py
+++ b/chestnuthall/services/_presence.py
@@ -69,22 +69,29 @@
 
     async def run(self) -> None:
         """Enter this instance, then list the entries until cancelled."""
-        while not await self._enter():
+        while (is_new := await self._enter()) is None:
             await self._clock.sleep_ms(RETRY_DELAY_MS)
-        await self._clock.sleep_ms(FIRST_LISTING_MS)
+        if is_new:
+            await self._clock.sleep_ms(FIRST_LISTING_MS)
         while True:
             is_listed = await self._count()
             delay_ms = LISTING_INTERVAL_MS if is_listed else RETRY_DELAY_MS
             await self._clock.sleep_ms(delay_ms)
 
-    async def _enter(self) -> bool:
+    async def _enter(self) -> bool | None:
+        """Return whether the entry is new, or None if it could not be written.
+
+        After a restart, the entries of the others are there already.
+        """
         created = await self._store.create(
             PRESENCE_KIND, self._own.name, self._write(self._own), STORE_TIMEOUT_MS
         )
-        if not isinstance(created, Failure) or created.kind is OBJECT_CONFLICT:
+        if not isinstance(created, Failure):
             return True
+        if created.kind is OBJECT_CONFLICT:
+            return False
         _log.warning("cannot enter the instance", extra={"result_code": created.code})
-        return False
+        return None
 
     async def _count(self) -> bool:
         listed = await self._store.list_kind(PRESENCE_KIND, STORE_TIMEOUT_MS)
--- a/chestnuthall/services/tests/test_decision_log.py
+++ b/chestnuthall/services/tests/test_decision_log.py
@@ -101,3 +101,15 @@
     n_before = len(lines())
     log.request_ended(REFUSED, DECISIONS_MADE)
     assert len(lines()) - n_before == len(DECISIONS_MADE) + 1
+
+
+def test_lines_wait_for_the_response(caplog):
+    """The lines of a large search delayed its response by 4 ms."""
+    caplog.set_level(logging.INFO, DECISIONS)
+    later = []
+    log = DecisionLog(Clock(), Metrics(), later.append)
+    log.request_ended(LATE, DECISIONS_MADE)
+    assert log.budget.n_left == N_LINES_BURST
+    (write,) = later
+    write()
+    assert log.budget.n_left == N_LINES_BURST - len(DECISIONS_MADE) - 1
--- /dev/null
+++ b/chestnuthall/services/tests/test_presence.py
@@ -0,0 +1,110 @@
+"""Guards the count of instances, by which fleet-wide allowances are divided."""
+
+import asyncio
+
+import pytest
+
+from chestnuthall.core.results import (
+    INVALID_REQUEST,
+    OBJECT_CONFLICT,
+    STORE_UNAVAILABLE,
+)
+from chestnuthall.ports import StoredObject
+from chestnuthall.services import InstanceEntry, Presence
+from chestnuthall.services.tests._world import LoopTimeClock
+from chestnuthall.standins.virtual_time import run_virtual
+
+OWN = InstanceEntry("own", "10.0.0.1:1", "a")
+
+
+class Store:
+    def __init__(self, create_results, listed):
+        self.create_results = list(create_results)
+        self.listed = listed
+        self.updated = []
+
+    async def create(self, kind, name, value, timeout_ms):
+        result = self.create_results.pop(0)
+        return StoredObject(kind, name, 1, value) if result is None else result
+
+    async def list_kind(self, kind, timeout_ms):
+        return tuple(
+            StoredObject(kind, name, 5, value) for name, value in self.listed.items()
+        )
+
+    async def update(self, kind, name, value, version, timeout_ms):
+        self.updated.append((name, value, version))
+        return StoredObject(kind, name, version + 1, value)
+
+
+def read(stored):
+    if "," not in stored.value:
+        return INVALID_REQUEST.because("no entry")
+    address, zone = stored.value.split(",")
+    return InstanceEntry(stored.name, address, zone)
+
+
+def write(entry):
+    return f"{entry.address},{entry.zone}"
+
+
+def follow(store, wait_s):
+    counted = []
+
+    async def scenario():
+        presence = Presence(OWN, store, LoopTimeClock(), counted.append, read, write)
+        task = asyncio.get_running_loop().create_task(presence.run())
+        await asyncio.sleep(wait_s)
+        task.cancel()
+        return presence
+
+    return run_virtual(scenario()), counted
+
+
+CONFLICT = OBJECT_CONFLICT.because("exists")
+DOWN = STORE_UNAVAILABLE.because("down")
+OTHERS = {"near": "10.0.0.2:1,a", "far": "10.0.0.3:1,b"}
+
+# (case, results of entering, entries, seconds, counts)
+STARTS = [
+    ("first start waits for the others", [None], OTHERS, 1.0, []),
+    ("first start", [None], OTHERS, 3.5, [3]),
+    ("restart counts at once", [CONFLICT], OTHERS, 0.1, [3]),
+    ("store away first", [DOWN, CONFLICT], OTHERS, 1.5, [3]),
+    ("unreadable entry counts", [CONFLICT], {**OTHERS, "odd": "?"}, 0.1, [4]),
+]
+
+
+@pytest.mark.parametrize(
+    ("entered", "entries", "wait_s", "counts"),
+    [case[1:] for case in STARTS],
+    ids=[case[0] for case in STARTS],
+)
+def test_count(entered, entries, wait_s, counts):
+    """Too low a count lets the fleet repeat more calls than it may."""
+    presence, counted = follow(Store(entered, entries), wait_s)
+    assert counted == counts
+    if counts:
+        assert [item.name for item in presence.peers] == ["near", "far"]
+        assert [item.name for item in presence.near_peers] == ["near"]
+        assert presence.n_near() == 2
+
+
+# (case, own entry in the store, whether it is written again)
+OWN_ENTRIES = [
+    ("as it is", "10.0.0.1:1,a", False),
+    ("other address", "10.0.0.9:1,a", True),
+    ("unreadable", "?", True),
+]
+
+
+@pytest.mark.parametrize(
+    ("value", "is_updated"),
+    [case[1:] for case in OWN_ENTRIES],
+    ids=[case[0] for case in OWN_ENTRIES],
+)
+def test_entry_of_an_earlier_start_is_corrected(value, is_updated):
+    """Peers would call an address that nobody listens on."""
+    store = Store([CONFLICT], {"own": value, **OTHERS})
+    follow(store, 0.1)
+    assert bool(store.updated) == is_updated
