Tell followers the age of a leader's news, and let an instance that the store refuses follow too

Followers of a refused leader asked the next one, which answered 503 for 1.4 s, since it had followed and not read the store itself: 132 changes of leader in one zone, and all turned to the store, whose refused calls are priced too.

Change: answers of feeds carry the time since the store confirmed them, so a follower that becomes a leader serves at once; its first watch is short. An instance that the store refuses follows a later leader, and takes a peer's objects as read if the store has just confirmed them.

--- a/chestnuthall/adapters/feeds/_client.py
+++ b/chestnuthall/adapters/feeds/_client.py
@@ -4,7 +4,7 @@
 from urllib.parse import quote
 
 from chestnuthall.adapters.feeds._models import decode_batch
-from chestnuthall.adapters.feeds._server import FEED_PATH
+from chestnuthall.adapters.feeds._server import AGE_MS, AGE_MS_MAX, FEED_PATH
 from chestnuthall.adapters.http import (
     ConnectionPool,
     HttpRequest,
@@ -12,8 +12,13 @@
     KeepAliveProbes,
     PoolSettings,
 )
-from chestnuthall.core.results import HISTORY_TRIMMED, STORE_UNAVAILABLE, Failure
-from chestnuthall.ports import StoredObject, WatchBatch
+from chestnuthall.core.results import (
+    HISTORY_TRIMMED,
+    NOT_READY,
+    STORE_UNAVAILABLE,
+    Failure,
+)
+from chestnuthall.ports import FeedAnswer
 
 # Time that a peer may add to the wait that a watch asks for.
 WATCH_MARGIN_MS = 400.0
@@ -48,7 +53,7 @@
 
     async def watch(
         self, address: str, kind: str, after_version: int, timeout_ms: float
-    ) -> WatchBatch | Failure:
+    ) -> FeedAnswer | Failure:
         """Wait for changes after a version; an empty batch on timeout."""
         query = f"?after={after_version}&wait_ms={timeout_ms:.0f}"
         response = await self._exchange(
@@ -62,13 +67,12 @@
 
     async def snapshot(
         self, address: str, kind: str, timeout_ms: float
-    ) -> tuple[StoredObject, ...] | Failure:
+    ) -> FeedAnswer | Failure:
         """Return all objects of a kind, whatever their age."""
         response = await self._exchange(address, _path(kind), timeout_ms)
         if isinstance(response, Failure):
             return response
-        batch = _read(kind, response)
-        return batch if isinstance(batch, Failure) else batch.changed
+        return _read(kind, response)
 
     async def _exchange(
         self, address: str, target: str, timeout_ms: float
@@ -96,7 +100,16 @@
     return FEED_PATH + quote(kind, safe="")
 
 
-def _read(kind: str, response: HttpResponse) -> WatchBatch | Failure:
+def _read(kind: str, response: HttpResponse) -> FeedAnswer | Failure:
+    if response.status == 503:
+        return NOT_READY.because("the peer has no news of the store")
     if response.status != 200:
         return STORE_UNAVAILABLE.because(f"the peer answered {response.status}")
-    return decode_batch(kind, response.body)
+    batch = decode_batch(kind, response.body)
+    if isinstance(batch, Failure):
+        return batch
+    try:
+        age_ms = float(response.headers.get(AGE_MS, b""))
+    except ValueError:
+        age_ms = AGE_MS_MAX
+    return FeedAnswer(batch, age_ms)
--- a/chestnuthall/adapters/feeds/_server.py
+++ b/chestnuthall/adapters/feeds/_server.py
@@ -3,15 +3,18 @@
 from collections.abc import Callable
 from urllib.parse import parse_qs, unquote
 
-from chestnuthall.adapters.feeds._models import as_snapshot, encode_batch
+from chestnuthall.adapters.feeds._models import encode_batch
 from chestnuthall.adapters.http import HttpRequest, HttpResponse
 from chestnuthall.core.results import HISTORY_TRIMMED, Failure
-from chestnuthall.ports import FeedSource, StoredObject, WatchBatch
+from chestnuthall.ports import FeedAnswer, FeedSource, WatchBatch
 
 FEED_PATH = "/v1/feeds/"
 # Longest wait that a peer may ask for.
 WAIT_MS_MAX = 10_000.0
 N_ENCODED_KEPT = 8
+AGE_MS = b"x-age-ms"
+# Stands for any longer time, and for never.
+AGE_MS_MAX = 1e9
 
 
 class FeedFrontend:
@@ -24,7 +27,7 @@
     def __init__(
         self,
         feed: Callable[[str], FeedSource | None],
-        known: Callable[[str], tuple[StoredObject, ...]],
+        known: Callable[[str], FeedSource | None],
     ) -> None:
         self._feed = feed
         self._known = known
@@ -38,7 +41,10 @@
         kind = unquote(request.path.removeprefix(FEED_PATH))
         options = {name: value[0] for name, value in parse_qs(request.query).items()}
         if "after" not in options:
-            return self._respond(as_snapshot(self._known(kind)))
+            known = self._known(kind)
+            return (
+                HttpResponse(404) if known is None else self._respond(known.snapshot())
+            )
         try:
             after = int(options["after"])
             wait_ms = min(float(options.get("wait_ms", "0")), WAIT_MS_MAX)
@@ -47,12 +53,19 @@
         feed = self._feed(kind)
         if feed is None:
             return HttpResponse(503)
-        batch = await feed.watch(after, wait_ms)
-        if isinstance(batch, Failure):
-            return HttpResponse(410 if batch.kind is HISTORY_TRIMMED else 503)
-        return self._respond(batch)
+        answer = await feed.watch(after, wait_ms)
+        if isinstance(answer, Failure):
+            return HttpResponse(410 if answer.kind is HISTORY_TRIMMED else 503)
+        return self._respond(answer)
 
-    def _respond(self, batch: WatchBatch) -> HttpResponse:
+    def _respond(self, answer: FeedAnswer) -> HttpResponse:
+        headers = {
+            b"content-type": b"application/octet-stream",
+            AGE_MS: b"%.0f" % min(answer.age_ms, AGE_MS_MAX),
+        }
+        return HttpResponse(200, headers, self._body(answer.batch))
+
+    def _body(self, batch: WatchBatch) -> bytes:
         body = self._encoded.get(batch)
         if not batch.changed:
             body = encode_batch(batch)
@@ -60,4 +73,4 @@
             while len(self._encoded) >= N_ENCODED_KEPT:
                 del self._encoded[next(iter(self._encoded))]
             body = self._encoded[batch] = encode_batch(batch)
-        return HttpResponse(200, {b"content-type": b"application/octet-stream"}, body)
+        return body
--- a/chestnuthall/core/configuration/_leaders.py
+++ b/chestnuthall/core/configuration/_leaders.py
@@ -9,8 +9,10 @@
 N_INSTANCES_MIN = 5
 # Leaders that an instance asks in turn.
 N_LEADERS_MAX = 3
-# How long a leader that failed is passed over.
+# How long a leader that failed is passed over, or the store by one that leads.
 AVOID_MS = 3_000.0
+# The same for one that answers but has no news; it may turn to the store next.
+AVOID_WITHOUT_NEWS_MS = 500.0
 # Leaves the next leader time to turn to the store itself after its own has failed.
 STAGGER_MS = 20.0
 N_STAGGERED_MAX = 8
@@ -51,7 +53,8 @@
     """Orders the instances of a zone, so that each follows earlier ones only.
 
     All instances with the same view agree without a message. The first one follows
-    none, and another one follows the first that is not passed over.
+    none, and another one follows the first that is not passed over. Only what comes
+    from the store is handed on, so that none follows itself over others.
 
     Examples
     --------
@@ -65,6 +68,7 @@
     position: int = 0
     may_lead: bool = False
     _avoided_until_ms: dict[str, float] = field(default_factory=dict)
+    _store_avoided_until_ms: float = float("-inf")
 
     def leader(self, names: Collection[str], now_ms: float) -> str | None:
         """Return the instance to follow now; None is the store."""
@@ -75,14 +79,24 @@
         ordered = sorted(everyone, key=_rank)
         self.position = ordered.index(self.own_name)
         self.may_lead = self.position < N_LEADERS_MAX
-        for name in ordered[: min(self.position, N_LEADERS_MAX)]:
-            if now_ms >= self._avoided_until_ms.get(name, 0.0):
+        n_asked = min(self.position, N_LEADERS_MAX)
+        if now_ms < self._store_avoided_until_ms:
+            # One that the store does not serve follows a later one that it serves.
+            n_asked = N_LEADERS_MAX
+        for name in ordered[:n_asked]:
+            is_other = name != self.own_name
+            if is_other and now_ms >= self._avoided_until_ms.get(name, 0.0):
                 return name
         return None
 
-    def avoid(self, name: str, now_ms: float) -> None:
+    def avoid(self, name: str, now_ms: float, has_answered: bool = False) -> None:
         """Pass over an instance that gave no news for a while."""
-        self._avoided_until_ms[name] = now_ms + AVOID_MS
+        avoid_ms = AVOID_WITHOUT_NEWS_MS if has_answered else AVOID_MS
+        self._avoided_until_ms[name] = now_ms + avoid_ms
+
+    def avoid_store(self, now_ms: float) -> None:
+        """Prefer any leader to the store for a while, which did not answer."""
+        self._store_avoided_until_ms = now_ms + AVOID_MS
 
     @property
     def stagger_ms(self) -> float:
--- a/chestnuthall/core/configuration/tests/test_leaders.py
+++ b/chestnuthall/core/configuration/tests/test_leaders.py
@@ -44,6 +44,28 @@
     assert choice.leader(names, 2_000.0) == leader
 
 
+# (case, own name, leaders that failed, leader while the store does not answer)
+WITHOUT_STORE = [
+    ("first follows the second", FIRST, (), SECOND),
+    ("second follows the first", SECOND, (), FIRST),
+    ("second with a failed first", SECOND, (FIRST,), THIRD),
+    ("nobody has news", REST[0], (FIRST, SECOND, THIRD), None),
+]
+
+
+@pytest.mark.parametrize(
+    ("own_name", "failed", "leader"),
+    [case[1:] for case in WITHOUT_STORE],
+    ids=[case[0] for case in WITHOUT_STORE],
+)
+def test_instance_that_the_store_refuses_follows_another(own_name, failed, leader):
+    choice = LeaderChoice(own_name)
+    choice.avoid_store(1_000.0)
+    for name in failed:
+        choice.avoid(name, 1_000.0)
+    assert choice.leader(NAMES, 2_000.0) == leader
+
+
 def test_failed_leader_is_asked_again_later():
     choice = LeaderChoice(SECOND)
     choice.avoid(FIRST, 0.0)
--- a/chestnuthall/ports/__init__.py
+++ b/chestnuthall/ports/__init__.py
@@ -12,6 +12,7 @@
     RequestTracker,
 )
 from chestnuthall.ports._feeds import (
+    FeedAnswer,
     FeedSource,
     PeerFeeds,
 )
@@ -70,6 +71,7 @@
     "ListedInstance",
     "MemberUpdate",
     "Metrics",
+    "FeedAnswer",
     "FeedSource",
     "ObjectStore",
     "PeerFeeds",
--- a/chestnuthall/services/_object_feed.py
+++ b/chestnuthall/services/_object_feed.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 from chestnuthall.core.results import HISTORY_TRIMMED, STORE_UNAVAILABLE, Failure
-from chestnuthall.ports import Clock, StoredObject, WatchBatch
+from chestnuthall.ports import Clock, FeedAnswer, StoredObject, WatchBatch
 
 # Batches of changes kept for peers; one that is further behind reads the store.
 N_BATCHES_KEPT = 64
@@ -40,9 +40,10 @@
         """Time since the store confirmed what is known here."""
         return self._clock.now_ms() - self._confirmed_ms
 
-    def confirm(self) -> None:
-        """Note that the store has just confirmed what is known."""
-        self._confirmed_ms = self._clock.now_ms()
+    def confirm(self, age_ms: float = 0.0) -> None:
+        """Note that the store confirmed ``age_ms`` ago what is known."""
+        confirmed_ms = self._clock.now_ms() - age_ms
+        self._confirmed_ms = max(self._confirmed_ms, confirmed_ms)
 
     def load(self, objects: Sequence[StoredObject], version: int) -> None:
         """Take in all objects as they were at a version, as changes since the last."""
@@ -74,15 +75,16 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def snapshot(self) -> tuple[StoredObject, ...]:
-        """Return all objects, with the version from which to follow."""
-        return tuple(
+    def snapshot(self) -> FeedAnswer:
+        """Return all objects with the version from which to follow."""
+        objects = tuple(
             replace(item, seen_version=self.version) for item in self._objects.values()
         )
+        return FeedAnswer(WatchBatch(self.version, objects), self.age_ms)
 
     async def watch(
         self, after_version: int, timeout_ms: float
-    ) -> WatchBatch | Failure:
+    ) -> FeedAnswer | Failure:
         """Return the changes after a version once there are any, or nothing."""
         ends_ms = self._clock.now_ms() + timeout_ms
         while True:
@@ -93,7 +95,7 @@
             batch = self._changes_after(after_version)
             left_ms = ends_ms - self._clock.now_ms()
             if batch.changed or batch.deleted_names or left_ms <= 0.0:
-                return batch
+                return FeedAnswer(batch, self.age_ms)
             # The age is looked at again while there is no news.
             await self._wait_changed(min(left_ms, self._age_max_ms / 4.0))
 
--- a/chestnuthall/services/_shared_store.py
+++ b/chestnuthall/services/_shared_store.py
@@ -4,8 +4,15 @@
 from collections.abc import Callable, Collection, Sequence
 
 from chestnuthall.core.configuration import FeedTiming, LeaderChoice
-from chestnuthall.core.results import STORE_UNAVAILABLE, Failure
-from chestnuthall.ports import Clock, ObjectStore, PeerFeeds, StoredObject, WatchBatch
+from chestnuthall.core.results import NOT_READY, STORE_UNAVAILABLE, Failure
+from chestnuthall.ports import (
+    Clock,
+    FeedAnswer,
+    ObjectStore,
+    PeerFeeds,
+    StoredObject,
+    WatchBatch,
+)
 from chestnuthall.services._object_feed import ObjectFeed
 from chestnuthall.services._presence import InstanceEntry
 
@@ -13,6 +20,8 @@
 
 # One wait at a leader. A leader that is gone without a sign is noticed after it.
 PEER_WAIT_MS = 1_000.0
+# First watch of an instance that becomes a leader.
+FIRST_WATCH_MS = 50.0
 # Time for all objects of a kind from a peer, for an instance that starts while the
 # store is away.
 SNAPSHOT_TIMEOUT_MS = 300.0
@@ -55,10 +64,9 @@
         """Return the feed of a kind that is shared, if it comes from the store."""
         return self._feeds[kind] if kind in self._own else None
 
-    def known(self, kind: str) -> tuple[StoredObject, ...]:
-        """Return the objects of a kind that are known here, whatever their age."""
-        feed = self._feeds.get(kind)
-        return () if feed is None else feed.snapshot()
+    def known(self, kind: str) -> ObjectFeed | None:
+        """Return the feed of a kind that is shared, wherever it comes from."""
+        return self._feeds.get(kind)
 
     async def get(
         self, kind: str, name: str, timeout_ms: float
@@ -102,25 +110,33 @@
         that starts meanwhile learns what they know.
         """
         for address in self._peer_addresses():
-            found = await self._peer_feeds.snapshot(address, kind, SNAPSHOT_TIMEOUT_MS)
-            if isinstance(found, Failure) or not found:
-                continue
-            version = found[0].seen_version
-            if version <= feed.version:
+            answer = await self._peer_feeds.snapshot(address, kind, SNAPSHOT_TIMEOUT_MS)
+            if isinstance(answer, Failure) or not self._is_better(answer, feed):
                 continue
-            _log.warning(
-                "objects taken from a peer",
-                extra={
-                    "kind": kind,
-                    "address": address,
-                    "n_objects": len(found),
-                    "version": version,
-                },
-            )
-            feed.load(found, version)
-            return found
+            batch = answer.batch
+            if batch.version > feed.version:
+                _log.warning(
+                    "objects taken from a peer",
+                    extra={
+                        "kind": kind,
+                        "address": address,
+                        "n_objects": len(batch.changed),
+                        "version": batch.version,
+                    },
+                )
+            feed.load(batch.changed, batch.version)
+            feed.confirm(answer.age_ms)
+            return batch.changed
         return ()
 
+    def _is_better(self, answer: FeedAnswer, feed: ObjectFeed) -> bool:
+        """Return whether a peer knows more, or knows from the store that it is all."""
+        batch = answer.batch
+        if not batch.changed or batch.version < feed.version:
+            return False
+        is_fresh = answer.age_ms <= self._timing.age_max_ms
+        return batch.version > feed.version or is_fresh
+
     def _peer_addresses(self) -> list[str]:
         """Return a few peers to ask: those in the zone first, and the seeds."""
         near = [item.address for item in self._near_peers()]
@@ -171,14 +187,18 @@
         self, kind: str, after_version: int, left_ms: float
     ) -> WatchBatch | Failure:
         """Watch the store, more often where peers may follow this instance."""
+        feed = self._feeds[kind]
         if self._choice.may_lead:
             left_ms = self._timing.watch_timeout_ms
+            if kind not in self._own:
+                # Its followers need to know soon that it has news.
+                left_ms = FIRST_WATCH_MS
         self._own.add(kind)
         batch = await self._store.watch(kind, after_version, left_ms)
         if isinstance(batch, Failure):
             self._own.discard(kind)
+            self._choice.avoid_store(self._clock.now_ms())
             return batch
-        feed = self._feeds[kind]
         feed.apply(batch)
         feed.confirm()
         return batch
@@ -192,18 +212,21 @@
     ) -> WatchBatch:
         """Wait at a leader; nothing if it has failed and another one is to be asked."""
         self._own.discard(kind)
-        batch = await self._peer_feeds.watch(
+        answer = await self._peer_feeds.watch(
             leader.address, kind, after_version, min(left_ms, PEER_WAIT_MS)
         )
-        if not isinstance(batch, Failure):
-            self._feeds[kind].apply(batch)
-            return batch
+        if not isinstance(answer, Failure):
+            feed = self._feeds[kind]
+            feed.apply(answer.batch)
+            feed.confirm(answer.age_ms)
+            return answer.batch
         # A leader that has just started keeps no changes before its start; another one
         # or the store does.
-        self._choice.avoid(leader.name, self._clock.now_ms())
+        has_answered = answer.kind is NOT_READY
+        self._choice.avoid(leader.name, self._clock.now_ms(), has_answered)
         _log.info(
             "leader passed over",
-            extra={"kind": kind, "leader": leader.name, "reason": batch.reason},
+            extra={"kind": kind, "leader": leader.name, "reason": answer.reason},
         )
         await self._clock.sleep_ms(self._choice.stagger_ms)
         return WatchBatch(after_version, ())
