Keep the product's own upstream protocol out of instances on the platform

Change: the codec of the product's own protocol, with its documents and maps, is a package of its own, adapters/searchapi; the shard caller takes any codec. The tests of that protocol moved with it, unchanged but for the caller's name.

--- a/benchmarks/_processor_time.py
+++ b/benchmarks/_processor_time.py
@@ -14,7 +14,7 @@
 from chestnuthall.adapters.documents import JsonPartitionCodec, read_environment
 from chestnuthall.adapters.http import HttpRequest
 from chestnuthall.adapters.metrics import NullMetrics
-from chestnuthall.adapters.upstreams import HttpShardCaller, encode_call
+from chestnuthall.adapters.searchapi import SearchCaller, encode_call
 from chestnuthall.core.claims import LedgerSettings
 from chestnuthall.core.model import (
     Answer,
@@ -160,11 +160,11 @@
 
 def _make_query_service(
     partition_map: PartitionMap, document: EnvironmentDocument
-) -> tuple[QueryService, HttpShardCaller]:
+) -> tuple[QueryService, SearchCaller]:
     clock = LoopClock()
     identity = Identity("entry-0", "", "zone-a")
     store = FixedStore(clock, tuple)
-    caller = HttpShardCaller(clock)
+    caller = SearchCaller(clock)
     caller.set_connection_budget("g", 8)
     keeper = ConfigurationKeeper(
         "trial", store, clock, lambda text: INVALID_REQUEST.because("unused")
--- /dev/null
+++ b/chestnuthall/adapters/searchapi/__init__.py
@@ -0,0 +1,10 @@
+"""The product's own protocol towards upstreams; see ``docs/upstream-interface.md``."""
+
+from chestnuthall.adapters.searchapi._caller import SearchCaller
+from chestnuthall.adapters.searchapi._codec import (
+    SearchCodec,
+    encode_call,
+    read_answer,
+)
+
+__all__ = ["SearchCaller", "SearchCodec", "encode_call", "read_answer"]
--- a/chestnuthall/adapters/upstreams/tests/test_contract.py
+++ b/chestnuthall/adapters/searchapi/tests/test_contract.py
@@ -6,7 +6,7 @@
 
 from chestnuthall.adapters.clock import LoopClock
 from chestnuthall.adapters.http import HttpResponse
-from chestnuthall.adapters.upstreams import HttpShardCaller, read_answer
+from chestnuthall.adapters.searchapi import SearchCaller, read_answer
 from chestnuthall.core.model import (
     MutationRequest,
     PartitionMap,
@@ -69,7 +69,7 @@
     )
     server.add_snapshot(IndexSnapshot("g", 1, "s0", KEYS))
     port = await server.start("127.0.0.1", 0)
-    caller = HttpShardCaller(LoopClock())
+    caller = SearchCaller(LoopClock())
     caller.set_connection_budget("g", 2)
     try:
         return await use(caller, server, f"127.0.0.1:{port}")
@@ -113,7 +113,7 @@
 
 def test_refused_connection_was_not_run():
     async def scenario():
-        caller = HttpShardCaller(LoopClock())
+        caller = SearchCaller(LoopClock())
         call = make_call(1, "127.0.0.1:1", LoopClock().now_ms())
         return await caller.call(call)
 
--- a/chestnuthall/adapters/upstreams/_caller.py
+++ b/chestnuthall/adapters/upstreams/_caller.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass, replace
 from hashlib import blake2b
 
-from chestnuthall.adapters.documents import read_partition_map
 from chestnuthall.adapters.http import (
     ClientConnection,
     ConnectionPool,
@@ -14,9 +13,7 @@
     PoolSettings,
 )
 from chestnuthall.adapters.upstreams._codec import UpstreamCodec
-from chestnuthall.adapters.upstreams._wire import SearchCodec, read_health
 from chestnuthall.core.model import (
-    PartitionMap,
     Replica,
     ShardAnswer,
     ShardCall,
@@ -27,7 +24,6 @@
     CALL_TIMED_OUT,
     CONNECTION_LOST,
     DEADLINE_PASSED,
-    UPSTREAM_ERROR,
     Failure,
 )
 from chestnuthall.ports import CallListener, CancelCall, Clock
@@ -69,7 +65,7 @@
     def __init__(
         self,
         clock: Clock,
-        codec: UpstreamCodec | None = None,
+        codec: UpstreamCodec,
         pool_settings: PoolSettings | None = None,
         name: str = "",
         zone: str = "",
@@ -77,7 +73,7 @@
         self._name = name
         self._zone = zone
         self._clock = clock
-        self._codec: UpstreamCodec = codec or SearchCodec()
+        self._codec = codec
         self._pool_settings = pool_settings or PoolSettings()
         self._pools: dict[str, ConnectionPool] = {}
         self._group_of_address: dict[str, str] = {}
@@ -314,6 +310,19 @@
             return ANSWER_CUT.because(failure.reason)
         return failure
 
+    async def exchange(
+        self, replica: Replica, group: str, request: HttpRequest, timeout_ms: float
+    ) -> HttpResponse | Failure:
+        """Send another request than a call to a replica; return its response.
+
+        The group serves for a replica that is not known yet; "" if it is not known
+        either.
+        """
+        group = self._group_of_address.get(replica.address) or group
+        return await self._exchange(
+            self._pool(replica.address, group), request, timeout_ms
+        )
+
     async def _exchange(
         self, pool: ConnectionPool, request: HttpRequest, timeout_ms: float
     ) -> HttpResponse | Failure:
@@ -333,32 +342,6 @@
         self._background.add(task)
         task.add_done_callback(self._background.discard)
 
-    async def fetch_partition_map(
-        self, replica: Replica, timeout_ms: float
-    ) -> PartitionMap | Failure:
-        """Return the newest partition map that a replica knows."""
-        group = self._group_of_address.get(replica.address, "")
-        pool = self._pool(replica.address, group)
-        request = HttpRequest("GET", "/v1/partition-map")
-        response = await self._exchange(pool, request, timeout_ms)
-        if isinstance(response, Failure):
-            return response
-        if response.status != 200:
-            return UPSTREAM_ERROR.because(f"status {response.status}")
-        return read_partition_map(response.body)
-
-    async def check_health(
-        self, group: str, replica: Replica, timeout_ms: float
-    ) -> bool | Failure:
-        """Return whether the replica says that it drains."""
-        pool = self._pool(replica.address, group)
-        response = await self._exchange(
-            pool, HttpRequest("GET", "/v1/health"), timeout_ms
-        )
-        if isinstance(response, Failure):
-            return response
-        return read_health(response)
-
     def close(self) -> None:
         """Close the idle connections."""
         for pool in self._pools.values():
--- a/chestnuthall/daemon/_instance.py
+++ b/chestnuthall/daemon/_instance.py
@@ -25,8 +25,8 @@
 from chestnuthall.adapters.metrics import NullMetrics, StatsdMetrics
 from chestnuthall.adapters.objectapi import HttpObjectStore
 from chestnuthall.adapters.peers import GrpcPeerServer, GrpcPeerTransport
+from chestnuthall.adapters.searchapi import SearchCaller
 from chestnuthall.adapters.settings import InstanceSettings
-from chestnuthall.adapters.upstreams import HttpShardCaller
 from chestnuthall.core.claims import LedgerSettings
 from chestnuthall.core.configuration import is_watcher
 from chestnuthall.core.model import Configuration
@@ -105,7 +105,7 @@
             HttpObjectStore(settings.store_address), metrics, clock
         )
         self.store = store
-        self.caller = HttpShardCaller(clock)
+        self.caller = SearchCaller(clock)
         self.transport = GrpcPeerTransport()
         self.lifecycle = Lifecycle(clock, settings.leave_notice_ms)
         self.configuration = ConfigurationKeeper(
--- a/chestnuthall/ports/__init__.py
+++ b/chestnuthall/ports/__init__.py
@@ -50,6 +50,8 @@
     CallListener,
     CancelCall,
     DirectShardCaller,
+    MapFetcher,
+    MapFetchingCaller,
     ReplicaHealth,
     ShardCaller,
 )
@@ -58,6 +60,8 @@
     "CallListener",
     "CancelCall",
     "DirectShardCaller",
+    "MapFetcher",
+    "MapFetchingCaller",
     "CallerListener",
     "ClassUse",
     "Clock",
--- a/chestnuthall/ports/_shards.py
+++ b/chestnuthall/ports/_shards.py
@@ -20,12 +20,6 @@
         """Run one call and return the whole answer that echoes its id."""
         ...
 
-    async def fetch_partition_map(
-        self, replica: Replica, timeout_ms: float
-    ) -> PartitionMap | Failure:
-        """Return the newest partition map that a replica knows."""
-        ...
-
     def set_connection_budget(
         self,
         group: str,
@@ -42,6 +36,20 @@
         ...
 
 
+class MapFetcher(Protocol):
+    """Asks replicas for their partition maps."""
+
+    async def fetch_partition_map(
+        self, replica: Replica, timeout_ms: float
+    ) -> PartitionMap | Failure:
+        """Return the newest partition map that a replica knows."""
+        ...
+
+
+class MapFetchingCaller(ShardCaller, MapFetcher, Protocol):
+    """Calls replicas that have partition maps."""
+
+
 CallListener = Callable[[ShardAnswer | Failure], None]
 CancelCall = Callable[[], None]
 
--- a/chestnuthall/services/_directory.py
+++ b/chestnuthall/services/_directory.py
@@ -9,7 +9,7 @@
 from chestnuthall.core.model import PartitionMap, Replica, UpstreamGroup
 from chestnuthall.core.results import Failure
 from chestnuthall.core.routing import Router, RouterSettings, SnapshotCatalog
-from chestnuthall.ports import Clock, ObjectStore, ShardCaller
+from chestnuthall.ports import Clock, MapFetcher, ObjectStore
 
 _log = logging.getLogger(__name__)
 
@@ -31,7 +31,7 @@
     def __init__(
         self,
         store: ObjectStore,
-        caller: ShardCaller,
+        caller: MapFetcher,
         clock: Clock,
         read_map: PartitionMapReader,
         zone: str,
--- a/chestnuthall/services/_drain_news.py
+++ b/chestnuthall/services/_drain_news.py
@@ -26,8 +26,8 @@
     DrainNotice,
     InstanceRole,
     ListEntry,
+    MapFetchingCaller,
     PeerDigest,
-    ShardCaller,
 )
 from chestnuthall.services._directory import Directory
 from chestnuthall.services._instance_list import InstanceList
@@ -171,7 +171,7 @@
     """A shard caller that notes the drains that its calls show."""
 
     def __init__(
-        self, caller: ShardCaller, on_signal: Callable[[str, DrainSignal], None]
+        self, caller: MapFetchingCaller, on_signal: Callable[[str, DrainSignal], None]
     ) -> None:
         self._caller = caller
         self._on_signal = on_signal
--- a/chestnuthall/services/_peer_sets.py
+++ b/chestnuthall/services/_peer_sets.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Sequence
 
-from chestnuthall.core.model import PartitionMap, Replica, Shard, ShardAnswer, ShardCall
+from chestnuthall.core.model import Replica, Shard, ShardAnswer, ShardCall
 from chestnuthall.core.results import Failure
 from chestnuthall.core.routing import HashRing, bundle_far_shards
 from chestnuthall.ports import (
@@ -81,12 +81,6 @@
         direct = self._direct[call.shard_set is not None]
         return None if direct is None else direct.begin(call, on_result)
 
-    async def fetch_partition_map(
-        self, replica: Replica, timeout_ms: float
-    ) -> PartitionMap | Failure:
-        """Return the newest partition map that a replica knows."""
-        return await self._replicas.fetch_partition_map(replica, timeout_ms)
-
     def set_connection_budget(
         self,
         group: str,
