--- a/chestnuthall/platform/tests/soak/__main__.py
+++ b/chestnuthall/platform/tests/soak/__main__.py
@@ -28,12 +28,14 @@
     scatter_route,
 )
 
-N_INSTANCES = 3
+# Enough in the first zone that they follow a leader; those of the second have no
+# replicas in their zone and leave their searches to peers.
+ZONES = ("a", "a", "a", "a", "a", "b", "b")
+READY_TIMEOUT_S = 30.0
 SERVICES = ("s0", "s1", "s2", "t")
 N_REPLICAS = 3
 DURATION_S = 10.0
 REQUEST_TIMEOUT_S = 3.0
-READY_TIMEOUT_S = 15.0
 # Part of the callers' requests that must be served although faults never end.
 SERVED_RATIO_MIN = 0.5
 
@@ -41,8 +43,9 @@
 class Instance:
     """One real process with its own way to the store."""
 
-    def __init__(self, number, folder, store_port):
+    def __init__(self, number, zone, folder, store_port):
         self.name = f"entry-{number}"
+        self.zone = zone
         self.log = folder / f"{self.name}.log"
         self.settings = folder / f"{self.name}.jsonc"
         self.proxy = FaultProxy(store_port)
@@ -53,10 +56,13 @@
         await self.proxy.start()
         for name in ("caller", "ready", "metrics", "peer"):
             self.addresses[name] = f"{LOOPBACK}:{await free_port()}"
+
+    def write_settings(self, seeds):
         values = {f"{name}_address": text for name, text in self.addresses.items()}
         values |= {
             "name": self.name,
-            "zone": "a",
+            "zone": self.zone,
+            "seed_addresses": seeds,
             "store_address": f"{LOOPBACK}:{self.proxy.port}",
             "store_settle_ms": 4000,
             "configuration_deadline_ms": 3000,
@@ -124,10 +130,14 @@
         self._configure()
         store_port = await self.world.store.server.start(LOOPBACK, 0)
         self.instances = [
-            Instance(number, self.folder, store_port) for number in range(N_INSTANCES)
+            Instance(number, zone, self.folder, store_port)
+            for number, zone in enumerate(ZONES)
         ]
         for instance in self.instances:
             await instance.prepare()
+        seeds = [item.addresses["peer"] for item in self.instances[:3]]
+        for instance in self.instances:
+            instance.write_settings(seeds)
             instance.start()
         await self.world.until(self._are_listening, READY_TIMEOUT_S)
 
