--- a/chestnuthall/core/fanout/tests/test_shard_sets.py
+++ b/chestnuthall/core/fanout/tests/test_shard_sets.py
@@ -133,6 +133,36 @@
     assert done.coverage.n_shards_total == N_SHARDS
 
 
+class CountedBudget:
+    """Notes the shards whose first calls were counted."""
+
+    def __init__(self):
+        self.earned = []
+
+    def earn(self, shard_ids, utilisation_ratio, now_ms):
+        self.earned += shard_ids
+
+    def try_take_retry(self, shard_id, now_ms, may_overdraw=False):
+        return True
+
+    def try_take_hedge(self, shard_id, now_ms, lateness_ratio):
+        return False
+
+
+def test_first_calls_count_where_they_are_made():
+    """A search that counted at two instances would allow twice its repeats."""
+    fan_out = make_with_set()
+    budget = CountedBudget()
+    fan_out.context = replace(fan_out.context, budget=budget)
+    call, _ = begin(fan_out)
+    singles = [f"s{i}" for i in range(N_MEMBERS, N_SHARDS)]
+    assert budget.earned == singles
+    refused = CONNECTION_REFUSED.because("test")
+    (second,) = calls_of(fan_out.handle(CallFailed(1.0, call.call_id, refused)))
+    fan_out.handle(CallFailed(2.0, second.call_id, refused))
+    assert budget.earned == [*singles, "s0", "s1", "s2"]
+
+
 def test_set_is_not_hedged():
     """Its second run would be a repeat at each of its shards."""
     fan_out = make_with_set()
--- /dev/null
+++ b/chestnuthall/platform/tests/test_configuration.py
@@ -0,0 +1,26 @@
+"""Guards what the operator's document becomes."""
+
+import json
+
+import pytest
+
+from chestnuthall.platform._configuration import read_configuration
+from chestnuthall.platform.tests.standins import document, scatter_route
+
+# (objective ms, shards, soft deadline ms)
+SOFT_DEADLINES = [
+    (400, 10, 400 - 32 - 2),
+    (71, 10, 71 - 16 - 2),
+    (73, 36, 73 - 16 - 7.2),
+    (30, 36, 15),
+]
+
+
+@pytest.mark.parametrize(("objective_ms", "n_shards", "soft_ms"), SOFT_DEADLINES)
+def test_soft_deadline_leaves_time_for_the_response(objective_ms, n_shards, soft_ms):
+    """Searches over 36 shards were answered 2 ms too late, six in ten."""
+    shards = [f"s{i}" for i in range(n_shards)]
+    route = scatter_route(shards, TargetLatencyMs=objective_ms)
+    configuration = read_configuration(json.dumps(document(1, [route], shards)))
+    (caller_class,) = configuration.document.classes
+    assert caller_class.soft_deadline_ms == pytest.approx(soft_ms)
--- a/chestnuthall/platform/tests/test_peer_calls.py
+++ b/chestnuthall/platform/tests/test_peer_calls.py
@@ -1,12 +1,18 @@
 """Guards searches that a peer runs in the zone of the replicas, on real sockets."""
 
 import asyncio
+import json
 from contextlib import asynccontextmanager
 
 import pytest
 
 from chestnuthall.adapters.http import ConnectionPool, PoolSettings
-from chestnuthall.platform.tests.standins import forward_route, scatter_route, world
+from chestnuthall.platform.tests.standins import (
+    document,
+    forward_route,
+    scatter_route,
+    world,
+)
 from chestnuthall.services import InstanceEntry
 
 SHARDS = ("s0", "s1", "s2", "s3")
@@ -40,6 +46,11 @@
 
 
 async def other_revision(made, peer):
+    newer = document(2, [scatter_route(SHARDS)], SHARDS)
+    peer.configuration.offer_text(json.dumps(newer), "test")
+
+
+async def no_configuration(made, peer):
     peer.configuration._in_force = None
 
 
@@ -60,6 +71,7 @@
 PEERS = [
     ("sound", sound, True),
     ("another configuration", other_revision, False),
+    ("no configuration", no_configuration, False),
     ("leaving", leaving, False),
     ("gone", gone, False),
 ]
--- a/chestnuthall/services/tests/test_shared_store.py
+++ b/chestnuthall/services/tests/test_shared_store.py
@@ -30,6 +30,7 @@
         self.version = 1
         self.n_calls = 0
         self.n_lists = 0
+        self.watched_ms = {}
         self.refused = set()
         self.silent = set()
         self._changed = asyncio.Event()
@@ -69,6 +70,7 @@
 
     async def watch(self, kind, after_version, timeout_ms):
         store = self._store
+        store.watched_ms.setdefault(self._name, []).append(timeout_ms)
         failure = await self._enter(timeout_ms + 1_000.0)
         if failure is not None:
             return failure
@@ -264,6 +266,22 @@
     assert n_calls <= 30_000.0 / FeedTiming(IN_FORCE_MS).watch_timeout_ms + 1
 
 
+def test_new_leader_has_news_soon_and_asks_often():
+    """Its followers turned to the store while its first watch waited."""
+
+    async def scenario():
+        fleet = Fleet()
+        for name in fleet.names:
+            fleet.start(name)
+        await asyncio.sleep(10.0)
+        return fleet.store.watched_ms[fleet.names[0]], list(fleet.store.watched_ms)
+
+    watched_ms, watchers = run_virtual(scenario())
+    assert watched_ms[0] < 100.0
+    assert set(watched_ms[1:]) == {FeedTiming(IN_FORCE_MS).watch_timeout_ms}
+    assert len(watchers) < N_INSTANCES
+
+
 def test_restart_of_the_leader_makes_no_one_read_everything_again():
     """Its feed begins at its start, and each follower listed the store for that."""
 
