Bound the watches of instances whose leaders have no news

Cause: in a silent outage of the store, a follower whose three leaders had no news began a watch of up to 5 s itself, which heard nothing of the store's return: 5.3 s after it, a change was not in force yet, and 5 s are allowed.

Ruled out: reading the store first, which costs a listing for each follower and kind whenever a leader restarts.

--- a/chestnuthall/core/configuration/_leaders.py
+++ b/chestnuthall/core/configuration/_leaders.py
@@ -66,7 +66,8 @@
 
     own_name: str
     position: int = 0
-    may_lead: bool = False
+    # Whether the zone is large enough for instances to follow one another.
+    is_shared: bool = False
     _avoided_until_ms: dict[str, float] = field(default_factory=dict)
     _store_avoided_until_ms: float = float("-inf")
 
@@ -74,11 +75,11 @@
         """Return the instance to follow now; None is the store."""
         everyone = {*names, self.own_name}
         if len(everyone) < N_INSTANCES_MIN:
-            self.may_lead = False
+            self.is_shared = False
             return None
         ordered = sorted(everyone, key=_rank)
         self.position = ordered.index(self.own_name)
-        self.may_lead = self.position < N_LEADERS_MAX
+        self.is_shared = True
         n_asked = min(self.position, N_LEADERS_MAX)
         if now_ms < self._store_avoided_until_ms:
             # One that the store does not serve follows a later one that it serves.
--- a/chestnuthall/services/_shared_store.py
+++ b/chestnuthall/services/_shared_store.py
@@ -186,9 +186,13 @@
     async def _watch_store(
         self, kind: str, after_version: int, left_ms: float
     ) -> WatchBatch | Failure:
-        """Watch the store, more often where peers may follow this instance."""
+        """Watch the store, in a zone with leaders for a short time.
+
+        A leader's news must not grow old, and an instance whose leaders have none may
+        begin its watch in an outage of the store, of whose end it would not hear.
+        """
         feed = self._feeds[kind]
-        if self._choice.may_lead:
+        if self._choice.is_shared:
             left_ms = self._timing.watch_timeout_ms
             if kind not in self._own:
                 # Its followers need to know soon that it has news.
--- a/chestnuthall/services/tests/test_shared_store.py
+++ b/chestnuthall/services/tests/test_shared_store.py
@@ -19,6 +19,8 @@
 KIND = "k"
 IN_FORCE_MS = 5_000.0
 WATCH_MS = 5_000.0
+# The store counts as stable so long after an outage, and bounds hold again.
+SETTLE_MS = 5_000.0
 N_INSTANCES = 6
 
 
@@ -33,11 +35,15 @@
         self.watched_ms = {}
         self.refused = set()
         self.silent = set()
+        self.silenced = set()
         self._changed = asyncio.Event()
 
     def put(self, name, value):
         self.version += 1
         self.objects[name] = StoredObject(KIND, name, self.version, value)
+        self.wake()
+
+    def wake(self):
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -74,9 +80,15 @@
         failure = await self._enter(timeout_ms + 1_000.0)
         if failure is not None:
             return failure
+        # Set for the watches that a silent outage meets.
+        store.silenced.discard(self._name)
         loop = asyncio.get_running_loop()
         ends_at_s = loop.time() + timeout_ms / 1000.0
         while True:
+            if self._name in store.silenced:
+                # It hears nothing of the store's return either.
+                await asyncio.sleep(max(0.0, ends_at_s + 1.0 - loop.time()))
+                return STORE_UNAVAILABLE.because("silent")
             changed = tuple(
                 item for item in store.objects.values() if item.version > after_version
             )
@@ -252,6 +264,31 @@
     assert elapsed_ms < IN_FORCE_MS - 1_000.0
 
 
+@pytest.mark.parametrize("lead_s", [0.0, 0.6, 1.2, 1.8, 2.2, 2.8, 3.6, 4.4])
+@pytest.mark.parametrize("outage_s", [0.5, 1.5, 2.0, 2.5, 3.0, 4.5, 9.0])
+def test_change_after_a_silent_outage_is_in_force_once_the_store_is_stable(
+    outage_s, lead_s
+):
+    """A follower whose leaders had no news began a long watch within the outage."""
+
+    async def scenario():
+        fleet = Fleet()
+        for name in fleet.names:
+            fleet.start(name)
+        await asyncio.sleep(7.0 + lead_s)
+        fleet.store.silent.update(fleet.names)
+        fleet.store.silenced.update(fleet.names)
+        fleet.store.wake()
+        await asyncio.sleep(outage_s)
+        fleet.store.silent.clear()
+        fleet.store.put("a", "2")
+        return await fleet.until_all_see(fleet.names, "2", 20.0)
+
+    elapsed_ms = run_virtual(scenario())
+    assert elapsed_ms is not None
+    assert elapsed_ms <= SETTLE_MS
+
+
 def test_calm_zone_costs_the_calls_of_its_leader():
     async def scenario():
         fleet = Fleet()
