Take bounds in real time out of the tests of calls between instances

With a connect timeout of 0 in place of 20 ms, it fails in the same way, and an overloaded peer refuses likewise.

Change: the tests wait longer than a busy machine delays them, and take the overload detector out; the test of the time waited, which measured a duration, is replaced by two on the figures themselves, on both sides of the call. Each of revision, readiness, waited time and own headers was taken out once in a scratch copy and is noticed.

--- a/chestnuthall/platform/tests/test_peer_calls.py
+++ b/chestnuthall/platform/tests/test_peer_calls.py
@@ -6,7 +6,13 @@
 
 import pytest
 
-from chestnuthall.adapters.http import ConnectionPool, PoolSettings
+from chestnuthall.adapters.http import HttpRequest
+from chestnuthall.core.model import Replica, ScatterRequest, ShardCall, ShardSet
+from chestnuthall.core.overload import OverloadDetector
+from chestnuthall.core.results import NOT_READY
+from chestnuthall.platform import _instance
+from chestnuthall.platform._frontend import RelayFrontend
+from chestnuthall.platform._peer_calls import PeerCodec
 from chestnuthall.platform.tests.standins import (
     document,
     forward_route,
@@ -16,6 +22,19 @@
 from chestnuthall.services import InstanceEntry
 
 SHARDS = ("s0", "s1", "s2", "s3")
+# Longer than a busy machine delays anything here.
+PATIENT_MS = 4_000.0
+
+
+@pytest.fixture(autouse=True)
+def patient(monkeypatch):
+    """Keep bounds in real time from deciding where a search runs.
+
+    Beside a load of 20 on 8 cores, the set of a sound peer was searched from here,
+    as it is where a peer does not accept within 20 ms or is overloaded.
+    """
+    monkeypatch.setattr(_instance, "PEER_CONNECT_TIMEOUT_MS", PATIENT_MS)
+    monkeypatch.setattr(OverloadDetector, "observe", lambda detector, lag_ms: False)
 
 
 @asynccontextmanager
@@ -26,7 +45,9 @@
             record = bytes([65 + number]) * 16
             await made.add_replica(f"{shard}r", shard, record)
         await made.add_replica("t", "t", b"body")
-        made.configure(1, [scatter_route(SHARDS), forward_route("t")])
+        patient = {"TimeoutMs": PATIENT_MS, "TargetLatencyMs": PATIENT_MS}
+        routes = [scatter_route(SHARDS, **patient), forward_route("t", **patient)]
+        made.configure(1, routes)
         peer = await made.add_peer("entry-2", "a")
         await made.start(zone="b")
         settings = peer.settings
@@ -88,7 +109,7 @@
     async def scenario():
         async with two_zones() as (made, peer):
             await change(made, peer)
-            response = await made.send("/sweep/x", x_request_deadline_ms="700")
+            response = await made.send("/sweep/x")
             received = [x for r in made.replicas.values() for x in r.received]
             return response, received, n_served(peer, "scatter")
 
@@ -123,9 +144,7 @@
         async with two_zones() as (made, peer):
             for replica in made.replicas.values():
                 replica.delay_s = 0.4
-            task = asyncio.get_running_loop().create_task(
-                made.send("/sweep/x", x_request_deadline_ms="700")
-            )
+            task = asyncio.get_running_loop().create_task(made.send("/sweep/x"))
             await made.until(
                 lambda: all(made.replicas[f"{s}r"].received for s in SHARDS)
             )
@@ -160,26 +179,65 @@
     assert asyncio.run(scenario()) == 0
 
 
-def test_peer_counts_the_time_that_a_search_has_waited():
-    """Its partial answer is due when the caller expects it, not when the peer does."""
+class FixedClock:
+    def now_ms(self):
+        return 1_000.0
 
-    async def scenario():
-        async with two_zones() as (made, peer):
-            made.replicas["s0r"].delay_s = 0.6
-            made.pool = ConnectionPool(peer.settings.peer_address, PoolSettings())
-            loop = asyncio.get_running_loop()
-            started_s = loop.time()
-            response = await made.send(
-                "/sweep/x",
-                x_request_deadline_ms="700",
-                x_chestnuthall_revision="1",
-                x_chestnuthall_shards=",".join(SHARDS),
-                x_chestnuthall_missing_max="1",
-                x_chestnuthall_waited_ms="300",
-            )
-            return response, 1000.0 * (loop.time() - started_s)
 
-    response, duration_ms = asyncio.run(scenario())
-    assert response.status == 200
-    assert response.headers[b"x-missing-parts"] == b"1"
-    assert duration_ms < 200.0
+class RecordedCalls:
+    """Stands for the relay, and for what counts its requests."""
+
+    def __init__(self):
+        self.calls = []
+
+    async def serve(self, call):
+        self.calls.append(call)
+        return NOT_READY.because("test")
+
+    def begin_request(self):
+        """Count nothing."""
+
+    end_request = begin_request
+
+
+def test_peer_counts_the_time_that_a_search_has_waited():
+    """Its partial answer is due when the caller expects it, not when the peer does."""
+    relay = RecordedCalls()
+    frontend = RelayFrontend(relay, relay, FixedClock())
+    headers = {b"x-request-id": b"q", b"x-request-deadline-ms": b"700"}
+    request = HttpRequest("GET", "/sweep/x", headers)
+    asyncio.run(frontend.handle_part(request, frozenset({"s0"}), 1, 300.0))
+    (call,) = relay.calls
+    assert call.arrived_ms == 700.0
+    assert call.arrived_ms + call.deadline_in_ms == 1_700.0
+    assert (call.shard_ids, call.n_missing_max) == ({"s0"}, 1)
+
+
+def test_call_to_a_peer_says_how_long_its_search_has_waited():
+    request = ScatterRequest(
+        request_id="q",
+        class_name="c",
+        group="g",
+        arrived_ms=100.0,
+        deadline_ms=900.0,
+        fingerprint="f",
+        method="GET",
+        target="/sweep/x",
+        headers=((b"host", b"h.example"),),
+        body=b"",
+        n_replicas_max=2,
+        n_records_max=3,
+        n_record_bytes=16,
+    )
+    shard_set = ShardSet(("s0", "s1"), 1)
+    peer = Replica("entry-2", "10.0.0.2:1", "a")
+    call = ShardCall("q.1", peer, "s0+1", 7, 900.0, request, shard_set)
+    encoded = PeerCodec(lambda: 5).encode_call(call, remaining_ms=600.0)
+    assert encoded.headers == {
+        b"host": b"h.example",
+        b"x-request-deadline-ms": b"596",
+        b"x-chestnuthall-revision": b"5",
+        b"x-chestnuthall-shards": b"s0,s1",
+        b"x-chestnuthall-missing-max": b"1",
+        b"x-chestnuthall-waited-ms": b"204",
+    }
