Bound every part of an upstream's response

Change: heads, the number of headers, framing bytes and bodies are bounded; trailers are discarded; only chunked is accepted as transfer encoding. Result: 16 endless streams end in an error with less than 34 MB held, and a response that is cut at any byte is never complete.

--- a/chestnuthall/adapters/http/_responses.py
+++ b/chestnuthall/adapters/http/_responses.py
@@ -13,10 +13,18 @@
 from chestnuthall.adapters.http._messages import HttpRequest, HttpResponse
 
 N_BODY_BYTES_MAX = 16 * 1024 * 1024
+# Limit of the status lines and headers of a response and its interim responses.
 N_HEAD_BYTES_MAX = 64 * 1024
+N_HEADERS_MAX = 256
+# Limit of the bytes of a body that are not content: chunk sizes, chunk extensions and
+# trailers. It grows with the content, since each chunk has a size of its own.
+N_FRAMING_BYTES_MAX = 64 * 1024
+FRAMING_RATIO_MAX = 1
 # Requests with these methods have a content-length header even without a body.
 METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
+_SWITCHING_PROTOCOLS = 101
+_HTTP_VERSIONS = frozenset({"1.0", "1.1"})
 
 
 class ResponseError(Exception):
@@ -52,20 +60,24 @@
     After the response, ``is_reusable`` tells whether the connection can carry
     another request: the response was complete before the end of the stream, no
     bytes followed it, and the server keeps the connection open.
+
+    Each component of a response is bounded, so that a server that sends bytes
+    without end cannot exhaust the memory. Trailers are discarded.
     """
 
     def __init__(self, method: str) -> None:
         self._method = method
         self._parser = httptools.HttpResponseParser(self)
         self._pairs: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
+        self._n_received_bytes = 0
         self._n_head_bytes = 0
-        self._n_body_bytes = 0
         self._has_head = False
         self._ends_at_eof = False
         self._is_complete = False
         self._has_extra_bytes = False
         self._keeps_alive = False
+        self._error: ResponseError | None = None
 
     @property
     def is_reusable(self) -> bool:
@@ -74,18 +86,38 @@
         return is_delimited and self._keeps_alive and self._method != "HEAD"
 
     def feed(self, data: bytes) -> HttpResponse | None:
-        """Parse received bytes; return the response once it is complete."""
-        if not self._has_head:
-            self._n_head_bytes += len(data)
+        """Parse received bytes; return the response once it is complete.
+
+        Raises ``ResponseError`` if the bytes are not a valid response, or if a
+        component of the response exceeds its limit.
+        """
+        self._n_received_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self._is_complete:
-                raise ResponseError(str(error)) from error
+                # The parser replaces an error raised in a callback by its own.
+                raise self._error or ResponseError(str(error)) from error
             self._has_extra_bytes = True
-        if not self._has_head and self._n_head_bytes > N_HEAD_BYTES_MAX:
-            raise ResponseError("the response head is too large")
-        return self._build_response() if self._is_complete else None
+        if self._is_complete:
+            return self._build_response()
+        self._check_overhead()
+        return None
+
+    def _check_overhead(self) -> None:
+        """Raise ``ResponseError`` for too many bytes that are not body content.
+
+        The parser reports a header, a trailer and a chunk only after its end, so the
+        bytes received are counted instead.
+        """
+        if not self._has_head:
+            if self._n_received_bytes > N_HEAD_BYTES_MAX:
+                raise ResponseError("the response head is too large")
+            return
+        n_content = len(self._body)
+        n_framing = self._n_received_bytes - self._n_head_bytes - n_content
+        if n_framing > N_FRAMING_BYTES_MAX + FRAMING_RATIO_MAX * n_content:
+            raise ResponseError("the chunk extensions or trailers are too large")
 
     def feed_eof(self) -> HttpResponse | None:
         """Handle the end of the stream; return a response that it delimits."""
@@ -96,34 +128,54 @@
     def _build_response(self) -> HttpResponse:
         pairs = tuple(self._pairs)
         return HttpResponse(
-            self._parser.get_status_code(), dict(pairs), b"".join(self._body), pairs
+            self._parser.get_status_code(), dict(pairs), bytes(self._body), pairs
         )
 
+    def _reject(self, reason: str) -> ResponseError:
+        """Store the reason, which the parser would not pass on, and return it."""
+        self._error = ResponseError(reason)
+        return self._error
+
     def on_message_begin(self) -> None:
         """Detect a second message; called by the parser."""
         if self._is_complete:
             self._has_extra_bytes = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; called by the parser."""
-        if not self._is_complete:
-            self._pairs.append((name.lower(), value.strip()))
+        """Store a header and discard a trailer; called by the parser."""
+        if self._is_complete or self._has_head:
+            return
+        self._pairs.append((name.lower(), value.strip()))
+        # Two bytes each for the separator and the line break.
+        self._n_head_bytes += len(name) + len(value) + 4
+        if len(self._pairs) > N_HEADERS_MAX:
+            raise self._reject("the response has too many headers")
+        if self._n_head_bytes > N_HEAD_BYTES_MAX:
+            raise self._reject("the response head is too large")
 
     def on_headers_complete(self) -> None:
         """Determine how the body is delimited; called by the parser."""
-        if self._is_complete or self._is_informational():
+        if self._is_complete:
+            return
+        if self._parser.get_http_version() not in _HTTP_VERSIONS:
+            raise self._reject("the HTTP version is not supported")
+        if self._parser.get_status_code() == _SWITCHING_PROTOCOLS:
+            raise self._reject("the protocol was switched without a request for it")
+        if self._is_informational():
             return
         self._has_head = True
         # The parser provides this only until the message is complete.
         self._keeps_alive = self._parser.should_keep_alive()
-        has_length = _header_values(self._pairs, b"content-length")
+        has_length = bool(_header_values(self._pairs, b"content-length"))
         encodings = _header_values(self._pairs, b"transfer-encoding")
         if has_length and encodings:
-            raise ResponseError("both content-length and transfer-encoding are present")
+            raise self._reject("both content-length and transfer-encoding are present")
+        is_chunked = bool(encodings)
+        if is_chunked and [item.lower() for item in encodings] != [b"chunked"]:
+            raise self._reject("the transfer encoding is not supported")
         if self._method == "HEAD":
             self._is_complete = True
             return
-        is_chunked = bool(encodings) and encodings[-1].lower().endswith(b"chunked")
         has_body = self._parser.get_status_code() not in _STATUSES_WITHOUT_BODY
         self._ends_at_eof = has_body and not has_length and not is_chunked
 
@@ -131,10 +183,9 @@
         """Append data to the body; called by the parser."""
         if self._is_complete:
             return
-        self._body.append(data)
-        self._n_body_bytes += len(data)
-        if self._n_body_bytes > N_BODY_BYTES_MAX:
-            raise ResponseError("the response body is too large")
+        if len(self._body) + len(data) > N_BODY_BYTES_MAX:
+            raise self._reject("the response body is too large")
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Complete the response or skip an interim one; called by the parser."""
--- a/chestnuthall/adapters/http/tests/test_responses.py
+++ b/chestnuthall/adapters/http/tests/test_responses.py
@@ -4,6 +4,8 @@
 against reuse of a connection with extra bytes, and against header injection.
 """
 
+import tracemalloc
+
 import pytest
 
 from chestnuthall.adapters.http import HttpRequest
@@ -14,6 +16,7 @@
 )
 
 OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
 # (case, method, received pieces, whether the stream ends, body or None, is reusable)
 RESPONSES = [
     ("length", "GET", [OK + b"content-length: 2\r\n\r\nok"], False, b"ok", True),
@@ -118,6 +121,12 @@
 
 # (case, bytes)
 INVALID_RESPONSES = [
+    ("switched protocol", b"HTTP/1.1 101 Switching\r\nupgrade: x\r\n\r\n"),
+    ("HTTP/0.9", b"HTTP/0.9 200 OK\r\ncontent-length: 2\r\n\r\nok"),
+    ("compressed", OK + b"transfer-encoding: gzip\r\n\r\nok"),
+    ("compressed chunks", OK + b"transfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n"),
+    ("chunked twice", OK + b"transfer-encoding: chunked\r\n" + CHUNKED + b"0\r\n\r\n"),
+    ("too many headers", OK + b"x: y\r\n" * 300 + b"\r\n"),
     ("not HTTP", b"\x16\x03\x01 hello\r\n\r\n"),
     ("no status", b"HTTP/1.1 OK\r\n\r\n"),
     (
@@ -138,7 +147,7 @@
     ids=[case[0] for case in INVALID_RESPONSES],
 )
 def test_invalid_response_is_rejected(data):
-    with pytest.raises(ResponseError):
+    with pytest.raises(ResponseError, match=r"^(?!.*callback)"):
         ResponseParser("GET").feed(data)
 
 
@@ -164,3 +173,97 @@
     """Header injection must not produce a second request at a replica."""
     with pytest.raises(ValueError, match="line break"):
         encode_request(request_, b"a")
+
+
+# (case, bytes before the endless ones, bytes that are repeated)
+ENDLESS_RESPONSES = [
+    ("status line", b"HTTP/1.1 200 ", b"K"),
+    ("bytes that are not HTTP", b"", b"\x00\xff"),
+    ("line breaks before the status line", b"", b"\r\n"),
+    ("header name", OK, b"x"),
+    ("header value", OK + b"x: ", b"y"),
+    ("headers", OK, b"x: y\r\n"),
+    ("interim responses", b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+    ("chunk size", OK + CHUNKED, b"0"),
+    ("chunk extension", OK + CHUNKED + b"1;", b"e"),
+    ("trailer name", OK + CHUNKED + b"0\r\n", b"x"),
+    ("trailer value", OK + CHUNKED + b"0\r\nx: ", b"y"),
+    ("trailers", OK + CHUNKED + b"0\r\n", b"x: y\r\n"),
+    ("chunks with extensions", OK + CHUNKED, b"1;" + b"e" * 400 + b"\r\nx\r\n"),
+    ("small chunks", OK + CHUNKED, b"1\r\nx\r\n"),
+    ("body up to the end of the stream", OK + b"\r\n", b"x"),
+    ("body with a length", OK + b"content-length: 999999999\r\n\r\n", b"x"),
+]
+N_ENDLESS_BYTES = 48 * 1024 * 1024
+N_PIECE_BYTES = 256 * 1024
+# One piece, the limit of the body, and copies of both while they are joined.
+N_HELD_BYTES_MAX = 2 * 17 * 1024 * 1024
+
+
+@pytest.mark.parametrize(
+    ("start", "repeated"),
+    [case[1:] for case in ENDLESS_RESPONSES],
+    ids=[case[0] for case in ENDLESS_RESPONSES],
+)
+def test_endless_response_is_rejected_in_bounded_memory(start, repeated):
+    """An upstream that sends without end must not exhaust the memory."""
+    parser = ResponseParser("GET")
+    piece = repeated * (N_PIECE_BYTES // len(repeated))
+    tracemalloc.start()
+    try:
+        with pytest.raises(ResponseError):
+            _feed_without_end(parser, start, piece)
+        _, n_peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert n_peak_bytes < N_HELD_BYTES_MAX
+
+
+def _feed_without_end(parser, start, piece):
+    parser.feed(start)
+    for _ in range(N_ENDLESS_BYTES // len(piece)):
+        parser.feed(piece)
+
+
+# (case, complete response)
+COMPLETE_RESPONSES = [
+    ("length", OK + b"x: y\r\ncontent-length: 5\r\n\r\nhello"),
+    ("empty body", OK + b"content-length: 0\r\n\r\n"),
+    ("chunked", OK + CHUNKED + b"3;e=1\r\nhel\r\n2\r\nlo\r\n0\r\nt: u\r\n\r\n"),
+    (
+        "interim response first",
+        b"HTTP/1.1 103 Early Hints\r\n\r\n" + OK + b"content-length: 1\r\n\r\nx",
+    ),
+    ("no content", b"HTTP/1.1 204 No Content\r\n\r\n"),
+]
+
+
+@pytest.mark.parametrize(
+    "data",
+    [case[1] for case in COMPLETE_RESPONSES],
+    ids=[case[0] for case in COMPLETE_RESPONSES],
+)
+def test_response_cut_at_any_byte_is_not_complete(data):
+    """A replica that stops in its head or body must not yield an empty success."""
+    for n_bytes in range(len(data)):
+        parser = ResponseParser("GET")
+        assert parser.feed(data[:n_bytes]) is None, data[:n_bytes]
+        assert parser.feed_eof() is None, data[:n_bytes]
+    assert ResponseParser("GET").feed(data) is not None
+
+
+@pytest.mark.parametrize("data", [OK + b"x: y\r\n\r\nhello"])
+def test_response_without_length_needs_its_whole_head(data):
+    n_head_bytes = data.index(b"\r\n\r\n") + 4
+    for n_bytes in range(n_head_bytes):
+        parser = ResponseParser("GET")
+        parser.feed(data[:n_bytes])
+        assert parser.feed_eof() is None, data[:n_bytes]
+
+
+def test_trailers_are_not_headers():
+    """A trailer must not change how the response is interpreted."""
+    trailers = b"x-server-stamp: forged\r\nx-not-executed: 1\r\n"
+    data = OK + CHUNKED + b"2\r\nok\r\n0\r\n" + trailers + b"\r\n"
+    response = ResponseParser("GET").feed(data)
+    assert response.header_pairs == ((b"transfer-encoding", b"chunked"),)
