Book the returns of rejected callers from the backlog

Cause: Retry-After was a constant (50 ms on the platform, 1,000 ms in the product), so that all callers rejected in one moment returned in one moment; a returning caller queued like a new arrival; a query that could no longer end in time waited until its deadline; a search whose replan failed did not count its failed shard. Change: core.overload books a return slot for each rejection, spaced by the service time behind the backlog, and recognises returns without a mark from the caller. Waits for other causes follow the cause. Waiting queries that became hopeless are refused, and loop lag counts as time that a query needs.

--- a/chestnuthall/adapters/callers/_encode.py
+++ b/chestnuthall/adapters/callers/_encode.py
@@ -58,8 +58,9 @@
 def _(outcome: Refusal) -> HttpResponse:
     kind = outcome.failure.kind
     headers = dict(_JSON)
-    if outcome.retry_after_ms is not None:
-        headers[b"retry-after"] = b"%d" % ceil(outcome.retry_after_ms / 1000.0)
+    advice = outcome.advice
+    if advice is not None:
+        headers[b"retry-after"] = b"%d" % ceil(advice.retry_after_ms / 1000.0)
     body = {
         "request_id": outcome.request_id,
         "result_code": int(kind.code),
@@ -67,6 +68,7 @@
         "reason": outcome.failure.reason,
         "run": outcome.run_state,
         "repeat": outcome.repeat,
+        "return": None if advice is None else asdict(advice),
         "configuration_revision": outcome.configuration_revision,
         "account": encode_account(outcome.account),
     }
--- a/chestnuthall/core/admission/__init__.py
+++ b/chestnuthall/core/admission/__init__.py
@@ -8,6 +8,7 @@
     DemandReported,
     ExpireDue,
     FleetUsageReported,
+    LagObserved,
     LimitChanged,
     Reconfigured,
     Refuse,
@@ -24,13 +25,14 @@
     demand_fraction,
 )
 from chestnuthall.core.admission._limit import AdaptiveLimit
-from chestnuthall.core.admission._queue import AdmissionQueue
+from chestnuthall.core.admission._queue import CALL_UNKNOWN_MS, AdmissionQueue
 
 __all__ = [
     "AdaptiveLimit",
     "AdmissionAction",
     "AdmissionEvent",
     "AdmissionQueue",
+    "CALL_UNKNOWN_MS",
     "Admit",
     "Arrive",
     "DemandHistory",
@@ -38,6 +40,7 @@
     "ExpireDue",
     "FleetUsageReported",
     "InstanceDemand",
+    "LagObserved",
     "LimitChanged",
     "Reconfigured",
     "Refuse",
--- a/chestnuthall/core/admission/_events.py
+++ b/chestnuthall/core/admission/_events.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from chestnuthall.core.model import AdmissionAccount, CallerClass
+from chestnuthall.core.model import AdmissionAccount, CallerClass, ReturnAdvice
 from chestnuthall.core.results import Failure
 
 
@@ -83,6 +83,13 @@
     class_demand_ratios: tuple[tuple[str, float], ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class LagObserved(AdmissionEvent):
+    """The event loop ran ``lag_ms`` late, and so will the queries that it serves."""
+
+    lag_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class WakeUpDue(AdmissionEvent):
     """The time that ``AdmissionQueue.wake_at_ms`` returned has been reached."""
@@ -112,7 +119,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Refuse(AdmissionAction):
-    """The query is refused and will not run."""
+    """The query is refused and will not run.
+
+    ``advice`` states when its caller should return; None if a return is of no use.
+    """
 
     failure: Failure
     account: AdmissionAccount
+    advice: ReturnAdvice | None = None
--- a/chestnuthall/core/admission/_queue.py
+++ b/chestnuthall/core/admission/_queue.py
@@ -16,6 +16,7 @@
     DemandReported,
     ExpireDue,
     FleetUsageReported,
+    LagObserved,
     LimitChanged,
     Reconfigured,
     Refuse,
@@ -36,7 +37,9 @@
     CallerClass,
     ClassStanding,
     QueriesAhead,
+    ReturnAdvice,
 )
+from chestnuthall.core.overload import Rejection, ReturnSchedule
 from chestnuthall.core.results import (
     DEADLINE_PASSED,
     DEADLINE_UNREACHABLE,
@@ -48,6 +51,8 @@
 # Fraction of its share up to which the demand of a class counts as low. The margin
 # covers the error of the measured demand and service rate.
 LOW_DEMAND_RATIO = 0.95
+# Duration of a shard call that is assumed until one has been measured.
+CALL_UNKNOWN_MS = 20.0
 
 
 class AdmissionQueue:
@@ -75,6 +80,7 @@
         self.running: dict[str, Ticket] = {}
         self.served_cost: dict[str, float] = {}
         self.admitted: AdmittedCounts = {}
+        self.returns = ReturnSchedule()
         self._virtual_time = 0.0
         self._n_arrived = 0
 
@@ -88,7 +94,9 @@
         if not self.waiting:
             return None
         head = choose_class(self._backlogged(), self.slack)[0].head()
-        return None if head is None else self.capacity.wake_at_ms(head.cost)
+        hopeless_ms = min(map(self._hopeless_at_ms, self.waiting.values()))
+        wake_at_ms = None if head is None else self.capacity.wake_at_ms(head.cost)
+        return hopeless_ms if wake_at_ms is None else min(wake_at_ms, hopeless_ms)
 
     def handle(self, event: AdmissionEvent) -> list[AdmissionAction]:
         """Apply one event and return the resulting admissions and refusals."""
@@ -109,6 +117,9 @@
             arrived_ms=event.now_ms,
             n_ahead_at_arrival=len(self.waiting),
             admitted_at_arrival=dict(self.admitted),
+            is_return=self.returns.redeem(
+                event.class_name, event.deadline_ms - event.now_ms, event.now_ms
+            ),
         )
 
     def enqueue(self, ticket: Ticket) -> None:
@@ -211,9 +222,29 @@
             and not self._admitted_since_arrival(ticket)
         )
 
+    def _hopeless_at_ms(self, ticket: Ticket) -> float:
+        """Return from when on a query is not expected to end before its deadline."""
+        return ticket.deadline_ms - self.service_times.needed_ms(ticket.kind)
+
     def _is_too_late(self, ticket: Ticket, now_ms: float) -> bool:
-        """Return whether a query is not expected to end before its deadline."""
-        return now_ms + self.service_times.needed_ms(ticket.kind) >= ticket.deadline_ms
+        return now_ms >= self._hopeless_at_ms(ticket)
+
+    def refuse_hopeless(self, now_ms: float) -> list[AdmissionAction]:
+        """Refuse the waiting queries that can no longer end before their deadline.
+
+        Answers a backlog that grows faster than it drains: these callers can return
+        elsewhere or later while there is time, and those behind them move up.
+        """
+        actions: list[AdmissionAction] = []
+        for ticket in tuple(self.waiting.values()):
+            if not self._is_too_late(ticket, now_ms):
+                continue
+            self.drop(ticket)
+            is_over = now_ms >= ticket.deadline_ms
+            kind = DEADLINE_PASSED if is_over else DEADLINE_UNREACHABLE
+            failure = kind.with_reason("the remaining time is too short to run")
+            actions.append(self.refuse(ticket, failure, now_ms))
+        return actions
 
     def _start(
         self, queue: ClassQueue, ticket: Ticket, rule: AdmissionRule, now_ms: float
@@ -256,14 +287,24 @@
     def expected_wait_ms(self, ticket: Ticket) -> float:
         """Return how long a new query is expected to wait."""
         queue = self.queues[ticket.class_name]
-        ahead_cost = queue.cost_due_before(ticket.deadline_ms)
+        ahead_cost = queue.cost_ahead_of(ticket)
+        if not ticket.is_return:
+            now_ms = ticket.arrived_ms
+            ahead_cost += self.returns.booked_cost(
+                ticket.class_name, self._hopeless_at_ms(ticket), now_ms
+            )
+        return self._class_wait_ms(queue, ahead_cost)
+
+    def _class_wait_ms(self, queue: ClassQueue, ahead_cost: float) -> float:
+        """Return how long a class takes to start queries of a total cost."""
         if queue.call_gap_ms is not None:
             return ahead_cost * queue.call_gap_ms
+        name = queue.caller_class.name
         shares = {
             item.caller_class.name: item.caller_class.share
             for item in self._backlogged()
         }
-        shares[ticket.class_name] = queue.caller_class.share
+        shares[name] = queue.caller_class.share
         return self.service_times.wait_ms(
             ahead_cost=ahead_cost,
             limit_cost=self.capacity.limit_cost,
@@ -271,10 +312,44 @@
         )
 
     def refuse(self, ticket: Ticket, failure: Failure, now_ms: float) -> Refuse:
-        """Return the refusal of a query, with its account."""
+        """Return the refusal of a query, with its account and when to return."""
         rule = AdmissionRule.NOT_ADMITTED
         account = self._account(ticket, rule, self.standings(), now_ms)
-        return Refuse(ticket.name, failure, account)
+        remaining_ms = ticket.deadline_ms - now_ms
+        advice = self.book_return(ticket.class_name, ticket.cost, remaining_ms, now_ms)
+        return Refuse(ticket.name, failure, account, advice)
+
+    def book_return(
+        self,
+        class_name: str,
+        cost: float,
+        remaining_ms: float,
+        now_ms: float,
+        recovery_ms: float = 0.0,
+    ) -> ReturnAdvice | None:
+        """Book the return of a rejected caller; None if its class is unknown.
+
+        ``recovery_ms`` is the time until a cause other than the backlog is expected to
+        have ended.
+        """
+        queue = self.queues.get(class_name)
+        if queue is None:
+            return None
+        drain_ms = self._class_wait_ms(queue, queue.waiting_cost)
+        wake_at_ms = self.capacity.wake_at_ms(cost)
+        if wake_at_ms is not None:
+            drain_ms = max(drain_ms, wake_at_ms - now_ms)
+        gap_ms = self._class_wait_ms(queue, cost)
+        if gap_ms <= 0.0 and self.capacity.limit_cost > 0.0:
+            gap_ms = CALL_UNKNOWN_MS * cost / self.capacity.limit_cost
+        rejection = Rejection(
+            class_name=class_name,
+            cost=cost,
+            drain_ms=max(drain_ms, recovery_ms),
+            gap_ms=gap_ms,
+            remaining_ms=remaining_ms,
+        )
+        return self.returns.book(rejection, now_ms)
 
     def _account(
         self,
@@ -289,6 +364,7 @@
             n_ahead_at_arrival=ticket.n_ahead_at_arrival,
             standings=standings,
             ahead=self._admitted_since_arrival(ticket),
+            is_return=ticket.is_return,
         )
 
     def _admitted_since_arrival(self, ticket: Ticket) -> tuple[QueriesAhead, ...]:
@@ -308,7 +384,7 @@
     if class_queue is None or class_queue.is_retired:
         return UNKNOWN_CLASS.with_reason(f"no class named {ticket.class_name!r}")
     n_queued_max = class_queue.caller_class.n_queued_max
-    if class_queue.n_waiting >= n_queued_max:
+    if class_queue.n_waiting >= n_queued_max and not ticket.is_return:
         return QUEUE_FULL.with_reason(f"the class has {n_queued_max} queries queued")
     wait_ms = queue.expected_wait_ms(ticket)
     if wait_ms <= 0.0:
@@ -381,7 +457,14 @@
 
 @_apply.register
 def _(event: WakeUpDue, queue: AdmissionQueue) -> list[AdmissionAction]:
-    return queue.admit_next(event.now_ms)
+    actions = queue.refuse_hopeless(event.now_ms)
+    return actions + queue.admit_next(event.now_ms)
+
+
+@_apply.register
+def _(event: LagObserved, queue: AdmissionQueue) -> list[AdmissionAction]:
+    queue.service_times.lag_ms = event.lag_ms
+    return []
 
 
 @_apply.register
@@ -420,6 +503,7 @@
     queue.capacity.reserved_ratios = dict(event.reserved_ratios)
     previous = queue.queues
     queue.queues = {}
+    queue.returns.retain(frozenset(item.name for item in event.classes))
     for caller_class in event.classes:
         class_queue = previous.pop(caller_class.name, None) or ClassQueue(caller_class)
         class_queue.caller_class = caller_class
--- a/chestnuthall/core/admission/_service_times.py
+++ b/chestnuthall/core/admission/_service_times.py
@@ -21,6 +21,7 @@
 
     def __init__(self) -> None:
         self.call_ms: float | None = None
+        self.lag_ms = 0.0
         self._query_ms: dict[str, float] = {}
 
     def observe_call(self, service_ms: float) -> None:
@@ -33,8 +34,13 @@
         self._query_ms[kind] = _average(average, service_ms, QUERY_WEIGHT)
 
     def needed_ms(self, kind: str) -> float:
-        """Return the time that an admitted query needs; 0 if unknown."""
-        return RUN_FACTOR * self._query_ms.get(kind, 0.0)
+        """Return the time that an admitted query needs; 0 if unknown.
+
+        The lag of the event loop delays each query, including those measured before
+        the loop became busy.
+        """
+        query_ms = self._query_ms.get(kind)
+        return 0.0 if query_ms is None else RUN_FACTOR * query_ms + self.lag_ms
 
     def wait_ms(
         self, *, ahead_cost: float, limit_cost: float, share_ratio: float
--- a/chestnuthall/core/admission/_tickets.py
+++ b/chestnuthall/core/admission/_tickets.py
@@ -22,7 +22,11 @@
 
 @dataclass(slots=True, eq=False)
 class Ticket:
-    """A waiting or running query; ``cost`` is its cost that is not yet released."""
+    """A waiting or running query.
+
+    ``cost`` is its cost that is not yet released. ``is_return`` marks a query whose
+    caller was rejected before and has returned at its time.
+    """
 
     name: str
     class_name: str
@@ -32,11 +36,18 @@
     arrived_ms: float
     n_ahead_at_arrival: int
     admitted_at_arrival: AdmittedCounts
+    is_return: bool = False
+
+
+# Orders returns first, then by deadline, then by arrival.
+HeapItem = tuple[bool, float, int, Ticket]
 
 
 @dataclass(slots=True)
 class ClassQueue:
-    """Waiting queries of one class: a heap by deadline for each kind.
+    """Waiting queries of one class: a heap for each kind.
+
+    Callers that return after a rejection go first, then the earliest deadline.
 
     ``normalised_service`` is the service over the fleet divided by the share;
     it includes ``predicted_cost``, which no report has confirmed yet.
@@ -54,29 +65,29 @@
     has_low_demand: bool = False
     call_gap_ms: float | None = None
     _last_admitted_ms: float | None = None
-    _heaps: dict[str, list[tuple[float, int, Ticket]]] = field(default_factory=dict)
+    _heaps: dict[str, list[HeapItem]] = field(default_factory=dict)
 
     def push(self, ticket: Ticket, number: int) -> None:
         """Add a query; ``number`` orders queries of equal deadlines by arrival."""
         heap = self._heaps.setdefault(ticket.kind, [])
-        heappush(heap, (ticket.deadline_ms, number, ticket))
+        heappush(heap, (not ticket.is_return, ticket.deadline_ms, number, ticket))
         self.n_waiting += 1
 
     def head(self, kind: str | None = None) -> Ticket | None:
-        """Return the query of the earliest deadline, optionally of one kind."""
-        heaps: Iterable[list[tuple[float, int, Ticket]]] = self._heaps.values()
+        """Return the query to serve first, optionally of one kind."""
+        heaps: Iterable[list[HeapItem]] = self._heaps.values()
         if kind is not None:
             heaps = [self._heaps.get(kind, [])]
         heads = [heap[0] for heap in heaps if heap]
-        return min(heads)[2] if heads else None
+        return min(heads)[-1] if heads else None
 
     def remove(self, ticket: Ticket) -> None:
         """Remove a query from any position of the queue."""
         heap = self._heaps[ticket.kind]
-        if heap[0][2] is ticket:
+        if heap[0][-1] is ticket:
             heappop(heap)
         else:
-            heap[:] = [item for item in heap if item[2] is not ticket]
+            heap[:] = [item for item in heap if item[-1] is not ticket]
             heapify(heap)
         self.n_waiting -= 1
 
@@ -114,11 +125,17 @@
             self.call_gap_ms = mean_ms + GAP_WEIGHT * (gap_ms - mean_ms)
         self._last_admitted_ms = now_ms if self.n_waiting else None
 
-    def cost_due_before(self, deadline_ms: float) -> float:
-        """Return the cost of the waiting queries due by a deadline."""
+    def cost_ahead_of(self, ticket: Ticket) -> float:
+        """Return the cost of the waiting queries that are served before another one."""
+        key = (not ticket.is_return, ticket.deadline_ms)
         return sum(
-            item[2].cost
+            item[-1].cost
             for heap in self._heaps.values()
             for item in heap
-            if item[0] <= deadline_ms
+            if item[:2] <= key
         )
+
+    @property
+    def waiting_cost(self) -> float:
+        """Cost of all waiting queries."""
+        return sum(item[-1].cost for heap in self._heaps.values() for item in heap)
--- a/chestnuthall/core/fanout/_handlers.py
+++ b/chestnuthall/core/fanout/_handlers.py
@@ -167,7 +167,7 @@
     if failure.kind is SNAPSHOT_GONE and not _has_untried_replica_with_snapshot(
         state, progress, now_ms
     ):
-        return _request_replan(state, progress)
+        return _request_replan(state, progress, now_ms)
     if running.is_probe and state.is_suspected(now_ms):
         return probes.retry_probe(state, progress, now_ms)
     if state.is_suspected(now_ms):
@@ -255,9 +255,11 @@
     )
 
 
-def _request_replan(state: FanOutState, progress: ShardProgress) -> list[Action]:
+def _request_replan(
+    state: FanOutState, progress: ShardProgress, now_ms: float
+) -> list[Action]:
     """Request another map; calls of other shards continue in case there is none."""
-    progress.has_failed = True
+    state.fail_shard(progress, "snapshot gone", now_ms)
     if state.is_replanning or not state.may_replan():
         return []
     state.unavailable_snapshot_ids.append(state.partition_map.snapshot_id)
--- a/chestnuthall/core/fanout/_state.py
+++ b/chestnuthall/core/fanout/_state.py
@@ -132,6 +132,7 @@
             shards = self.context.combine_shards(shards)
         self.shards = {shard.shard_id: ShardProgress(shard) for shard in shards}
         self._unfinished = list(self.shards.values())
+        self.has_failed_shards = False
 
     def direct_shard_ids(self) -> list[str]:
         """Return the ids of the shards whose replicas this instance calls itself."""
--- a/chestnuthall/core/model/_accounts.py
+++ b/chestnuthall/core/model/_accounts.py
@@ -43,13 +43,18 @@
 
 @dataclass(frozen=True, slots=True)
 class AdmissionAccount:
-    """Explanation of the time at which a query was admitted or refused."""
+    """Explanation of the time at which a query was admitted or refused.
+
+    ``is_return`` states that the caller had been rejected and returned at its time,
+    which puts it ahead of new arrivals of its class.
+    """
 
     rule: AdmissionRule
     queued_ms: float
     n_ahead_at_arrival: int
     standings: tuple[ClassStanding, ...] = ()
     ahead: tuple[QueriesAhead, ...] = ()
+    is_return: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnuthall/core/model/_answers.py
+++ b/chestnuthall/core/model/_answers.py
@@ -127,13 +127,27 @@
     replica_replies: tuple[Reply, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class ReturnAdvice:
+    """When a rejected caller should return.
+
+    Without ``is_booked`` the caller's time is over by then, so that a return is not
+    expected to be served.
+    """
+
+    retry_after_ms: float
+    drain_ms: float
+    is_booked: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Refusal:
     """A request that ends without an answer.
 
     ``run_state`` and ``repeat`` apply to this request and may be more specific than
     those of the failure's kind. ``reply`` is the replica's own error response,
-    which is forwarded to the caller of a relayed request.
+    which is forwarded to the caller of a relayed request. ``advice`` states when the
+    caller of a request that was not run should return.
     """
 
     request_id: str
@@ -142,5 +156,5 @@
     repeat: RetryAdvice
     configuration_revision: int
     account: Account
-    retry_after_ms: float | None = None
+    advice: ReturnAdvice | None = None
     reply: Reply | None = None
--- a/chestnuthall/core/overload/__init__.py
+++ b/chestnuthall/core/overload/__init__.py
@@ -1,5 +1,25 @@
-"""Detection of an instance that gets too little processor time for its load."""
+"""Overload of an instance: its detection, and when rejected callers return."""
 
+from chestnuthall.core.overload._causes import (
+    Leaving,
+    ReplicasFull,
+    ReplicasUnavailable,
+    Starting,
+    StoreUnavailable,
+    recovery_ms,
+)
 from chestnuthall.core.overload._lag import LagSettings, OverloadDetector
+from chestnuthall.core.overload._returns import Rejection, ReturnSchedule
 
-__all__ = ["LagSettings", "OverloadDetector"]
+__all__ = [
+    "LagSettings",
+    "Leaving",
+    "OverloadDetector",
+    "Rejection",
+    "ReplicasFull",
+    "ReplicasUnavailable",
+    "ReturnSchedule",
+    "Starting",
+    "StoreUnavailable",
+    "recovery_ms",
+]
--- a/chestnuthall/platform/_frontend.py
+++ b/chestnuthall/platform/_frontend.py
@@ -6,6 +6,7 @@
 
 from chestnuthall.adapters.http import HttpRequest, HttpResponse
 from chestnuthall.core.model import Answer, Refusal, Reply
+from chestnuthall.core.overload import Starting, recovery_ms
 from chestnuthall.core.results import NOT_FOUND, NOT_READY, Failure, RunState
 from chestnuthall.platform._relayed_calls import (
     DEADLINE_MS,
@@ -25,8 +26,6 @@
 NOT_RUN_STATUS = 503
 TOO_MANY_REQUESTS_STATUS = 429
 GATEWAY_ERROR_STATUSES = (502, 504)
-# A new instance receives its configuration within this time of its start.
-NOT_READY_RETRY_MS = 200.0
 
 
 class RelayFrontend:
@@ -142,14 +141,15 @@
         )
     elif status not in GATEWAY_ERROR_STATUSES:
         status = GATEWAY_ERROR_STATUSES[0]
-    return _failure_response(outcome.failure, status, outcome.retry_after_ms)
+    retry_after_ms = None if outcome.advice is None else outcome.advice.retry_after_ms
+    return _failure_response(outcome.failure, status, retry_after_ms)
 
 
 @encode.register
 def _(outcome: Failure) -> HttpResponse:
     if outcome.kind is NOT_FOUND:
         return _failure_response(outcome, 404, None)
-    retry_after_ms = NOT_READY_RETRY_MS if outcome.kind is NOT_READY else None
+    retry_after_ms = recovery_ms(Starting()) if outcome.kind is NOT_READY else None
     return _failure_response(outcome, NOT_RUN_STATUS, retry_after_ms)
 
 
--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -104,7 +104,6 @@
 # Exceeds the interval between the calls of a busy instance to one replica, so that
 # connections in use stay open.
 IDLE_CLOSE_MS = 1_000.0
-RETRY_AFTER_MS = 50.0
 LOG_REPORT_INTERVAL_MS = 10_000.0
 # Limit of connections to one peer; a search that finds none idle opens another one.
 N_PEER_CONNECTIONS = 16
@@ -234,7 +233,7 @@
             n_instances_assumed=1,
             n_instances_in_zone=self.presence.n_instances_in_zone,
         )
-        admissions = Admissions(clock)
+        self._admissions = admissions = Admissions(clock)
         self._quotas = EqualQuotas(
             clock, admissions, lambda: self.presence.n_instances or 1
         )
@@ -257,7 +256,6 @@
             ),
             admissions=admissions,
             shared_budget=self._extra_load_budget,
-            retry_after_ms=RETRY_AFTER_MS,
             decision_log=self._decisions,
             combine_shards=peer_shard_sets.combine_shards,
         )
@@ -385,6 +383,7 @@
             lag_ms = self._clock.now_ms() - due_ms
             self._metrics.timing("loop_lag_ms", lag_ms)
             self._overload.observe(lag_ms)
+            self._admissions.observe_lag(lag_ms)
             self._update_connection_closing(lag_ms)
 
     def _update_connection_closing(self, lag_ms: float) -> None:
--- a/chestnuthall/services/_admission.py
+++ b/chestnuthall/services/_admission.py
@@ -6,6 +6,7 @@
 from math import exp
 
 from chestnuthall.core.admission import (
+    CALL_UNKNOWN_MS,
     AdaptiveLimit,
     AdmissionAction,
     AdmissionEvent,
@@ -15,6 +16,7 @@
     DemandReported,
     ExpireDue,
     FleetUsageReported,
+    LagObserved,
     LimitChanged,
     Reconfigured,
     Refuse,
@@ -28,6 +30,7 @@
     AdmissionRule,
     EnvironmentDocument,
     Request,
+    ReturnAdvice,
     ShardAnswer,
     ShardCall,
     UpstreamGroup,
@@ -80,10 +83,11 @@
 
 @dataclass(frozen=True, slots=True)
 class NotAdmitted:
-    """Result for a refused query."""
+    """Result for a refused query; ``advice`` states when its caller should return."""
 
     failure: Failure
     account: AdmissionAccount
+    advice: ReturnAdvice | None = None
 
 
 class Admission:
@@ -112,6 +116,7 @@
         self._waiters: dict[str, asyncio.Future[Admitted | NotAdmitted]] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._n_tickets = 0
+        self._last_cost = 1.0
         self.offered = OfferedCost()
 
     @property
@@ -210,6 +215,7 @@
     async def acquire(self, request: Request, cost: float) -> Admitted | NotAdmitted:
         """Wait until a request is admitted or refused."""
         self._n_tickets += 1
+        self._last_cost = cost
         ticket = f"{request.request_id}#{self._n_tickets}"
         waiter: asyncio.Future[Admitted | NotAdmitted]
         waiter = asyncio.get_running_loop().create_future()
@@ -258,6 +264,30 @@
         else:
             self._handle(Withdraw(now_ms, ticket))
 
+    def book_return(self, request: Request, recovery_ms: float) -> ReturnAdvice | None:
+        """Book the return of a caller that was rejected for another cause than load.
+
+        Return None if the class of the request is not known.
+        """
+        now_ms = self._clock.now_ms()
+        return self._queue.book_return(
+            request.class_name,
+            self._last_cost,
+            request.deadline_ms - now_ms,
+            now_ms,
+            recovery_ms,
+        )
+
+    @property
+    def call_ms(self) -> float:
+        """Average duration of a shard call, or an assumption if none has ended."""
+        call_ms = self._queue.service_times.call_ms
+        return CALL_UNKNOWN_MS if call_ms is None else call_ms
+
+    def observe_lag(self, lag_ms: float) -> None:
+        """Record how late the event loop runs."""
+        self._handle(LagObserved(self._clock.now_ms(), lag_ms))
+
     def release(self, admitted: Admitted) -> None:
         """Release the capacity of a query that ended."""
         now_ms = self._clock.now_ms()
@@ -296,7 +326,9 @@
 
     @_perform.register
     def _(self, action: Refuse) -> None:
-        self._resolve(action.ticket, NotAdmitted(action.failure, action.account))
+        self._resolve(
+            action.ticket, NotAdmitted(action.failure, action.account, action.advice)
+        )
 
     def _resolve(self, ticket: str, result: Admitted | NotAdmitted) -> None:
         waiter = self._waiters.pop(ticket, None)
@@ -338,6 +370,15 @@
         admission.set_slots(slots_cost)
         return admission
 
+    def find(self, group_name: str) -> Admission | None:
+        """Return the admission of a group, or None if it was not used yet."""
+        return self._by_group.get(group_name)
+
+    def observe_lag(self, lag_ms: float) -> None:
+        """Record how late the event loop runs."""
+        for admission in self._by_group.values():
+            admission.observe_lag(lag_ms)
+
     def adapt(self) -> None:
         """Adapt the limit of every group."""
         for admission in self._by_group.values():
--- a/chestnuthall/services/_decision_log.py
+++ b/chestnuthall/services/_decision_log.py
@@ -149,7 +149,11 @@
             return
         fields["reason"] = outcome.failure.reason
         fields["run"] = outcome.run_state.value
-        fields["retry_after_ms"] = outcome.retry_after_ms
+        advice = outcome.advice
+        if advice is not None:
+            fields["retry_after_ms"] = round(advice.retry_after_ms, 1)
+            fields["drain_ms"] = round(advice.drain_ms, 1)
+            fields["is_return_booked"] = advice.is_booked
         _log.info("request refused", extra=fields)
 
     def report(self) -> None:
@@ -186,4 +190,5 @@
         "n_retries": fan_out.n_retries,
         "slowest_shard_id": fan_out.slowest_shard_id,
         "slowest_shard_ms": round(fan_out.slowest_shard_ms, 1),
+        "is_return": account.admission.is_return,
     }
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -6,6 +6,7 @@
 from functools import partial
 from typing import TypeAlias
 
+from chestnuthall.core.admission import CALL_UNKNOWN_MS
 from chestnuthall.core.claims import KeyClaim
 from chestnuthall.core.fanout import (
     Completion,
@@ -27,11 +28,13 @@
     PartitionMap,
     Refusal,
     Request,
+    ReturnAdvice,
     SearchRequest,
     Shard,
     UpstreamGroup,
     request_kind,
 )
+from chestnuthall.core.overload import recovery_ms
 from chestnuthall.core.quarantine import QuarantineRegistry
 from chestnuthall.core.results import (
     DEADLINE_PASSED,
@@ -70,11 +73,10 @@
     failure_without_replicas,
     may_be_combined,
     n_slots,
+    rejection_cause,
 )
 from chestnuthall.services._suspicion_notifier import SuspicionNotifier
 
-RETRY_AFTER_MS = 1_000.0
-
 Outcome: TypeAlias = Answer | Refusal
 DividedSearch: TypeAlias = Callable[
     [SearchRequest, PartitionMap, FanOutContext], Awaitable[Completion]
@@ -91,6 +93,7 @@
     admission: AdmissionAccount
     admitted_wall_ms: float | None = None
     claim: KeyClaim | None = None
+    advice: ReturnAdvice | None = None
     decisions: tuple[Decision, ...] = ()
     objective_ms: float = float("inf")
 
@@ -130,13 +133,11 @@
         disseminate: Callable[[], Awaitable[None]] | None = None,
         n_instances: Callable[[], int] = lambda: 1,
         shared_budget: ExtraLoad | None = None,
-        retry_after_ms: float = RETRY_AFTER_MS,
         decision_log: DecisionLog | None = None,
         combine_shards: Callable[[Sequence[Shard]], tuple[Shard, ...]] | None = None,
     ) -> None:
         self._combine_shards = combine_shards
         self._decision_log = decision_log
-        self._retry_after_ms = retry_after_ms
         self._record_outcome = record_outcome
         self._identity = identity
         self._clock = clock
@@ -243,8 +244,11 @@
             self._release_claim(progress)
             raise
         progress.admission = ticket.account
+        if ticket.account.is_return:
+            self._metrics.count("returns.honoured")
         if isinstance(ticket, NotAdmitted):
             self._release_claim(progress)
+            progress.advice = ticket.advice
             return self._refuse(progress, ticket.failure)
         try:
             return await self._run_admitted(progress, plan, admission, ticket)
@@ -425,6 +429,7 @@
     ) -> Refusal:
         run_state, repeat = _run_state_and_retry_advice(progress, failure, completion)
         is_safe_to_repeat = run_state is RunState.NO and repeat is RetryAdvice.SAFE
+        advice = self._return_advice(progress, failure) if is_safe_to_repeat else None
         return Refusal(
             request_id=progress.request.request_id,
             failure=failure,
@@ -432,10 +437,30 @@
             repeat=repeat,
             configuration_revision=progress.revision,
             account=self._account(progress, failure.code, completion),
-            retry_after_ms=self._retry_after_ms if is_safe_to_repeat else None,
+            advice=advice,
             reply=None if completion is None else completion.reply,
         )
 
+    def _return_advice(self, progress: _Progress, failure: Failure) -> ReturnAdvice:
+        """Return when the caller of a rejected request should come back.
+
+        Admission has booked the return of a request that it refused. For other
+        causes the return is booked here, behind those that are booked already.
+        """
+        request = progress.request
+        advice = progress.advice
+        if advice is None:
+            admission = self._admissions.find(request.group)
+            call_ms = CALL_UNKNOWN_MS if admission is None else admission.call_ms
+            wait_ms = recovery_ms(rejection_cause(failure.kind, call_ms))
+            if admission is not None:
+                advice = admission.book_return(request, wait_ms)
+            if advice is None:
+                advice = ReturnAdvice(wait_ms, wait_ms, is_booked=False)
+        self._metrics.count(f"rejections.{failure.code.name.lower()}")
+        self._metrics.count("returns.booked" if advice.is_booked else "returns.late")
+        return advice
+
     def _account(
         self, progress: _Progress, code: ResultCode, completion: Completion | None
     ) -> Account:
--- a/chestnuthall/services/_query_rules.py
+++ b/chestnuthall/services/_query_rules.py
@@ -13,7 +13,22 @@
     UpstreamGroup,
     reachable_ratio,
 )
-from chestnuthall.core.results import NO_REPLICA, Failure
+from chestnuthall.core.overload import (
+    Leaving,
+    ReplicasFull,
+    ReplicasUnavailable,
+    Starting,
+    StoreUnavailable,
+)
+from chestnuthall.core.results import (
+    NO_REPLICA,
+    NOT_READY,
+    SHED_BY_UPSTREAM,
+    SHUTTING_DOWN,
+    STORE_UNAVAILABLE,
+    Failure,
+    FailureKind,
+)
 from chestnuthall.services._admission import Admitted
 
 
@@ -44,6 +59,21 @@
     )
 
 
+def rejection_cause(kind: FailureKind, call_ms: float) -> object:
+    """Return the cause of a rejection that admission did not decide.
+
+    ``call_ms`` is the usual duration of a shard call. The replicas of a request that
+    was not run for any other reason could not be called.
+    """
+    causes: dict[FailureKind, object] = {
+        NOT_READY: Starting(),
+        SHUTTING_DOWN: Leaving(),
+        STORE_UNAVAILABLE: StoreUnavailable(),
+        SHED_BY_UPSTREAM: ReplicasFull(call_ms),
+    }
+    return causes.get(kind, ReplicasUnavailable())
+
+
 def n_slots(group: UpstreamGroup, partition_map: PartitionMap) -> float:
     """Return the slots of all replicas.
 
--- a/chestnuthall/services/tests/test_fault_matrix.py
+++ b/chestnuthall/services/tests/test_fault_matrix.py
@@ -155,7 +155,7 @@
         is_claimed = kind == "mutation" and bool(harness.store.objects)
         # A request with a claimed key would be refused at every repetition.
         assert not (is_claimed and outcome.repeat is RetryAdvice.SAFE)
-        assert outcome.retry_after_ms is None or outcome.repeat is RetryAdvice.SAFE
+        assert outcome.advice is None or outcome.repeat is RetryAdvice.SAFE
     elif outcome.run_state is RunState.YES:
         assert runs != []
     if kind == "mutation":
