Measure how long after its soft deadline an answer leaves

Cause: the reserve before the objective was 0.2 ms a shard for every load. A group with few slots gave each of 58 instances one slot, and roster-pull waited up to 2 s here with slots free at the replicas. Change: AnswerOverrun measures the time from the decision to the complete answer, and the next decisions are earlier by it. Each instance may use at least four slots of a group.

--- a/chestnuthall/adapters/http/_responses.py
+++ b/chestnuthall/adapters/http/_responses.py
@@ -146,12 +146,6 @@
         if self._is_complete or self._has_head:
             return
         self._pairs.append((name.lower(), value.strip()))
-        # Two bytes each for the separator and the line break.
-        self._n_head_bytes += len(name) + len(value) + 4
-        if len(self._pairs) > N_HEADERS_MAX:
-            raise self._reject("the response has too many headers")
-        if self._n_head_bytes > N_HEAD_BYTES_MAX:
-            raise self._reject("the response head is too large")
 
     def on_headers_complete(self) -> None:
         """Determine how the body is delimited; called by the parser."""
@@ -161,6 +155,7 @@
             raise self._reject("the HTTP version is not supported")
         if self._parser.get_status_code() == _SWITCHING_PROTOCOLS:
             raise self._reject("the protocol was switched without a request for it")
+        self._check_head()
         if self._is_informational():
             return
         self._has_head = True
@@ -179,6 +174,15 @@
         has_body = self._parser.get_status_code() not in _STATUSES_WITHOUT_BODY
         self._ends_at_eof = has_body and not has_length and not is_chunked
 
+    def _check_head(self) -> None:
+        """Raise ``ResponseError`` if the head is too large."""
+        if len(self._pairs) > N_HEADERS_MAX:
+            raise self._reject("the response has too many headers")
+        # Two bytes each for the separator and the line break.
+        self._n_head_bytes += sum(len(n) + len(v) + 4 for n, v in self._pairs)
+        if self._n_head_bytes > N_HEAD_BYTES_MAX:
+            raise self._reject("the response head is too large")
+
     def on_body(self, data: bytes) -> None:
         """Append data to the body; called by the parser."""
         if self._is_complete:
--- a/chestnuthall/core/fanout/_events.py
+++ b/chestnuthall/core/fanout/_events.py
@@ -112,6 +112,8 @@
     ``run_state`` states whether any replica ran the request. ``reply`` is the reply
     to the caller of a relayed request, merged from ``shard_replies``. ``decisions``
     lists the decisions that led to the outcome, in chronological order.
+    ``soft_decision_ms`` is the soft deadline if it ended the query, unless the
+    coverage floor was only reached later.
     """
 
     failure: Failure | None
@@ -123,6 +125,7 @@
     reply: Reply | None = None
     shard_replies: tuple[Reply, ...] = ()
     decisions: tuple[Decision, ...] = ()
+    soft_decision_ms: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnuthall/core/fanout/_machine.py
+++ b/chestnuthall/core/fanout/_machine.py
@@ -87,17 +87,15 @@
             # The caller can repeat the request sooner than after a failure at the
             # deadline.
             return "floor out of reach"
-        if self._is_past_soft_deadline(now_ms):
-            return "soft deadline"
-        return None
-
-    def _is_past_soft_deadline(self, now_ms: float) -> bool:
-        caller_class = self.context.caller_class
-        if caller_class.soft_deadline_ms is None:
-            return False
-        if now_ms < self.request.arrived_ms + caller_class.soft_deadline_ms:
-            return False
-        return self.coverage().ratio >= caller_class.coverage_floor_ratio
+        soft_ms = self.context.caller_class.soft_deadline_ms
+        if soft_ms is None or now_ms < self.request.arrived_ms + soft_ms:
+            return None
+        if self.coverage().ratio < self.context.caller_class.coverage_floor_ratio:
+            self.has_missed_soft_deadline = True
+            return None
+        if not self.has_missed_soft_deadline:
+            self.soft_decision_ms = self.request.arrived_ms + soft_ms
+        return "soft deadline"
 
     def _next_due_ms(self, now_ms: float) -> float:
         due_ms = self.request.deadline_ms
--- a/chestnuthall/core/fanout/_outcome.py
+++ b/chestnuthall/core/fanout/_outcome.py
@@ -37,6 +37,7 @@
         reply=error_reply_of(state.request, state.error_reply) if failure else reply,
         shard_replies=() if failure else replies,
         decisions=tuple(state.decisions),
+        soft_decision_ms=state.soft_decision_ms,
     )
 
 
--- a/chestnuthall/core/fanout/_state.py
+++ b/chestnuthall/core/fanout/_state.py
@@ -92,6 +92,8 @@
         self.is_complete = False
         self.is_replanning = False
         self.has_failed_shards = False
+        self.has_missed_soft_deadline = False
+        self.soft_decision_ms: float | None = None
         self.probe_step = ProbeStep.NONE
         self.unavailable_snapshot_ids: list[int] = []
         self.last_failure: Failure | None = None
--- a/chestnuthall/core/overload/__init__.py
+++ b/chestnuthall/core/overload/__init__.py
@@ -9,9 +9,11 @@
     recovery_ms,
 )
 from chestnuthall.core.overload._lag import LagSettings, OverloadDetector
+from chestnuthall.core.overload._overrun import AnswerOverrun
 from chestnuthall.core.overload._returns import Rejection, ReturnSchedule
 
 __all__ = [
+    "AnswerOverrun",
     "LagSettings",
     "Leaving",
     "OverloadDetector",
--- a/chestnuthall/core/routing/_replicas.py
+++ b/chestnuthall/core/routing/_replicas.py
@@ -6,10 +6,14 @@
 # Weight of the newest latency in the moving average, high enough to detect a slowed
 # replica within a few calls.
 LATENCY_WEIGHT = 0.3
-# Time constant with which the excess latency of a replica decays between calls. A
-# replica that is not called provides no samples, and without the decay a few slow
-# seconds would keep calls away from it for long.
-EXCESS_DECAY_MS = 1_000.0
+# Bounds of the time constant with which the excess latency of a replica decays between
+# calls. A replica that is not called provides no samples, and without the decay a few
+# slow seconds would keep calls away from it for long.
+EXCESS_DECAY_MIN_MS = 1_000.0
+EXCESS_DECAY_MAX_MS = 8_000.0
+# Calls to a shard during the time constant. With fewer, an instance that calls a shard
+# rarely would return to a slow replica with nearly every call.
+N_CALLS_EXCESS_DECAY = 5.0
 # How long a replica that lacks a snapshot gets no calls for it. Without any calls it
 # could not report that it has loaded the snapshot since.
 MISSING_SNAPSHOT_TRUSTED_MS = 2_000.0
@@ -33,7 +37,8 @@
 
     ``held_snapshots`` is None until the replica has reported them. ``in_flight``
     are the calls that have not ended, oldest first. Latencies are scaled to the
-    reference kind of call; see ``Router``.
+    reference kind of call; see ``Router``. ``excess_decay_ms`` is the time constant
+    with which an excess over the typical latency decays between calls.
     """
 
     name: str
@@ -47,6 +52,7 @@
     penalised_until_ms: float = float("-inf")
     ramp_started_ms: float = float("-inf")
     n_failures_in_row: int = 0
+    excess_decay_ms: float = EXCESS_DECAY_MIN_MS
 
     @property
     def n_in_flight(self) -> int:
@@ -77,7 +83,7 @@
         if latency_ms > typical_ms:
             age_ms = now_ms - self.updated_ms
             excess_ms = latency_ms - typical_ms
-            latency_ms = typical_ms + excess_ms * exp(-age_ms / EXCESS_DECAY_MS)
+            latency_ms = typical_ms + excess_ms * exp(-age_ms / self.excess_decay_ms)
         for call in self.in_flight:
             latency_ms = max(latency_ms, (now_ms - call.started_ms) / call.scale)
         return latency_ms
--- a/chestnuthall/core/routing/_router.py
+++ b/chestnuthall/core/routing/_router.py
@@ -14,7 +14,13 @@
     Failure,
 )
 from chestnuthall.core.routing._latency import LatencyWindow
-from chestnuthall.core.routing._replicas import InFlight, ReplicaState
+from chestnuthall.core.routing._replicas import (
+    EXCESS_DECAY_MAX_MS,
+    EXCESS_DECAY_MIN_MS,
+    N_CALLS_EXCESS_DECAY,
+    InFlight,
+    ReplicaState,
+)
 
 # Consecutive failures or sheds after which a replica that answers again is ramped
 # up, since it starts cold or is near its limit. A single failure indicates neither.
@@ -27,6 +33,8 @@
 # Kinds of call whose latencies are kept. The oldest one is removed first, since a new
 # configuration replaces the kinds.
 N_LATENCY_WINDOWS_MAX = 64
+# Weight of the newest gap between two calls of a group.
+GAP_WEIGHT = 0.1
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -71,6 +79,24 @@
         self._replicas: dict[str, ReplicaState] = {}
         self._latencies: dict[str, LatencyWindow] = {}
         self.n_in_flight = 0
+        self._excess_decay_ms = EXCESS_DECAY_MIN_MS
+        self._query_gap_ms: float | None = None
+        self._last_query_ms: float | None = None
+
+    def observe_query(self, now_ms: float) -> None:
+        """Record a query over the shards of the group.
+
+        The rarer the queries are, the longer a slow replica is remembered.
+        """
+        if self._last_query_ms is not None:
+            gap_ms = now_ms - self._last_query_ms
+            mean_ms = gap_ms if self._query_gap_ms is None else self._query_gap_ms
+            self._query_gap_ms = mean_ms + GAP_WEIGHT * (gap_ms - mean_ms)
+            self._excess_decay_ms = min(
+                EXCESS_DECAY_MAX_MS,
+                max(EXCESS_DECAY_MIN_MS, N_CALLS_EXCESS_DECAY * self._query_gap_ms),
+            )
+        self._last_query_ms = now_ms
 
     def _window(self, call_type: str) -> LatencyWindow:
         window = self._latencies.get(call_type)
@@ -175,6 +201,7 @@
     ) -> float:
         settings = self._settings
         state = self.state_of(replica.name)
+        state.excess_decay_ms = self._excess_decay_ms
         latency_ms = scale * state.expected_latency_ms(reference_ms, now_ms)
         n_slots = replica.n_slots or settings.n_slots
         queue_factor = 1.0 + state.n_in_flight / n_slots
--- a/chestnuthall/platform/_configuration.py
+++ b/chestnuthall/platform/_configuration.py
@@ -25,11 +25,9 @@
 # Slots assumed for a replica until its registration states them.
 N_SLOTS_DEFAULT = 1
 # The objective is measured at the caller. The reserve covers the network round trip
-# to the caller, a new connection, and the encoding of the answer.
+# to the caller and a new connection; the time to complete an answer is measured.
 OBJECTIVE_RESERVE_RATIO = 0.08
 OBJECTIVE_RESERVE_MIN_MS = 16.0
-# Processing time of one shard's answer on half a core.
-OBJECTIVE_RESERVE_PER_SHARD_MS = 0.2
 OBJECTIVE_GOOD_RATIO = 0.99
 # Urgency of the platform's rank 0, its highest.
 URGENCY_MAX = 100
@@ -145,7 +143,6 @@
         reserve_ms = max(
             OBJECTIVE_RESERVE_MIN_MS, OBJECTIVE_RESERVE_RATIO * objective_ms
         )
-        reserve_ms += OBJECTIVE_RESERVE_PER_SHARD_MS * len(route.shards or ())
         yield CallerClass(
             name=name,
             share=1.0,
--- a/chestnuthall/services/_admission.py
+++ b/chestnuthall/services/_admission.py
@@ -129,6 +129,11 @@
         """Average number of shard calls that may run concurrently."""
         return self._queue.capacity.limit_cost
 
+    @property
+    def slots_cost(self) -> float:
+        """Number of slots of the whole group."""
+        return self._slots_cost
+
     @property
     def n_running(self) -> int:
         """Number of running queries."""
--- a/chestnuthall/services/_equal_quotas.py
+++ b/chestnuthall/services/_equal_quotas.py
@@ -9,6 +9,10 @@
 # Quota as a multiple of the equal one. A load balancer that hashes callers sends
 # some instances a multiple of the mean demand, which a larger quota accommodates.
 QUOTA_FACTOR = 3.0
+# Slots of a group that every instance may use. In a large fleet the equal quota is
+# about one slot, and requests would wait here while slots at the replicas are free;
+# the adaptive limit still lowers the number if the replicas are busy.
+N_SLOTS_MIN = 4.0
 
 
 class EqualQuotas:
@@ -29,7 +33,8 @@
     async def run(self) -> None:
         """Update the quotas until cancelled."""
         while True:
-            quota_ratio = min(1.0, QUOTA_FACTOR / self._n_instances())
+            quota_ratio = QUOTA_FACTOR / self._n_instances()
             for _, admission in self._admissions.items():
-                admission.set_quota(quota_ratio, ())
+                least_ratio = N_SLOTS_MIN / max(1.0, admission.slots_cost)
+                admission.set_quota(min(1.0, max(quota_ratio, least_ratio)), ())
             await self._clock.sleep_ms(UPDATE_INTERVAL_MS)
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from typing import TypeAlias
 
@@ -34,7 +34,7 @@
     UpstreamGroup,
     request_kind,
 )
-from chestnuthall.core.overload import recovery_ms
+from chestnuthall.core.overload import AnswerOverrun, recovery_ms
 from chestnuthall.core.quarantine import QuarantineRegistry
 from chestnuthall.core.results import (
     DEADLINE_PASSED,
@@ -154,6 +154,7 @@
         self._budgets: dict[str, ExtraLoad] = {}
         self._shared_budget = shared_budget
         self._divided_search: DividedSearch | None = None
+        self._overrun = AnswerOverrun()
         configuration.add_listener(self._apply_configuration)
 
     def _apply_configuration(self, configuration: Configuration) -> None:
@@ -313,7 +314,7 @@
             router=self._directory.router(request.group),
             budget=plan.budget,
             quarantine=self._quarantine,
-            caller_class=plan.caller_class,
+            caller_class=self._decide_earlier(plan),
             utilisation_ratio=max(
                 self._sample_utilisation(plan, ticket), admission.utilisation_ratio
             ),
@@ -330,7 +331,20 @@
         if completion.account.n_calls == 0:
             self._release_claim(progress)
         progress.decisions = (admission_decision(ticket), *completion.decisions)
-        return self._finish(progress, completion)
+        outcome = self._finish(progress, completion)
+        if completion.soft_decision_ms is not None:
+            self._overrun.observe(self._clock.now_ms() - completion.soft_decision_ms)
+        return outcome
+
+    def _decide_earlier(self, plan: _Plan) -> CallerClass:
+        """Return the class with its soft deadline earlier by the usual overrun."""
+        caller_class = plan.caller_class
+        soft_ms = caller_class.soft_deadline_ms
+        n_shards = len(plan.partition_map.shards)
+        if soft_ms is None or n_shards == 1:
+            return caller_class
+        reserve_ms = self._overrun.reserve_ms(soft_ms, n_shards)
+        return replace(caller_class, soft_deadline_ms=soft_ms - reserve_ms)
 
     async def _run_locally(
         self,
