Import the modules that a composition does not use on demand

Cause: an instance on the platform loaded all use cases, statsd, prometheus_client and OpenSSL: 29.2 MB of its own and 0.63 s of processor time for its imports.

--- a/chestnuthall/adapters/metrics/_exposition.py
+++ b/chestnuthall/adapters/metrics/_exposition.py
@@ -1,9 +1,12 @@
 """Metrics port in the Prometheus text exposition format."""
 
-from typing import Any
+from bisect import bisect_left
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
-from prometheus_client.exposition import generate_latest
+if TYPE_CHECKING:
+    from prometheus_client.core import Metric
 
 CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 PREFIX = "chestnuthall"
@@ -15,62 +18,109 @@
 N_NAMES_MAX = 1024
 
 
+@dataclass(slots=True)
+class _Durations:
+    """Number of durations by bucket, the last one without a bound, and their sum."""
+
+    counts: list[int] = field(default_factory=lambda: [0] * (len(BUCKETS_MS) + 1))
+    total_ms: float = 0.0
+
+
 class PrometheusMetrics:
     """Keeps counters, gauges and histograms for scraping.
 
     A name up to its first dot is the metric; the rest is the value of its label
     ``of``, as in ``chestnuthall_requests_total{of="scatter.ok"}``.
+
+    The library that formats them takes 5 MB, so it is imported at the first scrape.
     """
 
     def __init__(self) -> None:
-        self._registry = CollectorRegistry()
-        self._counters: dict[str, Counter] = {}
-        self._gauges: dict[str, Gauge] = {}
-        self._histograms: dict[str, Histogram] = {}
-        self._children: dict[str, Counter | Gauge | Histogram] = {}
+        self._counters: dict[str, int] = {}
+        self._gauges: dict[str, float] = {}
+        self._histograms: dict[str, _Durations] = {}
+
+    def _may_add(self) -> bool:
+        n_names = len(self._counters) + len(self._gauges) + len(self._histograms)
+        return n_names < N_NAMES_MAX
 
     def count(self, name: str, n: int = 1) -> None:
         """Add to a counter."""
-        child = self._children.get(name) or self._add_child(
-            name, Counter, self._counters
-        )
-        if isinstance(child, Counter):
-            child.inc(n)
+        if name in self._counters or self._may_add():
+            self._counters[name] = self._counters.get(name, 0) + n
 
     def gauge(self, name: str, value: float) -> None:
         """Set a gauge."""
-        child = self._children.get(name) or self._add_child(name, Gauge, self._gauges)
-        if isinstance(child, Gauge):
-            child.set(value)
+        if name in self._gauges or self._may_add():
+            self._gauges[name] = value
 
     def timing(self, name: str, duration_ms: float) -> None:
         """Record a duration."""
-        child = self._children.get(name) or self._add_child(
-            name, Histogram, self._histograms
+        durations = self._histograms.get(name)
+        if durations is None:
+            if not self._may_add():
+                return
+            durations = self._histograms[name] = _Durations()
+        durations.counts[bisect_left(BUCKETS_MS, duration_ms)] += 1
+        durations.total_ms += duration_ms
+
+    def collect(self) -> "Iterator[Metric]":
+        """Yield all metrics in the types of the library; called by its registry."""
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            HistogramMetricFamily,
         )
-        if isinstance(child, Histogram):
-            child.observe(duration_ms)
-
-    def _add_child(
-        self, name: str, kind: type[Any], families: dict[str, Any]
-    ) -> Counter | Gauge | Histogram | None:
-        if len(self._children) >= N_NAMES_MAX:
-            return None
-        metric, _, detail = name.partition(".")
-        family = families.get(metric)
-        if family is None:
-            options = {"buckets": BUCKETS_MS} if kind is Histogram else {}
-            family = families[metric] = kind(
-                f"{PREFIX}_{metric}",
-                f"{metric} by part; see docs/metrics.md",
-                ["of"],
-                registry=self._registry,
-                **options,
-            )
-        child = self._children[name] = family.labels(detail)
-        return child
+
+        for metric, names in _by_metric(self._counters).items():
+            counter = CounterMetricFamily(*_description(metric), labels=["of"])
+            for label, name in names:
+                counter.add_metric([label], self._counters[name])
+            yield counter
+        for metric, names in _by_metric(self._gauges).items():
+            gauge = GaugeMetricFamily(*_description(metric), labels=["of"])
+            for label, name in names:
+                gauge.add_metric([label], self._gauges[name])
+            yield gauge
+        for metric, names in _by_metric(self._histograms).items():
+            histogram = HistogramMetricFamily(*_description(metric), labels=["of"])
+            for label, name in names:
+                durations = self._histograms[name]
+                histogram.add_metric(
+                    [label], _cumulative_buckets(durations), durations.total_ms
+                )
+            yield histogram
 
     def render(self) -> bytes:
         """Return all metrics in the text exposition format."""
-        data: bytes = generate_latest(self._registry)
+        from prometheus_client import CollectorRegistry
+        from prometheus_client.exposition import generate_latest
+
+        registry = CollectorRegistry()
+        registry.register(self)
+        data: bytes = generate_latest(registry)
         return data
+
+
+def _by_metric(names: Iterable[str]) -> dict[str, list[tuple[str, str]]]:
+    """Return the label and the full name of each series, by metric."""
+    by_metric: dict[str, list[tuple[str, str]]] = {}
+    for name in names:
+        metric, _, label = name.partition(".")
+        by_metric.setdefault(metric, []).append((label, name))
+    return by_metric
+
+
+def _description(metric: str) -> tuple[str, str]:
+    return f"{PREFIX}_{metric}", f"{metric} by part; see docs/metrics.md"
+
+
+def _cumulative_buckets(durations: _Durations) -> list[tuple[str, float]]:
+    """Return the upper bound of each bucket and the number of durations up to it."""
+    bounds = [*(str(float(bound)) for bound in BUCKETS_MS), "+Inf"]
+    n_total = 0
+    buckets: list[tuple[str, float]] = []
+    for bound, n_durations in zip(bounds, durations.counts, strict=True):
+        n_total += n_durations
+        buckets.append((bound, float(n_total)))
+    return buckets
--- a/chestnuthall/services/_administration.py
+++ b/chestnuthall/services/_administration.py
@@ -5,8 +5,8 @@
 from chestnuthall.ports import Clock, QuarantineStatus
 from chestnuthall.services._directory import Directory
 from chestnuthall.services._drain_news import DrainExchange
+from chestnuthall.services._identity import InstanceIdentity
 from chestnuthall.services._lifecycle import Lifecycle
-from chestnuthall.services._membership import InstanceIdentity
 from chestnuthall.services._quarantine_exchange import QuarantineExchange
 
 
--- a/chestnuthall/services/_membership.py
+++ b/chestnuthall/services/_membership.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Coroutine, Sequence
-from dataclasses import dataclass
 from functools import singledispatchmethod
 from random import Random
 from typing import Protocol
@@ -43,6 +42,7 @@
     ShardSetCall,
 )
 from chestnuthall.services._configuration import ConfigurationManager
+from chestnuthall.services._identity import InstanceIdentity
 from chestnuthall.services._instance_list import InstanceList
 
 _log = logging.getLogger(__name__)
@@ -70,15 +70,6 @@
         ...
 
 
-@dataclass(frozen=True, slots=True)
-class InstanceIdentity:
-    """Name, peer address and availability zone of this instance."""
-
-    name: str
-    peer_address: str
-    zone: str
-
-
 class Membership:
     """Performs the actions of the membership state machine."""
 
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -4,10 +4,9 @@
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, replace
 from functools import partial
-from typing import TypeAlias
+from typing import TYPE_CHECKING, TypeAlias
 
 from chestnuthall.core.admission import CALL_UNKNOWN_MS
-from chestnuthall.core.claims import KeyClaim
 from chestnuthall.core.fanout import (
     Completion,
     FanOut,
@@ -60,12 +59,11 @@
     NotAdmitted,
     unqueued_account,
 )
-from chestnuthall.services._claims import ClaimLedger
 from chestnuthall.services._configuration import ConfigurationManager
 from chestnuthall.services._decision_log import DecisionLog
 from chestnuthall.services._fan_out_run import CallObserver, FanOutRun, NoReplacementMap
 from chestnuthall.services._group_directory import GroupDirectory
-from chestnuthall.services._membership import InstanceIdentity
+from chestnuthall.services._identity import InstanceIdentity
 from chestnuthall.services._query_rules import (
     admission_decision,
     bound_deadline,
@@ -77,6 +75,10 @@
 )
 from chestnuthall.services._suspicion_notifier import SuspicionNotifier
 
+if TYPE_CHECKING:
+    from chestnuthall.core.claims import KeyClaim
+    from chestnuthall.services._claims import ClaimLedger
+
 Outcome: TypeAlias = Answer | Refusal
 DividedSearch: TypeAlias = Callable[
     [SearchRequest, PartitionMap, FanOutContext], Awaitable[Completion]
@@ -92,7 +94,7 @@
     revision: int
     admission: AdmissionAccount
     admitted_wall_ms: float | None = None
-    claim: KeyClaim | None = None
+    claim: "KeyClaim | None" = None
     advice: ReturnAdvice | None = None
     decisions: tuple[Decision, ...] = ()
     objective_ms: float = float("inf")
@@ -126,7 +128,7 @@
         caller: ShardCaller,
         directory: GroupDirectory,
         configuration: ConfigurationManager,
-        ledger: ClaimLedger | None,
+        ledger: "ClaimLedger | None",
         quarantine: QuarantineRegistry,
         admissions: Admissions,
         record_outcome: Callable[[Outcome], None] | None = None,
