Remember a slow replica for several calls of its shard

Cause: the excess latency of a replica decayed within 1 s, but an instance of a large fleet calls a shard every 0.7 s or more rarely. Change: the decay lasts five calls of the instance to the shard, from 1 to 8 s. Ruled out: the gap between queries of the group, which counts shard sets of peers.

--- a/chestnuthall/core/fanout/_handlers.py
+++ b/chestnuthall/core/fanout/_handlers.py
@@ -56,7 +56,6 @@
     may_combine = not state.is_suspected(event.now_ms)
     state.plan(state.partition_map, may_combine)
     context = state.context
-    context.router.observe_query(event.now_ms)
     shard_ids = state.direct_shard_ids()
     context.budget.record_calls(shard_ids, context.utilisation_ratio, event.now_ms)
     return _start_calls(state, event.now_ms)
--- a/chestnuthall/core/routing/_replicas.py
+++ b/chestnuthall/core/routing/_replicas.py
@@ -14,6 +14,10 @@
 # Calls to a shard during the time constant. With fewer, an instance that calls a shard
 # rarely would return to a slow replica with nearly every call.
 N_CALLS_EXCESS_DECAY = 5.0
+# Weight of the newest gap between two choices.
+GAP_WEIGHT = 0.2
+GAP_MIN_MS = 100.0
+GAP_MAX_MS = EXCESS_DECAY_MAX_MS / N_CALLS_EXCESS_DECAY
 # How long a replica that lacks a snapshot gets no calls for it. Without any calls it
 # could not report that it has loaded the snapshot since.
 MISSING_SNAPSHOT_TRUSTED_MS = 2_000.0
@@ -31,14 +35,34 @@
     scale: float
 
 
+@dataclass(slots=True)
+class ChoiceGap:
+    """Mean time between two choices of a replica of one shard."""
+
+    last_ms: float
+    mean_ms: float = 0.0
+
+    def observe(self, now_ms: float) -> float:
+        """Record a choice and return the mean before it.
+
+        Choices of a retry or a hedge follow the first one within milliseconds and are
+        not counted.
+        """
+        mean_ms = self.mean_ms
+        gap_ms = now_ms - self.last_ms
+        if gap_ms >= GAP_MIN_MS:
+            self.last_ms = now_ms
+            self.mean_ms += GAP_WEIGHT * (min(gap_ms, GAP_MAX_MS) - mean_ms)
+        return mean_ms
+
+
 @dataclass(slots=True)
 class ReplicaState:
     """Local view of one replica, without load reports of the platform.
 
     ``held_snapshots`` is None until the replica has reported them. ``in_flight``
     are the calls that have not ended, oldest first. Latencies are scaled to the
-    reference kind of call; see ``Router``. ``excess_decay_ms`` is the time constant
-    with which an excess over the typical latency decays between calls.
+    reference kind of call; see ``Router``.
     """
 
     name: str
@@ -52,7 +76,6 @@
     penalised_until_ms: float = float("-inf")
     ramp_started_ms: float = float("-inf")
     n_failures_in_row: int = 0
-    excess_decay_ms: float = EXCESS_DECAY_MIN_MS
 
     @property
     def n_in_flight(self) -> int:
@@ -73,9 +96,16 @@
         if self.latency_ms is None or latency_ms > self.latency_ms:
             self.latency_ms = latency_ms
 
-    def expected_latency_ms(self, typical_ms: float, now_ms: float) -> float:
+    def expected_latency_ms(
+        self,
+        typical_ms: float,
+        now_ms: float,
+        decay_ms: float = EXCESS_DECAY_MIN_MS,
+    ) -> float:
         """Return the expected latency, from past calls and those in flight.
 
+        An excess over the typical latency decays with the time constant ``decay_ms``.
+
         The age of the oldest call in flight is a lower bound of the current latency
         of the replica, known long before the call ends.
         """
@@ -83,7 +113,7 @@
         if latency_ms > typical_ms:
             age_ms = now_ms - self.updated_ms
             excess_ms = latency_ms - typical_ms
-            latency_ms = typical_ms + excess_ms * exp(-age_ms / self.excess_decay_ms)
+            latency_ms = typical_ms + excess_ms * exp(-age_ms / decay_ms)
         for call in self.in_flight:
             latency_ms = max(latency_ms, (now_ms - call.started_ms) / call.scale)
         return latency_ms
--- a/chestnuthall/core/routing/_router.py
+++ b/chestnuthall/core/routing/_router.py
@@ -18,6 +18,7 @@
     EXCESS_DECAY_MAX_MS,
     EXCESS_DECAY_MIN_MS,
     N_CALLS_EXCESS_DECAY,
+    ChoiceGap,
     InFlight,
     ReplicaState,
 )
@@ -33,8 +34,6 @@
 # Kinds of call whose latencies are kept. The oldest one is removed first, since a new
 # configuration replaces the kinds.
 N_LATENCY_WINDOWS_MAX = 64
-# Weight of the newest gap between two calls of a group.
-GAP_WEIGHT = 0.1
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -79,24 +78,21 @@
         self._replicas: dict[str, ReplicaState] = {}
         self._latencies: dict[str, LatencyWindow] = {}
         self.n_in_flight = 0
-        self._excess_decay_ms = EXCESS_DECAY_MIN_MS
-        self._query_gap_ms: float | None = None
-        self._last_query_ms: float | None = None
+        self._choice_gaps: dict[str, ChoiceGap] = {}
 
-    def observe_query(self, now_ms: float) -> None:
-        """Record a query over the shards of the group.
+    def _excess_decay_ms(self, shard_id: str, now_ms: float) -> float:
+        """Return how long a slow replica of a shard is remembered, at a choice.
 
-        The rarer the queries are, the longer a slow replica is remembered.
+        The more rarely this instance calls the shard, the longer. The time is a
+        multiple of the mean time between two choices.
         """
-        if self._last_query_ms is not None:
-            gap_ms = now_ms - self._last_query_ms
-            mean_ms = gap_ms if self._query_gap_ms is None else self._query_gap_ms
-            self._query_gap_ms = mean_ms + GAP_WEIGHT * (gap_ms - mean_ms)
-            self._excess_decay_ms = min(
-                EXCESS_DECAY_MAX_MS,
-                max(EXCESS_DECAY_MIN_MS, N_CALLS_EXCESS_DECAY * self._query_gap_ms),
-            )
-        self._last_query_ms = now_ms
+        gap = self._choice_gaps.get(shard_id)
+        if gap is None:
+            self._choice_gaps[shard_id] = ChoiceGap(now_ms)
+            return EXCESS_DECAY_MIN_MS
+        mean_ms = gap.observe(now_ms)
+        decay_ms = N_CALLS_EXCESS_DECAY * mean_ms
+        return min(EXCESS_DECAY_MAX_MS, max(EXCESS_DECAY_MIN_MS, decay_ms))
 
     def _window(self, call_type: str) -> LatencyWindow:
         window = self._latencies.get(call_type)
@@ -171,9 +167,12 @@
             usable = self._random.sample(usable, n_candidates)
         scale = self._scale(call_type)
         reference_ms = self._reference_ms()
+        decay_ms = self._excess_decay_ms(shard.shard_id, now_ms)
         return min(
             usable,
-            key=lambda item: self._expected_ms(item, now_ms, scale, reference_ms),
+            key=lambda item: self._expected_ms(
+                item, now_ms, scale, reference_ms, decay_ms
+            ),
         )
 
     def ejected_names(self, shard: Shard, now_ms: float) -> frozenset[str]:
@@ -197,12 +196,16 @@
         return frozenset(state.name for state in penalised[:n_ejected_max])
 
     def _expected_ms(
-        self, replica: Replica, now_ms: float, scale: float, reference_ms: float
+        self,
+        replica: Replica,
+        now_ms: float,
+        scale: float,
+        reference_ms: float,
+        decay_ms: float,
     ) -> float:
         settings = self._settings
         state = self.state_of(replica.name)
-        state.excess_decay_ms = self._excess_decay_ms
-        latency_ms = scale * state.expected_latency_ms(reference_ms, now_ms)
+        latency_ms = scale * state.expected_latency_ms(reference_ms, now_ms, decay_ms)
         n_slots = replica.n_slots or settings.n_slots
         queue_factor = 1.0 + state.n_in_flight / n_slots
         penalty_ms = 0.0
--- a/chestnuthall/core/routing/tests/test_routing.py
+++ b/chestnuthall/core/routing/tests/test_routing.py
@@ -265,3 +265,30 @@
                 )
     assert "r0" not in chosen_names(router, shard, 39_300.0, call_type="check")
     assert router.hedge_delay_ms("check") < 15.0 < router.hedge_delay_ms("sweep")
+
+
+# (case, time between the calls of an instance to the shard)
+RARE_CALLS = [("frequent", 50.0), ("rare", 1_500.0)]
+
+
+@pytest.mark.parametrize(
+    "gap_ms", [case[1] for case in RARE_CALLS], ids=[case[0] for case in RARE_CALLS]
+)
+def test_slow_replica_is_not_called_with_every_query(gap_ms):
+    """Guards against a slow replica that is forgotten between two queries.
+
+    An instance of a large fleet calls a shard every one or two seconds, and each of
+    these calls would go to the slow replica again.
+    """
+    router, shard, _ = make_router()
+    now_ms = 0.0
+    n_slow = 0
+    for _ in range(40):
+        now_ms += gap_ms
+        replica = router.choose(shard, 1, (), now_ms)
+        router.on_started(replica, now_ms)
+        is_slow = replica.name == "r0" and now_ms > 10 * gap_ms
+        n_slow += is_slow
+        latency_ms = 250.0 if is_slow else 20.0
+        router.on_answered(replica, now_ms, ANSWER, now_ms + latency_ms)
+    assert n_slow <= 5
