Use slow replicas to their slots, and reject during outages as not run

With all replicas ten times slower the adaptive limit took the latency for queueing and fell to 0.38 of the slots: 17 of 289 attempts were answered in a second, where the slow replicas can answer 52. With all replicas of a shard unavailable each search called the other nine shards, failed after the fact, and its caller was told that it may have run. Change: latency alone lowers the limit to the slots at most, where calls do not queue; sheds still lower it further. While too few shards accept connections, one search of a class in 100 ms is tried at each instance, and the others are rejected at once as not run, with a wait that grows with the outage.

--- a/chestnuthall/core/admission/_limit.py
+++ b/chestnuthall/core/admission/_limit.py
@@ -7,6 +7,9 @@
 # this ratio nearly all shards are busy.
 RATIO_MAX = 2.1
 RATIO_MIN = 0.3
+# Ratio up to which calls do not wait at the replicas. A high latency then means that
+# the replicas are slow, and fewer calls would only leave slots idle.
+RATIO_UNQUEUED = 1.0
 # Ratio of the latency to its baseline that is expected at ``RATIO_MAX``. Beyond
 # it calls only wait longer at the replicas, and the limit is lowered in proportion.
 TARGET_INFLATION = 1.8
@@ -81,7 +84,8 @@
         self._update_baseline(median_ms, utilisation_ratio)
         assert self.baseline_ms is not None
         headroom = TARGET_INFLATION * self.baseline_ms / median_ms
-        return self._move_towards(RATIO_MAX * min(1.0, headroom) * self.shed_factor)
+        ratio = max(RATIO_UNQUEUED, RATIO_MAX * min(1.0, headroom))
+        return self._move_towards(ratio * self.shed_factor)
 
     def _move_towards(self, target_ratio: float) -> float:
         self.ratio += STEP_RATIO * (target_ratio - self.ratio)
--- a/chestnuthall/core/overload/__init__.py
+++ b/chestnuthall/core/overload/__init__.py
@@ -9,6 +9,7 @@
     recovery_ms,
 )
 from chestnuthall.core.overload._lag import LagSettings, OverloadDetector
+from chestnuthall.core.overload._outages import OutageGate
 from chestnuthall.core.overload._overrun import AnswerOverrun
 from chestnuthall.core.overload._returns import Rejection, ReturnSchedule
 
@@ -16,6 +17,7 @@
     "AnswerOverrun",
     "LagSettings",
     "Leaving",
+    "OutageGate",
     "OverloadDetector",
     "Rejection",
     "ReplicasFull",
--- a/chestnuthall/core/overload/_causes.py
+++ b/chestnuthall/core/overload/_causes.py
@@ -7,13 +7,10 @@
 START_MS = 200.0
 # A caller of an instance that is leaving reaches another one through the balancer.
 OTHER_INSTANCE_MS = 50.0
-# Time in which a replica that failed is replaced or restarted, if nothing else is
-# known about it.
-REPLICA_RESTART_MS = 500.0
-# Bounds of the wait for the store. Its outages last seconds to minutes, so an outage
-# is expected to last about as long again as it has lasted.
-STORE_WAIT_MIN_MS = 500.0
-STORE_WAIT_MAX_MS = 5_000.0
+# Bounds of the wait for replicas and for the store. Outages last seconds to minutes,
+# so one is expected to last about as long again as it has lasted.
+OUTAGE_WAIT_MIN_MS = 500.0
+OUTAGE_WAIT_MAX_MS = 5_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,7 +25,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplicasUnavailable:
-    """Too few shards have a replica that can be called."""
+    """Too few shards have had a replica that can be called for ``outage_ms``."""
+
+    outage_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +74,7 @@
 
 @recovery_ms.register
 def _(cause: ReplicasUnavailable) -> float:
-    return REPLICA_RESTART_MS
+    return _outage_wait_ms(cause.outage_ms)
 
 
 @recovery_ms.register
@@ -85,4 +84,8 @@
 
 @recovery_ms.register
 def _(cause: StoreUnavailable) -> float:
-    return min(STORE_WAIT_MAX_MS, max(STORE_WAIT_MIN_MS, cause.outage_ms))
+    return _outage_wait_ms(cause.outage_ms)
+
+
+def _outage_wait_ms(outage_ms: float) -> float:
+    return min(OUTAGE_WAIT_MAX_MS, max(OUTAGE_WAIT_MIN_MS, outage_ms))
--- a/chestnuthall/core/overload/tests/test_returns.py
+++ b/chestnuthall/core/overload/tests/test_returns.py
@@ -150,6 +150,7 @@
     (Starting(), 200.0),
     (Leaving(), 50.0),
     (ReplicasUnavailable(), 500.0),
+    (ReplicasUnavailable(outage_ms=2_000.0), 2_000.0),
     (ReplicasFull(call_ms=30.0), 30.0),
     (StoreUnavailable(outage_ms=0.0), 500.0),
     (StoreUnavailable(outage_ms=2_000.0), 2_000.0),
--- a/chestnuthall/core/routing/_replicas.py
+++ b/chestnuthall/core/routing/_replicas.py
@@ -61,8 +61,9 @@
     """Local view of one replica, without load reports of the platform.
 
     ``held_snapshots`` is None until the replica has reported them. ``in_flight``
-    are the calls that have not ended, oldest first. Latencies are scaled to the
-    reference kind of call; see ``Router``.
+    are the calls that have not ended, oldest first. ``refuses_until_ms`` is the end of
+    a penalty after calls that could not be sent to the replica. Latencies are scaled
+    to the reference kind of call; see ``Router``.
     """
 
     name: str
@@ -74,6 +75,7 @@
     missing_snapshots: dict[int, float] = field(default_factory=dict)
     drained_until_ms: float = float("-inf")
     penalised_until_ms: float = float("-inf")
+    refuses_until_ms: float = float("-inf")
     ramp_started_ms: float = float("-inf")
     n_failures_in_row: int = 0
 
--- a/chestnuthall/core/routing/_router.py
+++ b/chestnuthall/core/routing/_router.py
@@ -7,11 +7,14 @@
 from chestnuthall.core.model import Replica, Shard, ShardAnswer
 from chestnuthall.core.results import (
     CALL_CANCELLED,
+    CONNECTION_REFUSED,
     DEADLINE_PASSED,
+    NO_REPLICA,
     REPLICA_REPLACED,
     SHED_BY_UPSTREAM,
     SNAPSHOT_GONE,
     Failure,
+    FailureKind,
 )
 from chestnuthall.core.routing._latency import LatencyWindow
 from chestnuthall.core.routing._replicas import (
@@ -23,6 +26,8 @@
     ReplicaState,
 )
 
+# Failures of calls that could not be sent, since nothing accepts connections.
+REFUSAL_KINDS: frozenset[FailureKind] = frozenset({NO_REPLICA, CONNECTION_REFUSED})
 # Consecutive failures or sheds after which a replica that answers again is ramped
 # up, since it starts cold or is near its limit. A single failure indicates neither.
 N_FAILURES_BEFORE_RAMP = 2
@@ -79,6 +84,7 @@
         self._latencies: dict[str, LatencyWindow] = {}
         self.n_in_flight = 0
         self._choice_gaps: dict[str, ChoiceGap] = {}
+        self._refusals_until_ms = float("-inf")
 
     def _excess_decay_ms(self, shard_id: str, now_ms: float) -> float:
         """Return how long a slow replica of a shard is remembered, at a choice.
@@ -175,6 +181,14 @@
             ),
         )
 
+    def has_refusals(self, now_ms: float) -> bool:
+        """Return whether any replica may be refusing calls."""
+        return now_ms < self._refusals_until_ms
+
+    def is_refusing(self, replica: Replica, now_ms: float) -> bool:
+        """Return whether recent calls could not be sent to a replica."""
+        return now_ms < self.state_of(replica.name).refuses_until_ms
+
     def ejected_names(self, shard: Shard, now_ms: float) -> frozenset[str]:
         """Return the replicas of a shard that get no calls after failures.
 
@@ -285,6 +299,7 @@
             state.ramp_started_ms = now_ms
         state.n_failures_in_row = 0
         state.penalised_until_ms = float("-inf")
+        state.refuses_until_ms = float("-inf")
         if not self._is_slow(state):
             self._window(call_type).add(now_ms - started_ms)
         state.observe_latency((now_ms - started_ms) / scale, now_ms)
@@ -323,6 +338,9 @@
             return
         state.n_failures_in_row += 1
         state.penalised_until_ms = now_ms + self._penalty_duration_ms(state, failure)
+        is_refusal = failure.kind in REFUSAL_KINDS
+        state.refuses_until_ms = state.penalised_until_ms if is_refusal else now_ms
+        self._refusals_until_ms = max(self._refusals_until_ms, state.refuses_until_ms)
 
     def _on_cancelled(
         self,
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -33,10 +33,11 @@
     UpstreamGroup,
     request_kind,
 )
-from chestnuthall.core.overload import AnswerOverrun, recovery_ms
+from chestnuthall.core.overload import AnswerOverrun, OutageGate, recovery_ms
 from chestnuthall.core.quarantine import QuarantineRegistry
 from chestnuthall.core.results import (
     DEADLINE_PASSED,
+    NO_REPLICA,
     NOT_READY,
     QUARANTINED,
     UNKNOWN_CLASS,
@@ -71,6 +72,7 @@
     failure_without_replicas,
     may_be_combined,
     n_slots,
+    reaches_floor,
     rejection_cause,
 )
 from chestnuthall.services._suspicion_notifier import SuspicionNotifier
@@ -157,6 +159,7 @@
         self._shared_budget = shared_budget
         self._divided_search: DividedSearch | None = None
         self._overrun = AnswerOverrun()
+        self._outages = OutageGate()
         configuration.add_listener(self._apply_configuration)
 
     def _apply_configuration(self, configuration: Configuration) -> None:
@@ -234,9 +237,11 @@
         progress.objective_ms = plan.caller_class.objective.latency_ms
         request = bound_deadline(request, plan.caller_class)
         progress.request = request
-        failure = failure_without_replicas(
-            request, plan.caller_class, plan.partition_map
-        ) or await self._claim(progress)
+        failure = (
+            failure_without_replicas(request, plan.caller_class, plan.partition_map)
+            or self._failure_during_outage(request, plan)
+            or await self._claim(progress)
+        )
         if failure is not None:
             return self._refuse(progress, failure)
         cost = float(len(target_shards(request, plan.partition_map)))
@@ -281,6 +286,24 @@
         caller_class = class_for_shard_set(request, caller_class)
         return _Plan(caller_class, group, partition_map, budget)
 
+    def _failure_during_outage(self, request: Request, plan: _Plan) -> Failure | None:
+        """Return a failure if too few shards have a replica that accepts calls."""
+        now_ms = self._clock.now_ms()
+        router = self._directory.router(request.group)
+        is_floor_reachable = not router.has_refusals(now_ms) or reaches_floor(
+            request,
+            plan.caller_class,
+            plan.partition_map,
+            partial(router.is_refusing, now_ms=now_ms),
+        )
+        names = request.group, request.class_name
+        if self._outages.may_try(*names, is_floor_reachable, now_ms):
+            return None
+        outage_ms = self._outages.outage_ms(*names, now_ms)
+        return NO_REPLICA.with_reason(
+            f"too few shards have accepted calls for {outage_ms:.0f} ms"
+        )
+
     async def _claim(self, progress: _Progress) -> Failure | None:
         request = progress.request
         if not isinstance(request, MutationRequest) or self._ledger is None:
@@ -468,7 +491,10 @@
         if advice is None:
             admission = self._admissions.find(request.group)
             call_ms = CALL_UNKNOWN_MS if admission is None else admission.call_ms
-            wait_ms = recovery_ms(rejection_cause(failure.kind, call_ms))
+            outage_ms = self._outages.outage_ms(
+                request.group, request.class_name, self._clock.now_ms()
+            )
+            wait_ms = recovery_ms(rejection_cause(failure.kind, call_ms, outage_ms))
             if admission is not None:
                 advice = admission.book_return(request, wait_ms)
             if advice is None:
--- a/chestnuthall/services/_query_rules.py
+++ b/chestnuthall/services/_query_rules.py
@@ -1,5 +1,6 @@
 """Rules of the query service that are independent of its state."""
 
+from collections.abc import Callable
 from dataclasses import replace
 
 from chestnuthall.core.fanout import target_shards
@@ -8,6 +9,7 @@
     Decision,
     DecisionEvent,
     PartitionMap,
+    Replica,
     Request,
     ScatterRequest,
     UpstreamGroup,
@@ -59,10 +61,32 @@
     )
 
 
-def rejection_cause(kind: FailureKind, call_ms: float) -> object:
+def reaches_floor(
+    request: Request,
+    caller_class: CallerClass,
+    partition_map: PartitionMap,
+    is_refusing: Callable[[Replica], bool],
+) -> bool:
+    """Return whether enough shards have a replica that accepts calls.
+
+    A shard without an unavailable replica counts as reachable.
+    """
+    reachable = reachable_ratio(
+        [
+            shard
+            if any(not is_refusing(replica) for replica in shard.replicas)
+            else replace(shard, replicas=())
+            for shard in target_shards(request, partition_map)
+        ]
+    )
+    return reachable > 0.0 and reachable >= caller_class.coverage_floor_ratio
+
+
+def rejection_cause(kind: FailureKind, call_ms: float, outage_ms: float) -> object:
     """Return the cause of a rejection that admission did not decide.
 
-    ``call_ms`` is the usual duration of a shard call. The replicas of a request that
+    ``call_ms`` is the usual duration of a shard call, and ``outage_ms`` how long too
+    few shards could be called. The replicas of a request that
     was not run for any other reason could not be called.
     """
     causes: dict[FailureKind, object] = {
@@ -71,7 +95,7 @@
         STORE_UNAVAILABLE: StoreUnavailable(),
         SHED_BY_UPSTREAM: ReplicasFull(call_ms),
     }
-    return causes.get(kind, ReplicasUnavailable())
+    return causes.get(kind, ReplicasUnavailable(outage_ms))
 
 
 def n_slots(group: UpstreamGroup, partition_map: PartitionMap) -> float:
