--- a/chestnuthall/cli/_log_commands.py
+++ b/chestnuthall/cli/_log_commands.py
@@ -8,7 +8,12 @@
 from chestnuthall.cli._commands import add_command
 from chestnuthall.cli._exit_codes import ExitCode
 from chestnuthall.cli._output import Output
-from chestnuthall.cli._request_trace import RequestTrace, format_rows, read_trace
+from chestnuthall.cli._request_trace import (
+    RequestTrace,
+    describe_rejection,
+    format_rows,
+    read_trace,
+)
 from chestnuthall.cli._session import CommandError, CommonOptions
 
 DEFAULT_OPTIONS = CommonOptions()
@@ -72,6 +77,9 @@
     if settled is not None:
         fields = " ".join(f"{name}={value}" for name, value in settled.fields.items())
         verdict = f"settled by {settled.event}: {fields}"
+        rejection = describe_rejection(settled.fields)
+        if rejection:
+            verdict = f"{verdict}\n{rejection}"
     if output.is_json:
         output.print_json({"lines": rows, "settled": verdict, "n_torn": trace.n_torn})
         return
--- a/chestnuthall/cli/_request_trace.py
+++ b/chestnuthall/cli/_request_trace.py
@@ -1,7 +1,7 @@
 """Trace of one request, read from the log lines of several instances."""
 
 import json
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from datetime import datetime
 
@@ -44,6 +44,31 @@
         return final_entries[-1] if final_entries else None
 
 
+def describe_rejection(fields: Mapping[str, object]) -> str:
+    """Return why a request was not run and when its caller was to return.
+
+    ``fields`` are those of its final line; the result is empty for other outcomes.
+
+    Examples
+    --------
+    >>> describe_rejection(
+    ...     {"run": "no", "result": "QUEUE_FULL", "reason": "6 queries", "n_ahead": 6,
+    ...      "retry_after_ms": 80.0, "drain_ms": 60.0, "is_return_booked": True}
+    ... )
+    'not run: QUEUE_FULL (6 queries), 6 ahead; return booked in 80 ms, drain 60 ms'
+    """
+    if fields.get("run") != "no":
+        return ""
+    text = f"not run: {fields.get('result')} ({fields.get('reason')})"
+    if "n_ahead" in fields:
+        text += f", {fields['n_ahead']} ahead"
+    wait_ms, drain_ms = fields.get("retry_after_ms"), fields.get("drain_ms")
+    if not isinstance(wait_ms, float) or not isinstance(drain_ms, float):
+        return f"{text}; no return advised"
+    booked = "booked" if fields.get("is_return_booked") else "advised but not booked"
+    return f"{text}; return {booked} in {wait_ms:.0f} ms, drain {drain_ms:.0f} ms"
+
+
 def read_trace(request_id: str, log_lines: Iterable[str]) -> RequestTrace:
     """Return the trace of a request.
 
--- a/chestnuthall/cli/tests/test_why.py
+++ b/chestnuthall/cli/tests/test_why.py
@@ -27,6 +27,18 @@
     time="2026-12-04 10:00:01,000",
     request_id="q1",
 )
+REJECTED = line(
+    "request_refused",
+    request_id="q3",
+    run="no",
+    result="QUEUE_FULL",
+    reason="the class has 6 queries queued",
+    rule="not_admitted",
+    n_ahead=6,
+    retry_after_ms=80.0,
+    drain_ms=60.0,
+    is_return_booked=True,
+)
 TRUNCATED = '{"event": "call_sent", "request_id": "q1", "ti'
 
 # (case, log files, request id, exit code, fragments of the output in order)
@@ -52,6 +64,13 @@
         0,
         ["call_sent", "no decision settled the request"],
     ),
+    (
+        "rejection with its rule, inputs and return",
+        [[REJECTED]],
+        "q3",
+        0,
+        ["rule=not_admitted", "QUEUE_FULL", "6 ahead", "return booked in 80 ms"],
+    ),
     ("truncated line", [[TRUNCATED, REFUSED]], "q1", 0, ["request_refused", "1 lines"]),
     ("only a truncated line", [[TRUNCATED]], "q1", 8, ["1 of them name it"]),
     ("no such request", [[OTHER]], "q1", 8, ["no line of request q1 in 1 lines"]),
--- a/chestnuthall/services/_decision_log.py
+++ b/chestnuthall/services/_decision_log.py
@@ -149,6 +149,8 @@
             return
         fields["reason"] = outcome.failure.reason
         fields["run"] = outcome.run_state.value
+        fields["rule"] = outcome.account.admission.rule.value
+        fields["n_ahead"] = outcome.account.admission.n_ahead_at_arrival
         advice = outcome.advice
         if advice is not None:
             fields["retry_after_ms"] = round(advice.retry_after_ms, 1)
