Keep requests that cannot be hedged off persistently slow replicas

Change: such a request avoids a persistently slow replica until its last call is 8 s ago; a repeatable one may still try one in a query, as it is hedged early.

--- a/chestnuthall/core/fanout/_state.py
+++ b/chestnuthall/core/fanout/_state.py
@@ -61,6 +61,9 @@
 # Calls of a query to persistently slow replicas, which find out whether these have
 # recovered. With several of them a query would miss its floor at the soft deadline.
 N_TRIALS_MAX = 1
+# Interval at which requests that can't be hedged try a persistently slow replica. The
+# request that does so waits for it.
+SLOW_RETRY_MS = 8_000.0
 # Failures before anything was written to the replica.
 NOT_SENT_KINDS: frozenset[FailureKind] = frozenset(
     {NO_REPLICA, CONNECTION_REFUSED, DEADLINE_PASSED}
@@ -220,9 +223,15 @@
             progress.tried_names,
             now_ms,
             call_type=self.call_type_of(progress),
-            may_try_slow=self.n_trials < N_TRIALS_MAX,
+            slow_age_min_ms=self._slow_age_min_ms(),
         )
 
+    def _slow_age_min_ms(self) -> float:
+        """Return how long ago a slow replica was called that is tried again."""
+        if not is_idempotent(self.request):
+            return SLOW_RETRY_MS
+        return 0.0 if self.n_trials < N_TRIALS_MAX else float("inf")
+
     def _shard_set(self, shard: Shard) -> ShardSet | None:
         if not shard.shards:
             return None
--- a/chestnuthall/core/fanout/tests/test_relayed.py
+++ b/chestnuthall/core/fanout/tests/test_relayed.py
@@ -281,3 +281,20 @@
     early_ms = 1.9 * router.typical_ms("c")
     hedges = calls_of(fan_out.handle(TimerFired(early_ms)))
     assert [call.shard_id for call in hedges] == [tried[0].shard_id]
+
+
+@pytest.mark.parametrize(
+    ("repeatable", "is_tried"), [(True, True), (False, False)], ids=["can", "cannot"]
+)
+def test_request_that_cannot_be_hedged_does_not_try_a_slow_replica(
+    repeatable, is_tried
+):
+    """Such a request waits for the replica until its deadline."""
+    fan_out = make_fan_out("forward", repeatable=repeatable)
+    router = fan_out.context.router
+    slow, *others = fan_out.partition_map.shards[0].replicas
+    router.state_of(slow.name).n_slow_in_row = 2
+    for replica in others:
+        router.state_of(replica.name).observe_latency(30.0, 0.0)
+    (call,) = calls_of(fan_out.handle(QueryStarted(0.0)))
+    assert (call.replica == slow) is is_tried
--- a/chestnuthall/core/routing/_router.py
+++ b/chestnuthall/core/routing/_router.py
@@ -151,12 +151,12 @@
         now_ms: float,
         needs_free_slot: bool = False,
         call_type: str = "",
-        may_try_slow: bool = True,
+        slow_age_min_ms: float = 0.0,
     ) -> Replica | None:
         """Return the replica with the least expected latency of a sample, or None.
 
         Ejected replicas are used only if no other one is usable, and so are
-        persistently slow ones unless ``may_try_slow``.
+        persistently slow ones whose last call is less than ``slow_age_min_ms`` ago.
         """
         usable = [
             replica
@@ -168,8 +168,14 @@
         if len(usable) > 1:
             ejected = self.ejected_names(shard, now_ms)
             usable = [item for item in usable if item.name not in ejected] or usable
-        if not may_try_slow:
-            usable = [x for x in usable if not self.is_persistently_slow(x)] or usable
+        if slow_age_min_ms > 0.0:
+            slow_since_ms = now_ms - slow_age_min_ms
+            usable = [
+                replica
+                for replica in usable
+                if not self.is_persistently_slow(replica)
+                or self.state_of(replica.name).updated_ms < slow_since_ms
+            ] or usable
         if not usable:
             return None
         n_candidates = self._settings.n_candidates
--- a/chestnuthall/core/routing/tests/test_routing.py
+++ b/chestnuthall/core/routing/tests/test_routing.py
@@ -313,8 +313,10 @@
     for latency_ms in latencies_ms:
         answer(router, replicas[0], latency_ms, 0.0)
     assert router.is_persistently_slow(replicas[0]) is is_persistent
-    names = chosen_names(router, shard, 60_000.0, may_try_slow=False)
+    names = chosen_names(router, shard, 60_000.0, slow_age_min_ms=60_001.0)
     assert ("r0" not in names) is is_persistent
+    names = chosen_names(router, shard, 60_000.0, slow_age_min_ms=59_000.0)
+    assert "r0" in names
     assert "r0" in chosen_names(router, shard, 60_000.0)
 
 
@@ -324,7 +326,8 @@
         answer(router, replica, 20.0, 0.0)
         answer(router, replica, 250.0, 0.0)
         answer(router, replica, 250.0, 0.0)
-    assert router.choose(shard, 1, (), 1_000.0, may_try_slow=False) is not None
+    replica = router.choose(shard, 1, (), 1_000.0, slow_age_min_ms=float("inf"))
+    assert replica is not None
 
 
 @pytest.mark.parametrize(
