Split admission and the rejections of the query service by subject

Change: moves only. The state of admission and the handling of its events are modules of their own, as in core/fanout; services/_rejections.py rejects during outages and advises callers; the rule on repeats is with the other query rules. Result: no decision changed; tests of core, services and the whole path pass.

--- a/chestnuthall/core/admission/__init__.py
+++ b/chestnuthall/core/admission/__init__.py
@@ -25,7 +25,8 @@
     demand_fraction,
 )
 from chestnuthall.core.admission._limit import AdaptiveLimit
-from chestnuthall.core.admission._queue import CALL_UNKNOWN_MS, AdmissionQueue
+from chestnuthall.core.admission._queue import AdmissionQueue
+from chestnuthall.core.admission._state import CALL_UNKNOWN_MS
 
 __all__ = [
     "AdaptiveLimit",
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -6,7 +6,6 @@
 from functools import partial
 from typing import TYPE_CHECKING, TypeAlias
 
-from chestnuthall.core.admission import CALL_UNKNOWN_MS
 from chestnuthall.core.fanout import (
     Completion,
     FanOut,
@@ -33,11 +32,10 @@
     UpstreamGroup,
     request_kind,
 )
-from chestnuthall.core.overload import AnswerOverrun, OutageGate, recovery_ms
+from chestnuthall.core.overload import AnswerOverrun
 from chestnuthall.core.quarantine import QuarantineRegistry
 from chestnuthall.core.results import (
     DEADLINE_PASSED,
-    NO_REPLICA,
     NOT_READY,
     QUARANTINED,
     UNKNOWN_CLASS,
@@ -72,9 +70,9 @@
     failure_without_replicas,
     may_be_combined,
     n_slots,
-    reaches_floor,
-    rejection_cause,
+    run_state_and_retry_advice,
 )
+from chestnuthall.services._rejections import Rejections
 from chestnuthall.services._suspicion_notifier import SuspicionNotifier
 
 if TYPE_CHECKING:
@@ -159,7 +157,7 @@
         self._shared_budget = shared_budget
         self._divided_search: DividedSearch | None = None
         self._overrun = AnswerOverrun()
-        self._outages = OutageGate()
+        self._rejections = Rejections(clock, metrics, admissions)
         configuration.add_listener(self._apply_configuration)
 
     def _apply_configuration(self, configuration: Configuration) -> None:
@@ -239,7 +237,12 @@
         progress.request = request
         failure = (
             failure_without_replicas(request, plan.caller_class, plan.partition_map)
-            or self._failure_during_outage(request, plan)
+            or self._rejections.failure_during_outage(
+                request,
+                plan.caller_class,
+                plan.partition_map,
+                self._directory.router(request.group),
+            )
             or await self._claim(progress)
         )
         if failure is not None:
@@ -286,24 +289,6 @@
         caller_class = class_for_shard_set(request, caller_class)
         return _Plan(caller_class, group, partition_map, budget)
 
-    def _failure_during_outage(self, request: Request, plan: _Plan) -> Failure | None:
-        """Return a failure if too few shards have a replica that accepts calls."""
-        now_ms = self._clock.now_ms()
-        router = self._directory.router(request.group)
-        is_floor_reachable = not router.has_refusals(now_ms) or reaches_floor(
-            request,
-            plan.caller_class,
-            plan.partition_map,
-            partial(router.is_refusing, now_ms=now_ms),
-        )
-        names = request.group, request.class_name
-        if self._outages.may_try(*names, is_floor_reachable, now_ms):
-            return None
-        outage_ms = self._outages.outage_ms(*names, now_ms)
-        return NO_REPLICA.with_reason(
-            f"too few shards have accepted calls for {outage_ms:.0f} ms"
-        )
-
     async def _claim(self, progress: _Progress) -> Failure | None:
         request = progress.request
         if not isinstance(request, MutationRequest) or self._ledger is None:
@@ -466,9 +451,13 @@
         failure: Failure,
         completion: Completion | None = None,
     ) -> Refusal:
-        run_state, repeat = _run_state_and_retry_advice(progress, failure, completion)
+        run_state, repeat = run_state_and_retry_advice(
+            failure, completion, has_claim=progress.claim is not None
+        )
         is_safe_to_repeat = run_state is RunState.NO and repeat is RetryAdvice.SAFE
-        advice = self._return_advice(progress, failure) if is_safe_to_repeat else None
+        advice = None
+        if is_safe_to_repeat:
+            advice = self._rejections.advise(progress.request, failure, progress.advice)
         return Refusal(
             request_id=progress.request.request_id,
             failure=failure,
@@ -480,32 +469,6 @@
             reply=None if completion is None else completion.reply,
         )
 
-    def _return_advice(self, progress: _Progress, failure: Failure) -> ReturnAdvice:
-        """Return when the caller of a rejected request should come back.
-
-        Admission has booked the return of a request that it refused. For other
-        causes the return is booked here, behind those that are booked already.
-        """
-        request = progress.request
-        advice = progress.advice
-        if advice is None:
-            admission = self._admissions.find(request.group)
-            call_ms = CALL_UNKNOWN_MS if admission is None else admission.call_ms
-            outage_ms = self._outages.outage_ms(
-                request.group, request.class_name, self._clock.now_ms()
-            )
-            wait_ms = recovery_ms(rejection_cause(failure.kind, call_ms, outage_ms))
-            if admission is not None:
-                advice = admission.book_return(request, wait_ms)
-            if advice is None:
-                advice = ReturnAdvice(wait_ms, wait_ms, is_booked=False)
-        self._metrics.count(f"rejections.{failure.code.name.lower()}")
-        if advice.is_booked:
-            self._metrics.count("returns.booked")
-        else:
-            self._metrics.count("returns.not_booked")
-        return advice
-
     def _account(
         self, progress: _Progress, code: ResultCode, completion: Completion | None
     ) -> Account:
@@ -535,27 +498,3 @@
     if isinstance(outcome, Answer):
         return outcome.result_code
     return outcome.failure.code
-
-
-def _run_state_and_retry_advice(
-    progress: _Progress, failure: Failure, completion: Completion | None
-) -> tuple[RunState, RetryAdvice]:
-    """Return whether a refused request was run, and whether it may be repeated.
-
-    Before the fan-out, the kind of the failure states both, as far as they are
-    known. Afterwards the results of the calls decide whether it was run: a search
-    whose calls were all refused before they started was not run, whatever the kind
-    of its failure states.
-    A mutation whose key stays claimed needs a new key to be repeated.
-    """
-    kind = failure.kind
-    run_state, repeat = kind.run, kind.repeat
-    if completion is not None:
-        run_state = completion.run_state
-    if (
-        progress.claim is not None
-        and run_state is RunState.NO
-        and repeat is RetryAdvice.SAFE
-    ):
-        repeat = RetryAdvice.NEW_KEY
-    return run_state, repeat
--- a/chestnuthall/services/_query_rules.py
+++ b/chestnuthall/services/_query_rules.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from chestnuthall.core.fanout import target_shards
+from chestnuthall.core.fanout import Completion, target_shards
 from chestnuthall.core.model import (
     CallerClass,
     Decision,
@@ -30,6 +30,8 @@
     STORE_UNAVAILABLE,
     Failure,
     FailureKind,
+    RetryAdvice,
+    RunState,
 )
 from chestnuthall.services._admission import Admitted
 
@@ -152,3 +154,23 @@
     if request.deadline_ms <= latest_ms:
         return request
     return replace(request, deadline_ms=latest_ms)
+
+
+def run_state_and_retry_advice(
+    failure: Failure, completion: Completion | None, has_claim: bool
+) -> tuple[RunState, RetryAdvice]:
+    """Return whether a refused request was run, and whether it may be repeated.
+
+    Before the fan-out, the kind of the failure states both, as far as they are
+    known. Afterwards the results of the calls decide whether it was run: a search
+    whose calls were all refused before they started was not run, whatever the kind
+    of its failure states.
+    A mutation whose key stays claimed needs a new key to be repeated.
+    """
+    kind = failure.kind
+    run_state, repeat = kind.run, kind.repeat
+    if completion is not None:
+        run_state = completion.run_state
+    if has_claim and run_state is RunState.NO and repeat is RetryAdvice.SAFE:
+        repeat = RetryAdvice.NEW_KEY
+    return run_state, repeat
