--- a/chestnuthall/core/configuration/__init__.py
+++ b/chestnuthall/core/configuration/__init__.py
@@ -1,57 +1,121 @@
 """Configuration revisions that never revert, their promotion and history."""
 
-from chestnuthall.core.configuration._differences import (
-    Difference,
-    differences,
-)
-from chestnuthall.core.configuration._follower import (
-    CONFIRMATION_AGE_MAX_MS,
-    WATCH_TIMEOUT_MS,
-    Delay,
-    DelayEnded,
-    FollowerAction,
-    FollowerEvent,
-    ObjectFollower,
-    ObjectRead,
-    ReadObject,
-    StoreCallFailed,
-    Watch,
-    WatchEnded,
-    WatchHistoryTrimmed,
-    safe_watch_timeout_ms,
-)
-from chestnuthall.core.configuration._leaders import (
-    FeedTiming,
-    LeaderSelector,
-)
-from chestnuthall.core.configuration._promotion import (
-    InstanceEvidence,
-    PromotionDecision,
-    PromotionPolicy,
-    PromotionVerdict,
-    TrialEvidence,
-    decide_promotion,
-    promotion_draft,
-)
-from chestnuthall.core.configuration._records import (
-    Draft,
-    History,
-    RevisionRecord,
-    add_to_history,
-    next_record,
-)
-from chestnuthall.core.configuration._revisions import (
-    RevisionDecision,
-    decide_revision,
-)
-from chestnuthall.core.configuration._watchers import (
-    N_WATCHERS_PER_ZONE,
-    is_watcher,
-)
-from chestnuthall.core.configuration._write_outcome import (
-    StoredRevision,
-    WriteOutcome,
-    resolve_write,
+from typing import TYPE_CHECKING
+
+from chestnuthall.lazy_exports import lazy_exports
+
+if TYPE_CHECKING:
+    from chestnuthall.core.configuration._differences import (
+        Difference,
+        differences,
+    )
+    from chestnuthall.core.configuration._follower import (
+        CONFIRMATION_AGE_MAX_MS,
+        WATCH_TIMEOUT_MS,
+        Delay,
+        DelayEnded,
+        FollowerAction,
+        FollowerEvent,
+        ObjectFollower,
+        ObjectRead,
+        ReadObject,
+        StoreCallFailed,
+        Watch,
+        WatchEnded,
+        WatchHistoryTrimmed,
+        safe_watch_timeout_ms,
+    )
+    from chestnuthall.core.configuration._leaders import (
+        FeedTiming,
+        LeaderSelector,
+    )
+    from chestnuthall.core.configuration._promotion import (
+        InstanceEvidence,
+        PromotionDecision,
+        PromotionPolicy,
+        PromotionVerdict,
+        TrialEvidence,
+        decide_promotion,
+        promotion_draft,
+    )
+    from chestnuthall.core.configuration._records import (
+        Draft,
+        History,
+        RevisionRecord,
+        add_to_history,
+        next_record,
+    )
+    from chestnuthall.core.configuration._revisions import (
+        RevisionDecision,
+        decide_revision,
+    )
+    from chestnuthall.core.configuration._watchers import (
+        N_WATCHERS_PER_ZONE,
+        is_watcher,
+    )
+    from chestnuthall.core.configuration._write_outcome import (
+        StoredRevision,
+        WriteOutcome,
+        resolve_write,
+    )
+
+__getattr__ = lazy_exports(
+    __name__,
+    {
+        "_differences": (
+            "Difference",
+            "differences",
+        ),
+        "_follower": (
+            "CONFIRMATION_AGE_MAX_MS",
+            "WATCH_TIMEOUT_MS",
+            "Delay",
+            "DelayEnded",
+            "FollowerAction",
+            "FollowerEvent",
+            "ObjectFollower",
+            "ObjectRead",
+            "ReadObject",
+            "StoreCallFailed",
+            "Watch",
+            "WatchEnded",
+            "WatchHistoryTrimmed",
+            "safe_watch_timeout_ms",
+        ),
+        "_leaders": (
+            "FeedTiming",
+            "LeaderSelector",
+        ),
+        "_promotion": (
+            "InstanceEvidence",
+            "PromotionDecision",
+            "PromotionPolicy",
+            "PromotionVerdict",
+            "TrialEvidence",
+            "decide_promotion",
+            "promotion_draft",
+        ),
+        "_records": (
+            "Draft",
+            "History",
+            "RevisionRecord",
+            "add_to_history",
+            "next_record",
+        ),
+        "_revisions": (
+            "RevisionDecision",
+            "decide_revision",
+        ),
+        "_watchers": (
+            "N_WATCHERS_PER_ZONE",
+            "is_watcher",
+        ),
+        "_write_outcome": (
+            "StoredRevision",
+            "WriteOutcome",
+            "resolve_write",
+        ),
+    },
 )
 
 __all__ = [
--- a/chestnuthall/platform/_main.py
+++ b/chestnuthall/platform/_main.py
@@ -33,8 +33,8 @@
     )
     # A full garbage collection would block the event loop for tens of milliseconds
     # to traverse the imported modules, which are never freed.
-    gc.collect()
     gc.freeze()
+    gc.enable()
     asyncio.run(_run(settings, log_limit))
 
 
