Keep overlapping quotas within the slots while replicas are slow

Cause: the limit of slow replicas was raised to the slots of a quota, but on the platform the quotas of all instances add up to three times the slots or more, so slow replicas would have got several times the calls that they have slots. Change: a quota tells the limit how much the quotas overlap, and latency lowers the limit to the slots divided by that.

--- a/chestnuthall/core/admission/__init__.py
+++ b/chestnuthall/core/admission/__init__.py
@@ -24,7 +24,7 @@
     UsageReport,
     demand_fraction,
 )
-from chestnuthall.core.admission._limit import AdaptiveLimit
+from chestnuthall.core.admission._limit import RATIO_UNQUEUED, AdaptiveLimit
 from chestnuthall.core.admission._queue import AdmissionQueue
 from chestnuthall.core.admission._state import CALL_UNKNOWN_MS
 
@@ -43,6 +43,7 @@
     "InstanceDemand",
     "LagObserved",
     "LimitChanged",
+    "RATIO_UNQUEUED",
     "Reconfigured",
     "Refuse",
     "Release",
--- a/chestnuthall/core/admission/_limit.py
+++ b/chestnuthall/core/admission/_limit.py
@@ -7,8 +7,9 @@
 # this ratio nearly all shards are busy.
 RATIO_MAX = 2.1
 RATIO_MIN = 0.3
-# Ratio up to which calls do not wait at the replicas. A high latency then means that
-# the replicas are slow, and fewer calls would only leave slots idle.
+# Ratio up to which calls do not wait at the replicas, if the quotas of all instances
+# add up to the slots. A high latency then means that the replicas are slow, and fewer
+# calls would only leave slots idle.
 RATIO_UNQUEUED = 1.0
 # Ratio of the latency to its baseline that is expected at ``RATIO_MAX``. Beyond
 # it calls only wait longer at the replicas, and the limit is lowered in proportion.
@@ -47,6 +48,7 @@
     """
 
     ratio: float = 1.0
+    unqueued_ratio: float = RATIO_UNQUEUED
     baseline_ms: float | None = None
     shed_factor: float = 1.0
     _has_low_load_baseline: bool = False
@@ -84,7 +86,7 @@
         self._update_baseline(median_ms, utilisation_ratio)
         assert self.baseline_ms is not None
         headroom = TARGET_INFLATION * self.baseline_ms / median_ms
-        ratio = max(RATIO_UNQUEUED, RATIO_MAX * min(1.0, headroom))
+        ratio = max(self.unqueued_ratio, RATIO_MAX * min(1.0, headroom))
         return self._move_towards(ratio * self.shed_factor)
 
     def _move_towards(self, target_ratio: float) -> float:
--- a/chestnuthall/services/_admission.py
+++ b/chestnuthall/services/_admission.py
@@ -7,6 +7,7 @@
 
 from chestnuthall.core.admission import (
     CALL_UNKNOWN_MS,
+    RATIO_UNQUEUED,
     AdaptiveLimit,
     AdmissionAction,
     AdmissionEvent,
@@ -162,14 +163,19 @@
             self._apply_limit()
 
     def set_quota(
-        self, quota_ratio: float, class_demand_ratios: tuple[tuple[str, float], ...]
+        self,
+        quota_ratio: float,
+        class_demand_ratios: tuple[tuple[str, float], ...],
+        quota_sum_ratio: float = 1.0,
     ) -> None:
         """Set this instance's quota and its fractions of the demand by class.
 
         ``quota_ratio`` is this instance's fraction of the demand on the fleet, and the
         fraction of the group's slots that it may use. ``class_demand_ratios`` are its
-        fractions of the demand of single classes.
+        fractions of the demand of single classes. ``quota_sum_ratio`` is the
+        sum of the quotas of all instances, which may exceed one.
         """
+        self._limit.unqueued_ratio = RATIO_UNQUEUED / max(1.0, quota_sum_ratio)
         self._quota_ratio = quota_ratio
         self._class_demand_ratios = class_demand_ratios
         self._apply_limit()
--- a/chestnuthall/services/_equal_quotas.py
+++ b/chestnuthall/services/_equal_quotas.py
@@ -33,8 +33,9 @@
     async def run(self) -> None:
         """Update the quotas until cancelled."""
         while True:
-            quota_ratio = QUOTA_FACTOR / self._n_instances()
+            n_instances = self._n_instances()
             for _, admission in self._admissions.items():
                 least_ratio = N_SLOTS_MIN / max(1.0, admission.slots_cost)
-                admission.set_quota(min(1.0, max(quota_ratio, least_ratio)), ())
+                quota_ratio = min(1.0, max(QUOTA_FACTOR / n_instances, least_ratio))
+                admission.set_quota(quota_ratio, (), n_instances * quota_ratio)
             await self._clock.sleep_ms(UPDATE_INTERVAL_MS)
