--- a/benchmarks/tests/test_replay.py
+++ b/benchmarks/tests/test_replay.py
@@ -2,7 +2,8 @@
 
 Guards against waits that are unrelated to the drain of the backlog, against callers
 that return at their time and are rejected again, against slots that stay idle while all
-replicas are slow, and against searches that run although they can only fail.
+replicas are slow, against searches that run although they can only fail, and against
+slow replicas that are tried with every search of an instance that calls them rarely.
 """
 
 import math
@@ -115,6 +116,19 @@
     assert all(item.is_answer for item in after)
 
 
+# Seeds with which no shard has only slow replicas.
+@pytest.mark.parametrize("seed", [3, 5, 7])
+def test_rarely_called_slow_replicas_are_remembered(seed):
+    """A search that tries several slow replicas again takes as long as they do.
+
+    The median is bounded like a tail under slowed replicas: 1.3 times the unslowed one.
+    """
+    pattern, attempts = play_pattern("slow-third-of-rare-calls", seed)
+    unslowed = play(pattern.model_copy(update={"troubles": ()}), seed)
+    p50_ms = figures_by_class(attempts)["urgent"].p50_ms
+    assert p50_ms <= 1.3 * figures_by_class(unslowed)["urgent"].p50_ms
+
+
 # (case, text of the document, fragments of the message)
 INVALID_PATTERNS = [
     ("no streams", '{"deployment": "derwent", "duration_ms": 1}', ["streams"]),
--- a/chestnuthall/core/admission/_limit.py
+++ b/chestnuthall/core/admission/_limit.py
@@ -41,6 +41,9 @@
 class AdaptiveLimit:
     """Ratio of the limit to the slots of a group.
 
+    Answers a step or wave of load that queues at the replicas, and a group whose
+    replicas are all slow.
+
     Each replica counts once, by its mean latency; the median over replicas is
     compared with its baseline at low load. The ratio is a proportional function of
     this inflation, without an integral term: with one, instances whose baselines
--- a/chestnuthall/core/routing/_router.py
+++ b/chestnuthall/core/routing/_router.py
@@ -76,6 +76,9 @@
 class Router:
     """Replica statistics of one group, and replica choice based on them.
 
+    Answers slow, failing and restarting replicas, also where the instances of a large
+    fleet call each of them rarely.
+
     Calls with different typical latencies are distinguished by the name of their
     kind, ``call_type``. Each kind has its own latency window, and the latency of a
     replica is scaled by the typical one of the kind, so that a replica found to be
