--- a/chestnuthall/platform/tests/soak/__main__.py
+++ b/chestnuthall/platform/tests/soak/__main__.py
@@ -7,10 +7,12 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
 import subprocess
 import sys
 import tempfile
+from collections import Counter
 from pathlib import Path
 from random import Random
 
@@ -22,6 +24,7 @@
 )
 from chestnuthall.core.results import Failure
 from chestnuthall.platform.tests.soak.checks import Evidence
+from chestnuthall.platform.tests.soak.crashes import CrashingRequests
 from chestnuthall.platform.tests.soak.proxy import FaultProxy, Mode
 from chestnuthall.platform.tests.standins import (
     LOOPBACK,
@@ -38,6 +41,7 @@
 SERVICES = ("s0", "s1", "s2", "t")
 N_REPLICAS = 3
 DURATION_S = 10.0
+KINDS = ("sweep", "sweep", "fetch", "hold")
 REQUEST_TIMEOUT_S = 3.0
 # Minimum ratio of callers' requests that must be served under continuous faults.
 SERVED_RATIO_MIN = 0.5
@@ -96,8 +100,9 @@
 class Soak:
     """One run of the soak: instances, callers, injected faults and checks."""
 
-    def __init__(self, seed, folder, duration_s=DURATION_S):
+    def __init__(self, seed, folder, duration_s=DURATION_S, *, has_faults=True):
         self.duration_s = duration_s
+        self.has_faults = has_faults
         self.random = Random(seed)
         self.folder = folder
         self.deployment = Deployment()
@@ -105,23 +110,27 @@
         self.instances = []
         self.n_requests = 0
         self.version = 1
+        self.crashing = CrashingRequests(self)
 
     async def run(self):
         await self._set_up()
         loop = asyncio.get_running_loop()
         ends_at_s = loop.time() + self.duration_s
+        tasks = [self._run_caller(ends_at_s) for _ in range(4)]
+        tasks.append(self.crashing.run(ends_at_s))
+        if self.has_faults:
+            tasks += [self._inject_instance_faults(ends_at_s) for _ in range(2)]
+            tasks.append(self._inject_upstream_faults(ends_at_s))
         try:
-            await asyncio.gather(
-                *(self._run_caller(ends_at_s) for _ in range(4)),
-                *(self._inject_instance_faults(ends_at_s) for _ in range(2)),
-                self._inject_upstream_faults(ends_at_s),
-            )
+            await asyncio.gather(*tasks)
         finally:
             await self._tear_down()
-        n_served = sum(
-            n for (_, status), n in self.evidence.results.items() if status == 200
-        )
-        n_all = sum(self.evidence.results.values())
+        self.evidence.violations += self.crashing.evidence.violations()
+        n_by_status = Counter()
+        for (kind, status), n in self.evidence.results.items():
+            if kind in KINDS:
+                n_by_status[status] += n
+        n_served, n_all = n_by_status[200], n_by_status.total()
         if n_served < SERVED_RATIO_MIN * n_all:
             self.evidence.violations.append(f"only {n_served} of {n_all} were served")
         return self.evidence
@@ -152,6 +161,7 @@
         records = b"".join(self.random.randbytes(16) for _ in range(4))
         replica = await self.deployment.add_replica(name, service, records)
         replica.respond = lambda request: self._respond(replica, request)
+        self.crashing.prepare(replica)
 
     def _respond(self, replica, request):
         request_id = request.headers[b"x-request-id"].decode()
@@ -189,14 +199,15 @@
             pool = pools.setdefault(address, ConnectionPool(address, PoolSettings()))
             self.n_requests += 1
             request_id = f"q{self.n_requests}"
-            kind = self.random.choice(("sweep", "sweep", "fetch", "hold"))
-            response = await self._send(pool, kind, request_id)
+            kind = self.random.choice(KINDS)
+            response = await self.send(pool, kind, request_id)
             self.evidence.record_answer(request_id, kind, response)
             await asyncio.sleep(self.random.uniform(0.0, 0.03))
         for pool in pools.values():
             pool.close()
 
-    async def _send(self, pool, kind, request_id):
+    async def send(self, pool, kind, request_id, target_name=""):
+        """Send one request and return the response, or None if there is none."""
         connection = await pool.acquire(500.0)
         if isinstance(connection, Failure):
             return None
@@ -205,7 +216,8 @@
             b"x-request-id": request_id.encode(),
             b"x-request-deadline-ms": b"800",
         }
-        request = HttpRequest("GET", f"/{kind}/{request_id}", headers)
+        target = f"/{kind}/{target_name or request_id}"
+        request = HttpRequest("GET", target, headers)
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
                 response = await connection.request(request)
@@ -224,7 +236,8 @@
             fault = self.random.choice(
                 ("pause", "kill", "stop", "silent", "one_way", "reset", "delay")
             )
-            await getattr(self, f"_{fault}")(instance)
+            with self.crashing.evidence.disturbance(instance.name):
+                await getattr(self, f"_{fault}")(instance)
 
     async def _pause(self, instance):
         instance.send_signal(signal.SIGSTOP)
@@ -272,9 +285,10 @@
                 self.version += self.random.randint(1, 3)
                 self._configure()
             elif fault == "outage":
-                self.deployment.store.is_unavailable = True
-                await asyncio.sleep(self.random.uniform(0.1, 1.0))
-                self.deployment.store.is_unavailable = False
+                with self.crashing.evidence.disturbance("store"):
+                    self.deployment.store.is_unavailable = True
+                    await asyncio.sleep(self.random.uniform(0.1, 1.0))
+                    self.deployment.store.is_unavailable = False
             elif fault == "drain":
                 await self._drain(replica)
             else:
@@ -307,14 +321,30 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--duration-s", type=float, default=DURATION_S)
+    parser.add_argument("--calm", action="store_true", help="inject no faults")
+    parser.add_argument("--logs", type=Path, help="folder that keeps the logs")
     arguments = parser.parse_args()
     n_failed = 0
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
         with tempfile.TemporaryDirectory() as folder:
-            evidence = asyncio.run(Soak(seed, Path(folder)).run())
+            soak = Soak(
+                seed,
+                Path(folder),
+                arguments.duration_s,
+                has_faults=not arguments.calm,
+            )
+            evidence = asyncio.run(soak.run())
+            if arguments.logs is not None:
+                shutil.copytree(folder, arguments.logs / f"seed-{seed}")
         counts = sorted(evidence.results.items(), key=str)
         results = {f"{kind} {status}": n for (kind, status), n in counts}
-        report = {"seed": seed, "broken": evidence.violations, "results": results}
+        report = {
+            "seed": seed,
+            "broken": evidence.violations,
+            "results": results,
+            "crashes": soak.crashing.evidence.timeline(),
+        }
         print(json.dumps(report), flush=True)
         n_failed += bool(evidence.violations)
     raise SystemExit(1 if n_failed else 0)
--- /dev/null
+++ b/chestnuthall/platform/tests/soak/crashes.py
@@ -0,0 +1,152 @@
+"""Plays requests that crash every replica that runs them, and checks their number.
+
+A crashing request is sent again and again, at any instance, with the same content. Its
+replicas come back after some seconds, mostly under a new id.
+"""
+
+import asyncio
+from collections import Counter, defaultdict
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+from chestnuthall.adapters.http import ConnectionPool, PoolSettings
+
+CRASHING_KINDS = ("fetch", "hold", "sweep")
+MARKER = "crashing"
+N_CRASHES = 3
+N_SENDS_MAX = 3
+# Time after a disturbance from which an instance counts as undisturbed.
+STABLE_S = 4.0
+
+
+@dataclass(slots=True)
+class CrashEvidence:
+    """Crashes by content of the request, and the calls that reached replicas later.
+
+    Calls count if they came from an undisturbed instance, later than ``STABLE_S``
+    after the third crash.
+    """
+
+    crashes: dict = field(default_factory=lambda: defaultdict(list))
+    late_calls: dict = field(default_factory=lambda: defaultdict(list))
+    n_disturbances: Counter = field(default_factory=Counter)
+    disturbed_until_s: dict = field(default_factory=lambda: defaultdict(float))
+
+    @contextmanager
+    def disturbance(self, name):
+        """Mark an instance, or the store by the name "store", as disturbed."""
+        self.n_disturbances[name] += 1
+        try:
+            yield
+        finally:
+            self.n_disturbances[name] -= 1
+            now_s = asyncio.get_running_loop().time()
+            self.disturbed_until_s[name] = now_s + STABLE_S
+
+    def is_undisturbed(self, names, now_s):
+        """Return whether the instances and the store are undisturbed."""
+        return all(
+            not self.n_disturbances[name] and self.disturbed_until_s[name] <= now_s
+            for name in (*names, "store")
+        )
+
+    def record_crash(self, content, replica_name, senders, now_s):
+        """Record that a request crashed a replica; ``senders`` may have sent it."""
+        crashes = self.crashes[content]
+        is_late = (
+            len(crashes) >= N_CRASHES and now_s > crashes[N_CRASHES - 1][0] + STABLE_S
+        )
+        if is_late and self.is_undisturbed(senders, now_s):
+            self.late_calls[content].append((now_s, replica_name))
+        crashes.append((now_s, replica_name))
+
+    def timeline(self):
+        """Return the seconds from the first to each crash, by content."""
+        return {
+            content: [round(at_s - crashes[0][0], 2) for at_s, _ in crashes]
+            for content, crashes in self.crashes.items()
+        }
+
+    def violations(self):
+        """Return a line for each content that reached replicas too often."""
+        return [
+            f"{content} had crashed {N_CRASHES} replicas and was sent to replicas "
+            f"{len(calls)} times more; {len(self.crashes[content])} crashed in all"
+            for content, calls in self.late_calls.items()
+            if len(calls) > N_SENDS_MAX
+        ]
+
+
+class CrashingRequests:
+    """Sends crashing requests to the instances of a soak, and restarts its replicas."""
+
+    def __init__(self, soak):
+        self.soak = soak
+        self.evidence = CrashEvidence()
+        self._entry_of = {}
+        self._n_sent = 0
+        self._tasks = set()
+
+    def prepare(self, replica):
+        """Let crashing requests crash a replica of the soak."""
+        replica.is_crashed_by = lambda request: self._crash(replica, request)
+
+    def _crash(self, replica, request):
+        if MARKER not in request.target:
+            return False
+        request_id = request.headers[b"x-request-id"].decode()
+        now_s = asyncio.get_running_loop().time()
+        senders = self._possible_senders(self._entry_of[request_id], request.target)
+        self.evidence.record_crash(request.target, replica.name, senders, now_s)
+        task = asyncio.get_running_loop().create_task(self._restart(replica))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return True
+
+    def _possible_senders(self, entry, target):
+        """Return the names of the instances that may have sent a call.
+
+        An instance outside the replicas' zone sends its searches to peers.
+        """
+        if entry.zone == "a" or not target.startswith("/sweep/"):
+            return [entry.name]
+        return [item.name for item in self.soak.instances]
+
+    async def _restart(self, replica):
+        random = self.soak.random
+        store = self.soak.deployment.store
+        await asyncio.sleep(random.uniform(1.0, 3.0))
+        old_name = replica.name
+        base_name = old_name.partition(".")[0]
+        is_drained = old_name in self.soak.evidence.drain_notice_s
+        keeps_name = random.random() < 0.25 and not is_drained
+        name = old_name if keeps_name else f"{base_name}.{replica.n_starts}"
+        if not keeps_name:
+            store.remove("servers", old_name)
+            self.soak.deployment.replicas[name] = self.soak.deployment.replicas.pop(
+                old_name
+            )
+        await replica.restart(name)
+        store.put("servers", name, replica.entry())
+
+    async def run(self, ends_at_s):
+        """Send one crashing request of each kind again and again."""
+        loop = asyncio.get_running_loop()
+        random = self.soak.random
+        while loop.time() < ends_at_s:
+            await asyncio.sleep(random.uniform(0.1, 0.8))
+            kind = random.choice(CRASHING_KINDS)
+            instance = random.choice(self.soak.instances)
+            await self._send(instance, kind)
+        for task in tuple(self._tasks):
+            await task
+
+    async def _send(self, instance, kind):
+        self._n_sent += 1
+        request_id = f"c{self._n_sent}"
+        self._entry_of[request_id] = instance
+        pool = ConnectionPool(instance.addresses["caller"], PoolSettings())
+        response = await self.soak.send(pool, kind, request_id, target_name=MARKER)
+        pool.close()
+        status = getattr(response, "status", None)
+        self.soak.evidence.results[(f"{MARKER} {kind}", status)] += 1
--- a/chestnuthall/platform/tests/standins.py
+++ b/chestnuthall/platform/tests/standins.py
@@ -109,6 +109,9 @@
         self.records = records
         self.delay_s = 0.0
         self.respond = None
+        # Returns whether a request crashes this replica as soon as it runs.
+        self.is_crashed_by = None
+        self.n_starts = 1
         self.fault = ""
         self.received = []
         self.n_cancelled = 0
@@ -119,11 +122,20 @@
         port = await self.server.start(LOOPBACK, 0)
         self.address = f"{LOOPBACK}:{port}"
 
+    async def restart(self, name):
+        """Start again as a new incarnation at the same address."""
+        self.name = name
+        self.n_starts += 1
+        await self.server.start(LOOPBACK, int(self.address.rpartition(":")[2]))
+
     async def handle(self, request):
         """Serve one call."""
         if request.headers.get(b"x-expect-instance") != self.name.encode():
             return HttpResponse(421, {b"x-instance-id": self.name.encode()})
         self.received.append(request)
+        if self.is_crashed_by is not None and self.is_crashed_by(request):
+            await self.server.close()
+            raise DropConnection
         try:
             await asyncio.sleep(self.delay_s)
         except asyncio.CancelledError:
@@ -155,7 +167,7 @@
             "State": "ready",
             "WarmupLeftMs": 0,
             "Sequence": 1,
-            "born": 1,
+            "born": self.n_starts,
             **changes,
         }
 
