Log and count the changes of quarantines, and the failed calls by result

What operators saw: after a crashing request was refused for a while, an instance ran it again, and no line said why. The hypotheses of docs/incidents/crashing-requests.md (an instance learns alone, a quarantine ends by time, a loss is not recognised) could not be told apart.

Change: quarantine_changed states fingerprint, state (expired is new), origin and the losses behind it; a refusal names its fingerprint; call_failures.<result> counts replicas that ended apart from connections that broke. No decision is changed.

--- a/chestnuthall/core/quarantine/_registry.py
+++ b/chestnuthall/core/quarantine/_registry.py
@@ -40,6 +40,7 @@
     SUSPECTED = "suspected"
     QUARANTINED = "quarantined"
     CLEARED = "cleared"
+    EXPIRED = "expired"
 
 
 @dataclass(slots=True)
@@ -199,6 +200,10 @@
             return None
         return suspicion
 
+    def find(self, fingerprint: str, now_ms: float) -> Suspicion | None:
+        """Return what is known of a suspected or quarantined request, or None."""
+        return self._find_unexpired(fingerprint, now_ms)
+
     def is_quarantined(self, fingerprint: str, now_ms: float) -> bool:
         """Return whether a request is quarantined."""
         suspicion = self._find_unexpired(fingerprint, now_ms)
@@ -291,7 +296,8 @@
 
     def _remove_expired(self, now_ms: float) -> None:
         for key in [k for k, v in self._suspicions.items() if v.expires_ms <= now_ms]:
-            del self._suspicions[key]
+            is_local = self._suspicions.pop(key).is_local
+            self._notify(key, SuspicionState.EXPIRED, is_local)
         retained_since_ms = now_ms - CLEARED_RETENTION_MS
         for key in [
             k for k, v in self._cleared.items() if v.cleared_ms < retained_since_ms
--- a/chestnuthall/daemon/_instance.py
+++ b/chestnuthall/daemon/_instance.py
@@ -56,6 +56,7 @@
     OutcomeRecorder,
     PeerConfigurations,
     QuarantineExchange,
+    QuarantineLog,
     QueryService,
     StatusReporter,
     TwoLevelFanOut,
@@ -144,6 +145,7 @@
             settings.name,
         )
         quarantine_registry = QuarantineRegistry(QuarantineSettings())
+        QuarantineLog(quarantine_registry, clock, metrics)
         self.quarantine_exchange = QuarantineExchange(
             quarantine_registry,
             clock,
--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -58,6 +58,7 @@
     Lifecycle,
     PeerAwareCaller,
     PeerShardSets,
+    QuarantineLog,
     QueryService,
     RelayService,
     ServiceDirectory,
@@ -241,6 +242,7 @@
         peer_shard_sets = PeerShardSets(
             settings.name, settings.zone, lambda: self.presence.peers
         )
+        quarantine = QuarantineRegistry(QuarantineSettings(quarantine_ms=QUARANTINE_MS))
         query = QueryService(
             identity=InstanceIdentity(
                 settings.name, settings.caller_address, settings.zone
@@ -251,14 +253,13 @@
             directory=self.directory,
             configuration=self.configuration,
             ledger=None,
-            quarantine=QuarantineRegistry(
-                QuarantineSettings(quarantine_ms=QUARANTINE_MS)
-            ),
+            quarantine=quarantine,
             admissions=admissions,
             shared_budget=self._extra_load_budget,
             decision_log=self._decisions,
             combine_shards=peer_shard_sets.combine_shards,
         )
+        QuarantineLog(quarantine, clock, metrics)
         self._relay = RelayService(query, self.configuration, self.directory)
         frontend = RelayFrontend(self._relay, self.lifecycle, clock)
         self.caller_server = HttpServer(
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -94,6 +94,7 @@
     from chestnuthall.services._quarantine_exchange import (
         QuarantineExchange,
     )
+    from chestnuthall.services._quarantine_log import QuarantineLog
     from chestnuthall.services._query import (
         Outcome,
         QueryService,
@@ -195,6 +196,7 @@
         ),
         "_publication": ("ConfigurationPublisher",),
         "_quarantine_exchange": ("QuarantineExchange",),
+        "_quarantine_log": ("QuarantineLog",),
         "_query": (
             "Outcome",
             "QueryService",
@@ -268,6 +270,7 @@
     "InstancePresence",
     "ConfigurationPublisher",
     "QuarantineExchange",
+    "QuarantineLog",
     "QueryService",
     "RaceLost",
     "RelayCall",
--- a/chestnuthall/services/_decision_log.py
+++ b/chestnuthall/services/_decision_log.py
@@ -9,6 +9,7 @@
     Account,
     Answer,
     Decision,
+    DecisionEvent,
     Refusal,
     Request,
 )
@@ -100,6 +101,9 @@
         """Log and count the decisions on one request."""
         for decision in decisions:
             self._metrics.count(f"decisions.{decision.event.name.lower()}")
+            if decision.event is DecisionEvent.CALL_FAILED:
+                result = decision.fields()["result"]
+                self._metrics.count(f"call_failures.{str(result).lower()}")
         if not _log.isEnabledFor(logging.INFO):
             return
         self._defer(partial(self._write, outcome, decisions, self._clock.now_ms()))
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -279,7 +279,9 @@
                 f"no upstream group named {request.group!r}"
             )
         if self._quarantine.is_quarantined(request.fingerprint, self._clock.now_ms()):
-            return QUARANTINED.with_reason("earlier runs of the request lost replicas")
+            return QUARANTINED.with_reason(
+                f"earlier runs lost replicas; fingerprint {request.fingerprint}"
+            )
         partition_map = self._directory.pin(request.group)
         if partition_map is None:
             return NOT_READY.with_reason(
