--- a/chestnuthall/platform/tests/test_soak.py
+++ b/chestnuthall/platform/tests/test_soak.py
@@ -10,6 +10,7 @@
 from chestnuthall.adapters.http import HttpResponse
 from chestnuthall.platform.tests.soak.__main__ import Soak
 from chestnuthall.platform.tests.soak.checks import Evidence
+from chestnuthall.platform.tests.soak.crashes import CrashEvidence
 
 A, B = b"A" * 16, b"B" * 16
 
@@ -73,6 +74,36 @@
     assert evidence.violations
 
 
+@pytest.mark.parametrize(
+    ("senders", "late_s", "n_late", "is_violation"),
+    [
+        pytest.param(("a",), 4.5, 3, False, id="as many as allowed"),
+        pytest.param(("a",), 4.5, 4, True, id="one too many"),
+        pytest.param(("a",), 3.5, 9, False, id="soon after the third crash"),
+        pytest.param(("b",), 4.5, 9, False, id="from a disturbed instance"),
+    ],
+)
+def test_calls_after_the_third_crash_are_counted(senders, late_s, n_late, is_violation):
+    evidence = CrashEvidence()
+    evidence.disturbed_until_s["b"] = 1_000.0
+    for at_s in (10.0, 11.0, 12.0):
+        evidence.record_crash("/x", "r", senders, at_s)
+    for _ in range(n_late):
+        evidence.record_crash("/x", "r", senders, 12.0 + late_s)
+    assert bool(evidence.violations()) == is_violation
+
+
+@pytest.mark.processes
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt 15")
+def test_crashing_request_is_not_sent_again_and_again(tmp_path):
+    """Guards against replicas lost to one request at each instance, and at intervals.
+
+    The run lasts longer than a quarantine.
+    """
+    evidence = asyncio.run(Soak(1, tmp_path, duration_s=75.0, has_faults=False).run())
+    assert not evidence.violations
+
+
 @pytest.mark.processes
 def test_short_run_has_no_violations(tmp_path):
     evidence = asyncio.run(Soak(1, tmp_path, duration_s=3.0).run())
