--- a/chestnuthall/adapters/feeds/_client.py
+++ b/chestnuthall/adapters/feeds/_client.py
@@ -26,7 +26,7 @@
 # does not.
 CONNECT_TIMEOUT_MS = 100.0
 # One for each kind that is watched, and one for a snapshot.
-N_CONNECTIONS_MAX = 4
+N_CONNECTIONS_MAX = 5
 
 
 class HttpFeedClient:
--- a/chestnuthall/adapters/objectapi/_client.py
+++ b/chestnuthall/adapters/objectapi/_client.py
@@ -18,7 +18,7 @@
     STORE_WRITE_UNKNOWN,
     Failure,
 )
-from chestnuthall.ports import StoredObject, WatchBatch
+from chestnuthall.ports import ObjectListing, StoredObject, WatchBatch
 
 # A watch occupies one connection while it waits; short calls use the others.
 N_CONNECTIONS_MAX = 16
@@ -61,9 +61,7 @@
             return _as_read_failure(response)
         return self._dialect.decode_object(kind, name, response)
 
-    async def list_kind(
-        self, kind: str, timeout_ms: float
-    ) -> tuple[StoredObject, ...] | Failure:
+    async def list_kind(self, kind: str, timeout_ms: float) -> ObjectListing | Failure:
         """Read all objects of a kind."""
         listed: list[StoredObject] = []
         after = ""
@@ -81,9 +79,10 @@
             first_version = first_version or page.version
             listed += page.objects
             if not page.next_cursor:
-                return tuple(
+                objects = tuple(
                     replace(item, seen_version=first_version) for item in listed
                 )
+                return ObjectListing(objects, first_version)
             after = page.next_cursor
         return STORE_UNAVAILABLE.with_reason(f"the list of {kind!r} has too many pages")
 
--- a/chestnuthall/core/fanout/_machine.py
+++ b/chestnuthall/core/fanout/_machine.py
@@ -54,12 +54,18 @@
         return [*self.cancel(now_ms), Complete(completion)]
 
     def cancel(self, now_ms: float) -> list[Action]:
-        """Cancel every call and release the reservation of the probe."""
+        """Cancel every call, and end the probe or trial that the query may hold."""
         actions = self.cancel_all(now_ms)
         self.is_complete = True
         request = self.request
-        self.context.quarantine.release_probe(
-            request.fingerprint, request.request_id, now_ms
+        self.context.quarantine.end_run(
+            request.fingerprint,
+            request.request_id,
+            now_ms,
+            has_lost_replica=any(
+                progress.has_lost_replica for progress in self.shards.values()
+            ),
+            is_answered=self.n_answered > 0,
         )
         return actions
 
--- a/chestnuthall/core/fanout/_probes.py
+++ b/chestnuthall/core/fanout/_probes.py
@@ -56,7 +56,14 @@
 
 def start_probe(state: FanOutState, now_ms: float) -> list[Action]:
     """Call one deferred shard as the probe; fail all of them if none can be called."""
-    for progress in deferred_shards(state):
+    # Only shards that lost replicas can tell whether the request still crashes them.
+    suspect_ids = state.context.quarantine.shards_with_losses(
+        state.request.fingerprint, now_ms
+    )
+    candidates = sorted(
+        deferred_shards(state), key=lambda item: item.shard.shard_id not in suspect_ids
+    )
+    for progress in candidates:
         replica = _choose_probe_replica(state, progress, now_ms)
         if replica is None or progress.n_attempts >= N_ATTEMPTS_MAX:
             continue
--- a/chestnuthall/core/fanout/_state.py
+++ b/chestnuthall/core/fanout/_state.py
@@ -343,7 +343,18 @@
 
     def is_quarantined(self, now_ms: float) -> bool:
         """Return whether the request is quarantined and must not run."""
-        return self.context.quarantine.is_quarantined(self.request.fingerprint, now_ms)
+        request = self.request
+        return self.context.quarantine.is_quarantined(
+            request.fingerprint, now_ms, request.request_id
+        )
+
+    @property
+    def is_on_trial(self) -> bool:
+        """Whether the request runs as the trial of its quarantine."""
+        request = self.request
+        return self.context.quarantine.is_on_trial(
+            request.fingerprint, request.request_id
+        )
 
     def coverage(self) -> Coverage:
         """Return the coverage of the shard answers merged so far."""
--- a/chestnuthall/core/quarantine/__init__.py
+++ b/chestnuthall/core/quarantine/__init__.py
@@ -1,10 +1,31 @@
 """Detection and quarantine of requests that crash upstreams."""
 
+from chestnuthall.core.quarantine._record import QuarantineRecord
 from chestnuthall.core.quarantine._registry import (
+    INCARNATION_MARK,
     QuarantineRegistry,
     QuarantineSettings,
     Suspicion,
     SuspicionState,
 )
+from chestnuthall.core.quarantine._sharing import (
+    CreateRecord,
+    DeleteRecord,
+    RecordWrite,
+    UpdateRecord,
+    next_write,
+)
 
-__all__ = ["QuarantineRegistry", "QuarantineSettings", "Suspicion", "SuspicionState"]
+__all__ = [
+    "CreateRecord",
+    "DeleteRecord",
+    "INCARNATION_MARK",
+    "QuarantineRecord",
+    "QuarantineRegistry",
+    "QuarantineSettings",
+    "RecordWrite",
+    "Suspicion",
+    "SuspicionState",
+    "UpdateRecord",
+    "next_write",
+]
--- /dev/null
+++ b/chestnuthall/core/quarantine/_record.py
@@ -0,0 +1,33 @@
+"""What the fleet knows of a request that lost replicas."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QuarantineRecord:
+    """State of one suspected or quarantined request, shared by all instances.
+
+    ``replica_names`` are the losses that count as evidence, ``lost_names`` all of
+    them, and ``zones`` and ``shard_ids`` say where they occurred. ``n_trials`` is the
+    number of trials that were started since the request was quarantined.
+    """
+
+    fingerprint: str
+    replica_names: frozenset[str] = frozenset()
+    lost_names: frozenset[str] = frozenset()
+    zones: frozenset[str] = frozenset()
+    shard_ids: frozenset[str] = frozenset()
+    is_quarantined: bool = False
+    n_trials: int = 0
+
+    def merged_with(self, other: "QuarantineRecord") -> "QuarantineRecord":
+        """Return the record with what either of two instances knows."""
+        return QuarantineRecord(
+            fingerprint=self.fingerprint,
+            replica_names=self.replica_names | other.replica_names,
+            lost_names=self.lost_names | other.lost_names,
+            zones=self.zones | other.zones,
+            shard_ids=self.shard_ids | other.shard_ids,
+            is_quarantined=self.is_quarantined or other.is_quarantined,
+            n_trials=max(self.n_trials, other.n_trials),
+        )
--- a/chestnuthall/core/quarantine/_registry.py
+++ b/chestnuthall/core/quarantine/_registry.py
@@ -7,6 +7,12 @@
 is cleared; if the replica is lost, the request is quarantined. The loss of a
 second replica of the same shard in another zone counts as a lost probe, because
 a hedge acts as a probe.
+
+Neither a suspicion nor a quarantine ends by time: a request that crashes replicas
+would crash more of them at each end. After some time a quarantined request is due
+for a trial, one call by one instance of the fleet, and only an answer to it lifts the
+quarantine. After ``n_trials_max`` trials the quarantine stays until it is lifted by
+an operator.
 """
 
 from collections.abc import Callable, Iterable
@@ -14,6 +20,7 @@
 from enum import Enum
 
 from chestnuthall.core.model import Replica
+from chestnuthall.core.quarantine._record import QuarantineRecord
 
 # Retention of clearances, so that a late notice of a peer does not make a cleared
 # request suspected again.
@@ -21,6 +28,11 @@
 # The next loss after this many clearances quarantines the request. Without the
 # limit, a request that crashes only some of its runs would always be cleared.
 N_CLEARED_MAX = 2
+# Separates the name of a replica from its incarnation in the name of a loss.
+INCARNATION_MARK = "#"
+# Suspicions and quarantines that are not known to the rest of the fleet are dropped
+# after this time without a further loss.
+RETENTION_MS = 86_400_000.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -28,18 +40,41 @@
     """Limits on the replicas lost to a request, and durations in milliseconds."""
 
     n_replicas_lost_max: int = 2
+    # Losses of any number of shards and zones that quarantine a request if it ends
+    # without an answer of any replica and without a verdict.
+    n_unanswered_losses_max: int = 3
+    # Time from a quarantine to the first trial; each further one takes
+    # ``trial_delay_factor`` times as long.
     quarantine_ms: float = 300_000.0
+    trial_delay_factor: float = 10.0
+    n_trials_max: int = 2
     n_fingerprints_max: int = 4096
     # How long a probe is reserved, during which other queries wait for its outcome.
     probe_reservation_ms: float = 2_000.0
 
+    def trial_delay_ms(self, n_trials: int) -> float:
+        """Return the time to the next trial after ``n_trials`` of them.
+
+        Examples
+        --------
+        >>> settings = QuarantineSettings(quarantine_ms=10.0, trial_delay_factor=4.0)
+        >>> [settings.trial_delay_ms(n_trials) for n_trials in range(3)]
+        [10.0, 40.0, inf]
+        """
+        if n_trials >= self.n_trials_max:
+            return float("inf")
+        return self.quarantine_ms * self.trial_delay_factor**n_trials
+
 
 class SuspicionState(Enum):
     """State of a fingerprint after a change."""
 
     SUSPECTED = "suspected"
+    # The request that lost replicas ended without a verdict.
+    UNRESOLVED = "unresolved"
     QUARANTINED = "quarantined"
     CLEARED = "cleared"
+    LIFTED = "lifted"
     EXPIRED = "expired"
 
 
@@ -48,19 +83,42 @@
     """Replicas lost to a fingerprint, and the reservation of its probe.
 
     ``replica_names`` has one name while the request is only suspected, however
-    many replicas its first wave lost, and at least two once it is quarantined.
-    ``loss_zone_by_shard`` has the zone of the first loss of each shard.
+    many replicas its first wave lost, and at least two once it is quarantined;
+    ``lost_names`` has all of them. Names are those of ``loss_name``.
+    ``loss_zone_by_shard`` has the zone of the first loss of each shard. While
+    ``trial_owner`` is the id of a request, that request may run in spite of the
+    quarantine.
     """
 
     fingerprint: str
     expires_ms: float
     replica_names: set[str] = field(default_factory=set)
+    lost_names: set[str] = field(default_factory=set)
     zones_with_losses: set[str] = field(default_factory=set)
+    shards_with_losses: set[str] = field(default_factory=set)
     loss_zone_by_shard: dict[str, str] = field(default_factory=dict)
     is_quarantined: bool = False
     is_local: bool = True
     probe_owner: str = ""
     probe_reserved_until_ms: float = float("-inf")
+    n_trials: int = 0
+    trial_due_ms: float = float("inf")
+    trial_owner: str = ""
+
+
+def loss_name(replica: Replica) -> str:
+    """Return the name of one incarnation of a replica.
+
+    A replica that restarts under its name and is lost again is a second loss.
+
+    Examples
+    --------
+    >>> loss_name(Replica("r1", "10.1.0.1:80", "a", incarnation=7))
+    'r1#7'
+    """
+    if not replica.incarnation:
+        return replica.name
+    return f"{replica.name}{INCARNATION_MARK}{replica.incarnation}"
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,28 +173,42 @@
             if cleared is not None and started_ms < cleared.cleared_ms:
                 return
             suspicion = self._add_suspicion(
-                fingerprint, replica.name, now_ms, is_local=True
+                fingerprint, loss_name(replica), now_ms, is_local=True
             )
             self._record_location(suspicion, replica, shard_id)
             if self._n_cleared(fingerprint, now_ms) >= N_CLEARED_MAX:
                 suspicion.replica_names.add("")
-                self._quarantine(suspicion, is_local=True)
+                self._quarantine(suspicion, now_ms, is_local=True)
             else:
                 self._notify(fingerprint, SuspicionState.SUSPECTED, True)
             return
         first_loss_zone = suspicion.loss_zone_by_shard.get(shard_id)
         is_evidence = is_probe or first_loss_zone not in (None, replica.zone)
         self._record_location(suspicion, replica, shard_id)
-        if not is_evidence or replica.name in suspicion.replica_names:
+        suspicion.is_local = True
+        if is_probe and suspicion.trial_owner:
+            self._end_trial(suspicion)
+        name = loss_name(replica)
+        if is_probe and name in suspicion.replica_names:
+            # The replica has restarted without a change of its incarnation.
+            name = f"{name}{INCARNATION_MARK}{len(suspicion.replica_names)}"
+        if not is_evidence or name in suspicion.replica_names:
             return
-        suspicion.replica_names.add(replica.name)
+        suspicion.replica_names.add(name)
         if len(suspicion.replica_names) >= self._settings.n_replicas_lost_max:
-            self._quarantine(suspicion, is_local=True)
+            self._quarantine(suspicion, now_ms, is_local=True)
+
+    def _end_trial(self, suspicion: Suspicion) -> None:
+        """End a trial without an answer, which leaves the request quarantined."""
+        suspicion.trial_owner = ""
+        self._notify(suspicion.fingerprint, SuspicionState.QUARANTINED, True)
 
     def _record_location(
         self, suspicion: Suspicion, replica: Replica, shard_id: str
     ) -> None:
+        suspicion.lost_names.add(loss_name(replica))
         suspicion.zones_with_losses.add(replica.zone)
+        suspicion.shards_with_losses.add(shard_id)
         suspicion.loss_zone_by_shard.setdefault(shard_id, replica.zone)
 
     def _add_suspicion(
@@ -145,17 +217,20 @@
         self._remove_expired(now_ms)
         suspicion = Suspicion(
             fingerprint,
-            now_ms + self._settings.quarantine_ms,
+            now_ms + RETENTION_MS,
             {replica_name},
             is_local=is_local,
         )
         self._suspicions[fingerprint] = suspicion
         return suspicion
 
-    def _quarantine(self, suspicion: Suspicion, is_local: bool) -> None:
+    def _quarantine(self, suspicion: Suspicion, now_ms: float, is_local: bool) -> None:
         if suspicion.is_quarantined:
             return
         suspicion.is_quarantined = True
+        suspicion.trial_due_ms = now_ms + self._settings.trial_delay_ms(
+            suspicion.n_trials
+        )
         self._notify(suspicion.fingerprint, SuspicionState.QUARANTINED, is_local)
 
     def merge(
@@ -182,7 +257,7 @@
                 suspicion.replica_names.clear()
             suspicion.replica_names.update(names)
             suspicion.expires_ms = max(suspicion.expires_ms, expires_ms)
-            self._quarantine(suspicion, is_local=False)
+            self._quarantine(suspicion, now_ms, is_local=False)
         elif suspicion is None and not self._n_cleared(fingerprint, now_ms):
             suspicion = self._add_suspicion(
                 fingerprint, next(iter(names), ""), now_ms, is_local=False
@@ -194,6 +269,49 @@
             )
             self._notify(fingerprint, SuspicionState.SUSPECTED, False)
 
+    def record(self, fingerprint: str, now_ms: float) -> QuarantineRecord | None:
+        """Return what the fleet should know of a request, or None for nothing."""
+        suspicion = self._find_unexpired(fingerprint, now_ms)
+        if suspicion is None:
+            return None
+        return QuarantineRecord(
+            fingerprint=fingerprint,
+            replica_names=frozenset(suspicion.replica_names),
+            lost_names=frozenset(suspicion.lost_names),
+            zones=frozenset(suspicion.zones_with_losses),
+            shard_ids=frozenset(suspicion.shards_with_losses),
+            is_quarantined=suspicion.is_quarantined,
+            n_trials=suspicion.n_trials,
+        )
+
+    def adopt(self, record: QuarantineRecord, now_ms: float) -> None:
+        """Merge what the fleet knows of a request.
+
+        Losses in several zones that two instances observed are sufficient evidence,
+        as the failure of one zone does not explain them.
+        """
+        suspicion = self._find_unexpired(record.fingerprint, now_ms)
+        if suspicion is None:
+            suspicion = self._add_suspicion(
+                record.fingerprint, "", now_ms, is_local=False
+            )
+            suspicion.replica_names.clear()
+            if not record.is_quarantined:
+                self._notify(record.fingerprint, SuspicionState.SUSPECTED, False)
+        has_own_losses = not suspicion.lost_names <= record.lost_names
+        suspicion.replica_names |= record.replica_names
+        suspicion.lost_names |= record.lost_names
+        suspicion.zones_with_losses |= record.zones
+        suspicion.shards_with_losses |= record.shard_ids
+        if record.n_trials > suspicion.n_trials:
+            suspicion.n_trials = record.n_trials
+            delay_ms = self._settings.trial_delay_ms(record.n_trials)
+            suspicion.trial_due_ms = now_ms + delay_ms
+        if record.is_quarantined:
+            self._quarantine(suspicion, now_ms, is_local=False)
+        elif has_own_losses and len(suspicion.zones_with_losses) > 1:
+            self._quarantine(suspicion, now_ms, is_local=True)
+
     def _find_unexpired(self, fingerprint: str, now_ms: float) -> Suspicion | None:
         suspicion = self._suspicions.get(fingerprint)
         if suspicion is None or suspicion.expires_ms <= now_ms:
@@ -204,10 +322,49 @@
         """Return what is known of a suspected or quarantined request, or None."""
         return self._find_unexpired(fingerprint, now_ms)
 
-    def is_quarantined(self, fingerprint: str, now_ms: float) -> bool:
-        """Return whether a request is quarantined."""
+    def is_quarantined(
+        self, fingerprint: str, now_ms: float, request_id: str = ""
+    ) -> bool:
+        """Return whether a request is quarantined.
+
+        The request that runs the trial, given by its id, is only suspected.
+        """
+        suspicion = self._find_unexpired(fingerprint, now_ms)
+        if suspicion is None or not suspicion.is_quarantined:
+            return False
+        return not suspicion.trial_owner or suspicion.trial_owner != request_id
+
+    def is_trial_due(self, fingerprint: str, now_ms: float) -> bool:
+        """Return whether a quarantined request may be tried."""
         suspicion = self._find_unexpired(fingerprint, now_ms)
-        return suspicion is not None and suspicion.is_quarantined
+        return (
+            suspicion is not None
+            and suspicion.is_quarantined
+            and not suspicion.trial_owner
+            and now_ms >= suspicion.trial_due_ms
+        )
+
+    def count_trial(self, fingerprint: str, now_ms: float) -> None:
+        """Count a trial before it starts, whatever its outcome will be."""
+        suspicion = self._find_unexpired(fingerprint, now_ms)
+        if suspicion is not None:
+            suspicion.n_trials += 1
+            delay_ms = self._settings.trial_delay_ms(suspicion.n_trials)
+            suspicion.trial_due_ms = now_ms + delay_ms
+
+    def begin_trial(self, fingerprint: str, request_id: str, now_ms: float) -> bool:
+        """Let one request run in spite of its quarantine; return whether it may.
+
+        A trial is counted before, by ``count_trial`` or by a record of the fleet.
+        """
+        suspicion = self._find_unexpired(fingerprint, now_ms)
+        if suspicion is None or not suspicion.is_quarantined:
+            return True
+        if suspicion.trial_owner:
+            return False
+        suspicion.trial_owner = request_id
+        suspicion.probe_reserved_until_ms = float("-inf")
+        return True
 
     def is_suspected(self, fingerprint: str, now_ms: float) -> bool:
         """Return whether a request is suspected or quarantined."""
@@ -220,12 +377,24 @@
             frozenset() if suspicion is None else frozenset(suspicion.zones_with_losses)
         )
 
+    def shards_with_losses(self, fingerprint: str, now_ms: float) -> frozenset[str]:
+        """Return the shards of which runs of a suspected request lost replicas."""
+        suspicion = self._find_unexpired(fingerprint, now_ms)
+        if suspicion is None:
+            return frozenset()
+        return frozenset(suspicion.shards_with_losses)
+
+    def is_on_trial(self, fingerprint: str, request_id: str) -> bool:
+        """Return whether a request runs as the trial of its quarantine."""
+        suspicion = self._suspicions.get(fingerprint)
+        return suspicion is not None and suspicion.trial_owner == request_id
+
     def try_reserve_probe(
         self, fingerprint: str, probe_owner: str, now_ms: float
     ) -> bool:
         """Reserve the probe of a suspected request; return whether that succeeded."""
         suspicion = self._find_unexpired(fingerprint, now_ms)
-        if suspicion is None or suspicion.is_quarantined:
+        if suspicion is None or self.is_quarantined(fingerprint, now_ms, probe_owner):
             return False
         if (
             suspicion.probe_owner != probe_owner
@@ -242,11 +411,36 @@
         suspicion = self._suspicions.get(fingerprint)
         return float("-inf") if suspicion is None else suspicion.probe_reserved_until_ms
 
-    def release_probe(self, fingerprint: str, probe_owner: str, now_ms: float) -> None:
-        """Release the reservation of a probe, so that another query can run it."""
-        suspicion = self._suspicions.get(fingerprint)
-        if suspicion is not None and suspicion.probe_owner == probe_owner:
+    def end_run(
+        self,
+        fingerprint: str,
+        request_id: str,
+        now_ms: float,
+        *,
+        has_lost_replica: bool = False,
+        is_answered: bool = False,
+    ) -> None:
+        """Record the end of a request that may have held the probe or the trial.
+
+        Another query can then run the probe. Without a verdict, a request that lost
+        replicas here stays suspected; it is quarantined if it has lost several and no
+        replica answered it.
+        """
+        suspicion = self._find_unexpired(fingerprint, now_ms)
+        if suspicion is None:
+            return
+        if suspicion.probe_owner == request_id:
             suspicion.probe_reserved_until_ms = now_ms
+        if suspicion.trial_owner == request_id:
+            self._end_trial(suspicion)
+        if not has_lost_replica or suspicion.is_quarantined:
+            return
+        n_lost = len(suspicion.lost_names)
+        if not is_answered and n_lost >= self._settings.n_unanswered_losses_max:
+            suspicion.replica_names |= suspicion.lost_names
+            self._quarantine(suspicion, now_ms, is_local=True)
+        else:
+            self._notify(fingerprint, SuspicionState.UNRESOLVED, True)
 
     def clear(self, fingerprint: str, now_ms: float) -> None:
         """Clear a suspected request whose probe was answered."""
@@ -254,7 +448,9 @@
 
     def _clear(self, fingerprint: str, now_ms: float, is_local: bool) -> None:
         suspicion = self._find_unexpired(fingerprint, now_ms)
-        if suspicion is None or suspicion.is_quarantined:
+        if suspicion is None or (
+            suspicion.is_quarantined and not suspicion.trial_owner
+        ):
             return
         del self._suspicions[fingerprint]
         n_cleared = self._n_cleared(fingerprint, now_ms) + 1
@@ -269,7 +465,10 @@
 
     def lift(self, fingerprint: str) -> bool:
         """Remove a fingerprint; return whether it was known."""
-        return self._suspicions.pop(fingerprint, None) is not None
+        if self._suspicions.pop(fingerprint, None) is None:
+            return False
+        self._notify(fingerprint, SuspicionState.LIFTED, False)
+        return True
 
     def suspicions(self, now_ms: float) -> tuple[Suspicion, ...]:
         """Return all suspicions that have not expired."""
--- a/chestnuthall/core/quarantine/tests/test_registry.py
+++ b/chestnuthall/core/quarantine/tests/test_registry.py
@@ -7,7 +7,11 @@
 import pytest
 
 from chestnuthall.core.model import Replica
-from chestnuthall.core.quarantine import QuarantineRegistry, QuarantineSettings
+from chestnuthall.core.quarantine import (
+    QuarantineRecord,
+    QuarantineRegistry,
+    QuarantineSettings,
+)
 
 
 def lose_replica(registry, number, started_ms, now_ms, **options):
@@ -55,10 +59,129 @@
     assert not registry.try_reserve_probe("f", "other", 11.0)
 
 
-def test_quarantine_expires():
-    """A quarantined request must be admitted again after the quarantine time."""
-    registry = QuarantineRegistry(QuarantineSettings(quarantine_ms=100.0))
+def quarantined_registry():
+    registry = QuarantineRegistry(
+        QuarantineSettings(quarantine_ms=100.0, trial_delay_factor=10.0)
+    )
     lose_replica(registry, 0, 0.0, 10.0)
     lose_replica(registry, 1, 11.0, 20.0, is_probe=True)
-    assert registry.is_quarantined("f", 21.0)
-    assert not registry.is_quarantined("f", 121.0)
+    return registry
+
+
+def test_quarantine_does_not_end_by_time():
+    """A request must not crash two more replicas each time a quarantine has passed."""
+    registry = quarantined_registry()
+    for now_ms in (21.0, 119.0, 121.0, 1e6):
+        assert registry.is_quarantined("f", now_ms)
+    assert not registry.is_trial_due("f", 119.0)
+    assert registry.is_trial_due("f", 121.0)
+
+
+@pytest.mark.parametrize(
+    ("is_answered", "is_quarantined"),
+    [
+        pytest.param(True, False, id="answered"),
+        pytest.param(False, True, id="lost"),
+        pytest.param(None, True, id="without a verdict"),
+    ],
+)
+def test_trial(is_answered, is_quarantined):
+    """Only an answered trial lifts a quarantine, and only its own request may run."""
+    registry = quarantined_registry()
+    registry.count_trial("f", 121.0)
+    assert registry.begin_trial("f", "q1", 121.0)
+    assert not registry.is_quarantined("f", 122.0, "q1")
+    assert registry.is_quarantined("f", 122.0, "q2")
+    assert not registry.begin_trial("f", "q2", 122.0)
+    assert registry.try_reserve_probe("f", "q1", 122.0)
+    if is_answered:
+        registry.clear("f", 123.0)
+    elif is_answered is False:
+        lose_replica(registry, 2, 122.0, 123.0, is_probe=True)
+    registry.end_run("f", "q1", 124.0)
+    assert registry.is_quarantined("f", 125.0, "q1") == is_quarantined
+    assert not registry.is_trial_due("f", 1_120.0)
+    assert registry.is_trial_due("f", 1_122.0) == is_quarantined
+
+
+def test_trials_are_limited():
+    """The number of replicas that a request crashes must not grow with time."""
+    registry = quarantined_registry()
+    for number in range(2):
+        assert registry.is_trial_due("f", 1e5)
+        registry.count_trial("f", 0.0)
+        assert registry.begin_trial("f", f"q{number}", 1e5)
+        registry.end_run("f", f"q{number}", 1e5)
+    assert not registry.is_trial_due("f", 8e7)
+
+
+@pytest.mark.parametrize("incarnations", [(1, 2), (0, 0)], ids=["new", "unknown"])
+def test_same_replica_lost_again_after_its_restart_is_a_second_loss(incarnations):
+    """Otherwise a replica that keeps its name can be crashed again and again."""
+    registry = QuarantineRegistry(QuarantineSettings())
+    for number, incarnation in enumerate(incarnations):
+        replica = Replica("r", "r", "z", incarnation)
+        registry.record_loss("f", replica, "s", 10.0 * number, 0.0, is_probe=True)
+    assert registry.is_quarantined("f", 30.0)
+
+
+@pytest.mark.parametrize(
+    ("n_lost", "is_answered", "is_quarantined", "states"),
+    [
+        pytest.param(1, False, False, ["suspected", "unresolved"], id="one loss"),
+        pytest.param(3, True, False, ["suspected", "unresolved"], id="answered"),
+        pytest.param(3, False, True, ["suspected", "quarantined"], id="many losses"),
+    ],
+)
+def test_request_that_ends_without_a_verdict(
+    n_lost, is_answered, is_quarantined, states
+):
+    """Losses must not be forgotten when no probe could be run."""
+    registry = QuarantineRegistry(QuarantineSettings())
+    seen = []
+    registry.add_listener(lambda fingerprint, state, is_local: seen.append(state.value))
+    for number in range(n_lost):
+        lose_replica(registry, number, 0.0, 10.0)
+    registry.end_run("f", "q", 20.0, has_lost_replica=True, is_answered=is_answered)
+    assert registry.is_suspected("f", 1e7)
+    assert registry.is_quarantined("f", 21.0) == is_quarantined
+    assert seen == states
+
+
+def record(**changes):
+    return QuarantineRecord(fingerprint="f", **changes)
+
+
+R8 = {"replica_names": frozenset({"r8"}), "lost_names": frozenset({"r8"})}
+# (case, whether this instance lost a replica, the fleet's record, quarantined, trials)
+ADOPTIONS = [
+    ("suspicion", False, record(**R8, zones=frozenset({"z"})), False, 0),
+    ("same zone", True, record(**R8, zones=frozenset({"z"})), False, 0),
+    ("other zone", True, record(**R8, zones=frozenset({"y"})), True, 0),
+    ("quarantine", False, record(**R8, is_quarantined=True), True, 0),
+    ("trials", True, record(**R8, is_quarantined=True, n_trials=1), True, 1),
+]
+
+
+@pytest.mark.parametrize(
+    ("has_own_loss", "adopted", "is_quarantined", "n_trials"),
+    [case[1:] for case in ADOPTIONS],
+    ids=[case[0] for case in ADOPTIONS],
+)
+def test_adoption_of_a_record(has_own_loss, adopted, is_quarantined, n_trials):
+    """What one instance has learnt must hold at the others."""
+    registry = QuarantineRegistry(
+        QuarantineSettings(quarantine_ms=100.0, trial_delay_factor=10.0)
+    )
+    if has_own_loss:
+        lose_replica(registry, 0, 0.0, 10.0)
+    registry.adopt(adopted, 20.0)
+    registry.adopt(adopted, 21.0)
+    assert registry.is_suspected("f", 22.0)
+    assert registry.is_quarantined("f", 22.0) == is_quarantined
+    known = registry.record("f", 22.0)
+    assert known.n_trials == n_trials
+    assert known.lost_names >= adopted.lost_names
+    due_ms = 20.0 + 100.0 * 10.0**n_trials
+    assert not registry.is_trial_due("f", due_ms - 1.0)
+    assert registry.is_trial_due("f", due_ms + 1.0) == is_quarantined
--- a/chestnuthall/daemon/tests/test_notices.py
+++ b/chestnuthall/daemon/tests/test_notices.py
@@ -260,7 +260,7 @@
 
 
 def test_repeated_notices_do_not_prolong_a_quarantine():
-    """A quarantine must end on time although its notices keep circulating."""
+    """The trial must be due on time although the notices keep circulating."""
 
     async def scenario():
         fleet = make_fleet(Upstream())
@@ -270,13 +270,20 @@
             record_replica_loss(
                 services["quarantine_registry"], index, services["clock"].now_ms()
             )
-        await asyncio.sleep(301.0)
-        return sum(
-            bool(item.services["quarantines"].suspicions())
-            for item in fleet.instances.values()
-        )
+        n_due = []
+        for duration_s in (299.0, 2.0):
+            await asyncio.sleep(duration_s)
+            n_due.append(
+                sum(
+                    item.services["quarantine_registry"].is_trial_due(
+                        "f", item.services["clock"].now_ms()
+                    )
+                    for item in fleet.instances.values()
+                )
+            )
+        return n_due
 
-    assert run_virtual(scenario()) == 0
+    assert run_virtual(scenario()) == [0, N_INSTANCES]
 
 
 def test_drain_notice_before_its_group_is_known():
--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -42,6 +42,7 @@
 )
 from chestnuthall.platform._instances import encode_instance, read_instance
 from chestnuthall.platform._peer_calls import PeerCodec, PeerFrontend
+from chestnuthall.platform._quarantines import encode_quarantine, read_quarantine
 from chestnuthall.platform._registrations import read_registration
 from chestnuthall.platform._relayed_calls import RelayCodec
 from chestnuthall.platform._settings import PlatformSettings
@@ -59,6 +60,7 @@
     PeerAwareCaller,
     PeerShardSets,
     QuarantineLog,
+    QuarantineRecords,
     QueryService,
     RelayService,
     ServiceDirectory,
@@ -66,6 +68,7 @@
 )
 from chestnuthall.services._configuration import ENVIRONMENT_KIND
 from chestnuthall.services._presence import PRESENCE_KIND
+from chestnuthall.services._quarantine_records import QUARANTINE_KIND
 from chestnuthall.services._service_directory import REGISTRATION_KIND
 
 _log = logging.getLogger(__name__)
@@ -76,6 +79,7 @@
         ENVIRONMENT_KIND: "config",
         REGISTRATION_KIND: "servers",
         PRESENCE_KIND: "chestnuthall-instances",
+        QUARANTINE_KIND: "chestnuthall-quarantines",
     },
     singleton_names={ENVIRONMENT_KIND: "main"},
     stale_kinds=frozenset({PRESENCE_KIND}),
@@ -97,9 +101,8 @@
 # Reserved within the platform's grace time for the process to exit.
 STOP_MARGIN_MS = 500.0
 CONNECT_TIMEOUT_MS = 400.0
-# Short, since a crashed replica restarts within seconds: a request that crashes
-# replicas is quarantined again after a few failures, and a harmless one with the same
-# content is not refused for long.
+# Short, so that a harmless request, which the first trial clears, is not refused for
+# long.
 QUARANTINE_MS = 30_000.0
 N_WARM_CONNECTIONS = 2
 # Exceeds the interval between the calls of a busy instance to one replica, so that
@@ -164,11 +167,12 @@
             store,
             clock,
             self._feed_client,
-            (ENVIRONMENT_KIND, REGISTRATION_KIND),
+            (ENVIRONMENT_KIND, REGISTRATION_KIND, QUARANTINE_KIND),
             FeedTiming(min(settings.configuration_deadline_ms, settings.drain_ms)),
             LeaderSelector(settings.name),
             lambda: self.presence.same_zone_peers,
             [x for x in settings.seed_addresses if x != settings.peer_address],
+            sparse_kinds=(QUARANTINE_KIND,),
         )
         self._extra_load_budget = ServiceExtraLoadBudget(
             ServiceExtraLoadLimits(
@@ -243,6 +247,15 @@
             settings.name, settings.zone, lambda: self.presence.peers
         )
         quarantine = QuarantineRegistry(QuarantineSettings(quarantine_ms=QUARANTINE_MS))
+        self._quarantine_records = QuarantineRecords(
+            quarantine,
+            shared,
+            clock,
+            random,
+            read_quarantine,
+            encode_quarantine,
+            watch_timeout_ms,
+        )
         query = QueryService(
             identity=InstanceIdentity(
                 settings.name, settings.caller_address, settings.zone
@@ -254,6 +267,7 @@
             configuration=self.configuration,
             ledger=None,
             quarantine=quarantine,
+            trials=self._quarantine_records,
             admissions=admissions,
             shared_budget=self._extra_load_budget,
             decision_log=self._decisions,
@@ -357,6 +371,7 @@
             loop.create_task(self.configuration.run()),
             loop.create_task(self.directory.run()),
             loop.create_task(self.presence.run()),
+            loop.create_task(self._quarantine_records.run()),
             loop.create_task(self._connections.run()),
             loop.create_task(self._caller.run()),
             loop.create_task(self._quotas.run()),
--- a/chestnuthall/platform/tests/standins.py
+++ b/chestnuthall/platform/tests/standins.py
@@ -5,7 +5,7 @@
 import json
 import os
 from contextlib import asynccontextmanager
-from urllib.parse import parse_qs
+from urllib.parse import parse_qs, unquote
 
 from chestnuthall.adapters.http import (
     ConnectionPool,
@@ -64,6 +64,9 @@
         kind = request.path.split("/")[3]
         if request.method == "POST":
             return self._create(kind, json.loads(request.body))
+        name = unquote("/".join(request.path.split("/")[4:]))
+        if name:
+            return self._handle_object(kind, name, request)
         options = {name: value[0] for name, value in parse_qs(request.query).items()}
         if "Watch" in options:
             return await self._watch(kind, options)
@@ -77,6 +80,26 @@
         self.put(kind, name, body["spec"])
         return json_response(self.objects[kind][name])
 
+    def _handle_object(self, kind, name, request):
+        """Read, replace or delete one object; writes name the revision to change."""
+        body = self.objects.get(kind, {}).get(name)
+        if body is None:
+            return HttpResponse(404, dict(JSON), b"{}")
+        if request.method == "GET":
+            return json_response(body)
+        if request.method == "DELETE":
+            revision = int(parse_qs(request.query)["Revision"][0])
+        else:
+            new_body = json.loads(request.body)
+            revision = new_body["meta"]["Revision"]
+        if revision != body["meta"]["Revision"]:
+            return HttpResponse(409, dict(JSON), json.dumps(body).encode())
+        if request.method == "DELETE":
+            self.remove(kind, name)
+            return json_response(body)
+        self.put(kind, name, new_body["spec"])
+        return json_response(self.objects[kind][name])
+
     async def _watch(self, kind, options):
         after = int(options["Watch"])
         loop = asyncio.get_running_loop()
--- a/chestnuthall/platform/tests/test_soak.py
+++ b/chestnuthall/platform/tests/test_soak.py
@@ -94,7 +94,6 @@
 
 
 @pytest.mark.processes
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt 15")
 def test_crashing_request_is_not_sent_again_and_again(tmp_path):
     """Guards against replicas lost to one request at each instance, and at intervals.
 
--- a/chestnuthall/ports/__init__.py
+++ b/chestnuthall/ports/__init__.py
@@ -29,6 +29,7 @@
         Metrics,
     )
     from chestnuthall.ports._objects import (
+        ObjectListing,
         ObjectStore,
         StoredObject,
         WatchBatch,
@@ -84,6 +85,7 @@
         ),
         "_metrics": ("Metrics",),
         "_objects": (
+            "ObjectListing",
             "ObjectStore",
             "StoredObject",
             "WatchBatch",
@@ -140,6 +142,7 @@
     "MapFetchingCaller",
     "MemberUpdate",
     "Metrics",
+    "ObjectListing",
     "ObjectStore",
     "PeerConfiguration",
     "PeerDigest",
--- a/chestnuthall/ports/_objects.py
+++ b/chestnuthall/ports/_objects.py
@@ -1,5 +1,6 @@
 """Port to the platform's object store."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -23,6 +24,32 @@
     seen_version: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ObjectListing:
+    """All objects of a kind, in the order of their names.
+
+    ``version`` is the store's version at the time of the read; 0 if the store does not
+    report it.
+    """
+
+    objects: tuple[StoredObject, ...]
+    version: int = 0
+
+    @property
+    def watch_version(self) -> int:
+        """Version from which a watch reports all later changes; 0 if unknown."""
+        newest = max((item.version for item in self.objects), default=0)
+        return self.version or newest
+
+    def __iter__(self) -> Iterator[StoredObject]:
+        """Iterate over the objects."""
+        return iter(self.objects)
+
+    def __len__(self) -> int:
+        """Return the number of objects."""
+        return len(self.objects)
+
+
 @dataclass(frozen=True, slots=True)
 class WatchBatch:
     """Changes after a version; the next watch starts at ``version``."""
@@ -48,9 +75,7 @@
         """Read one object."""
         ...
 
-    async def list_kind(
-        self, kind: str, timeout_ms: float
-    ) -> tuple[StoredObject, ...] | Failure:
+    async def list_kind(self, kind: str, timeout_ms: float) -> ObjectListing | Failure:
         """Read all objects of a kind."""
         ...
 
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -95,6 +95,7 @@
         QuarantineExchange,
     )
     from chestnuthall.services._quarantine_log import QuarantineLog
+    from chestnuthall.services._quarantine_records import QuarantineRecords
     from chestnuthall.services._query import (
         Outcome,
         QueryService,
@@ -197,6 +198,7 @@
         "_publication": ("ConfigurationPublisher",),
         "_quarantine_exchange": ("QuarantineExchange",),
         "_quarantine_log": ("QuarantineLog",),
+        "_quarantine_records": ("QuarantineRecords",),
         "_query": (
             "Outcome",
             "QueryService",
@@ -271,6 +273,7 @@
     "ConfigurationPublisher",
     "QuarantineExchange",
     "QuarantineLog",
+    "QuarantineRecords",
     "QueryService",
     "RaceLost",
     "RelayCall",
--- /dev/null
+++ b/chestnuthall/services/_kind_follower.py
@@ -0,0 +1,111 @@
+"""Follows all objects of one kind in the store."""
+
+from functools import singledispatchmethod
+from typing import Protocol
+
+from chestnuthall.core.configuration import (
+    Delay,
+    DelayEnded,
+    FollowerAction,
+    FollowerEvent,
+    ObjectFollower,
+    ObjectRead,
+    ReadObject,
+    StoreCallFailed,
+    Watch,
+    WatchEnded,
+    WatchHistoryTrimmed,
+)
+from chestnuthall.core.results import HISTORY_TRIMMED, Failure
+from chestnuthall.ports import Clock, ObjectListing, ObjectStore, StoredObject
+
+# Many times the usual response time, and short compared with the time after which
+# a recovered store counts as stable.
+STORE_TIMEOUT_MS = 1_000.0
+
+
+class KindListener(Protocol):
+    """Receives the objects of a kind and their changes."""
+
+    def on_listed(self, listing: ObjectListing) -> bool:
+        """Replace all objects; return False to read them again."""
+        ...
+
+    def on_changed(self, stored: StoredObject) -> None:
+        """Add or replace an object."""
+        ...
+
+    def on_deleted(self, name: str) -> None:
+        """Remove an object."""
+        ...
+
+    def on_list_failed(self, failure: Failure) -> None:
+        """Record that the objects could not be listed; they are listed again."""
+        ...
+
+    def on_watch_failed(self, failure: Failure) -> None:
+        """Record that a watch failed; the objects are listed again if necessary."""
+        ...
+
+
+class KindFollower:
+    """Lists the objects of a kind and watches for their changes."""
+
+    def __init__(
+        self,
+        kind: str,
+        store: ObjectStore,
+        clock: Clock,
+        listener: KindListener,
+        watch_timeout_ms: float,
+    ) -> None:
+        self._kind = kind
+        self._store = store
+        self._clock = clock
+        self._listener = listener
+        self._follower = ObjectFollower(watch_timeout_ms)
+
+    async def run(self) -> None:
+        """Follow the objects until cancelled."""
+        event = await self._perform(ReadObject())
+        while True:
+            event = await self._perform(self._follower.handle(event))
+
+    @singledispatchmethod
+    async def _perform(self, action: FollowerAction) -> FollowerEvent:
+        raise TypeError(f"not an action: {type(action).__name__}")
+
+    @_perform.register
+    async def _(self, action: ReadObject) -> FollowerEvent:
+        listed = await self._store.list_kind(self._kind, STORE_TIMEOUT_MS)
+        now_ms = self._clock.now_ms()
+        if isinstance(listed, Failure):
+            self._listener.on_list_failed(listed)
+            return StoreCallFailed(now_ms)
+        if not self._listener.on_listed(listed) or not listed.watch_version:
+            return StoreCallFailed(now_ms)
+        return ObjectRead(now_ms, listed.watch_version)
+
+    @_perform.register
+    async def _(self, action: Watch) -> FollowerEvent:
+        batch = await self._store.watch(
+            self._kind, action.after_version, self._follower.watch_timeout_ms
+        )
+        now_ms = self._clock.now_ms()
+        if isinstance(batch, Failure):
+            self._listener.on_watch_failed(batch)
+            if batch.kind is HISTORY_TRIMMED:
+                return WatchHistoryTrimmed(now_ms)
+            return StoreCallFailed(now_ms)
+        for stored in batch.changed:
+            self._listener.on_changed(stored)
+        for name in batch.deleted_names:
+            self._listener.on_deleted(name)
+        n_changes = len(batch.changed) + len(batch.deleted_names)
+        return WatchEnded(now_ms, batch.version, n_changes == 0, n_changes)
+
+    @_perform.register
+    async def _(self, action: Delay) -> FollowerEvent:
+        await self._clock.sleep_ms(action.duration_ms)
+        now_ms = self._clock.now_ms()
+        return DelayEnded(now_ms, is_watcher=True, confirmed_ms=now_ms)
--- a/chestnuthall/services/_presence.py
+++ b/chestnuthall/services/_presence.py
@@ -1,7 +1,7 @@
 """Counts the instances of the fleet by their entries in the store."""
 
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from chestnuthall.core.results import OBJECT_CONFLICT, Failure
@@ -106,7 +106,7 @@
         self._update_peers(listed)
         return await self._correct_own_entry(listed)
 
-    async def _correct_own_entry(self, listed: Sequence[StoredObject]) -> bool:
+    async def _correct_own_entry(self, listed: Iterable[StoredObject]) -> bool:
         """Replace this instance's entry if an earlier start wrote other values."""
         value = self._write(self._own)
         for stored in listed:
@@ -121,7 +121,7 @@
                 return not isinstance(written, Failure)
         return True
 
-    def _update_peers(self, listed: Sequence[StoredObject]) -> None:
+    def _update_peers(self, listed: Iterable[StoredObject]) -> None:
         peers = []
         for stored in listed:
             entry = self._read(stored)
--- a/chestnuthall/services/_quarantine_exchange.py
+++ b/chestnuthall/services/_quarantine_exchange.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, replace
 
 from chestnuthall.core.quarantine import (
+    INCARNATION_MARK,
     QuarantineRegistry,
     Suspicion,
     SuspicionState,
@@ -145,7 +146,10 @@
         all_names = names | known_names
         # Losses in different zones, observed by two instances, are not caused by the
         # outage of a zone, so together they are sufficient evidence.
-        is_evidence = len({self._zone_of(name) for name in all_names}) > 1
+        zones = {
+            self._zone_of(name.partition(INCARNATION_MARK)[0]) for name in all_names
+        }
+        is_evidence = len(zones) > 1
         offered = all_names if is_evidence else names
         self._registry.merge(notice.fingerprint, offered, expires_ms, now_ms)
         self._record_received(notice, all_names, now_ms)
--- /dev/null
+++ b/chestnuthall/services/_quarantine_records.py
@@ -0,0 +1,263 @@
+"""Shares suspicions and quarantines with the fleet through the object store."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from functools import singledispatchmethod
+from random import Random
+
+from chestnuthall.core.quarantine import (
+    CreateRecord,
+    DeleteRecord,
+    QuarantineRecord,
+    QuarantineRegistry,
+    RecordWrite,
+    SuspicionState,
+    UpdateRecord,
+    next_write,
+)
+from chestnuthall.core.results import OBJECT_NOT_FOUND, Failure
+from chestnuthall.ports import Clock, ObjectListing, ObjectStore, StoredObject
+from chestnuthall.services._kind_follower import KindFollower
+
+_log = logging.getLogger(__name__)
+
+QUARANTINE_KIND = "quarantines"
+STORE_TIMEOUT_MS = 1_000.0
+# A caller waits for the claim of a trial.
+CLAIM_TIMEOUT_MS = 200.0
+RETRY_DELAY_MIN_MS = 250.0
+RETRY_DELAY_MAX_MS = 1_000.0
+# Limit of the records in the store. When it is reached, the oldest suspicion makes
+# room for a new record.
+N_RECORDS_MAX = 512
+SHARED_STATES = frozenset(
+    {SuspicionState.QUARANTINED, SuspicionState.UNRESOLVED, SuspicionState.CLEARED}
+)
+
+RecordReader = Callable[[StoredObject], QuarantineRecord | Failure]
+RecordWriter = Callable[[QuarantineRecord], str]
+
+
+@dataclass(frozen=True, slots=True)
+class _SharedRecord:
+    """A record as it is in the store."""
+
+    record: QuarantineRecord
+    version: int
+
+
+class QuarantineRecords:
+    """Keeps a record in the store for each request that is not cleared at once.
+
+    What one instance has learnt holds at all others, and survives its end: records
+    are adopted as they change, and by an instance that starts. A trial is claimed by
+    a conditional write, so that only one instance runs it; while the store is
+    unavailable there is none.
+    """
+
+    def __init__(
+        self,
+        registry: QuarantineRegistry,
+        store: ObjectStore,
+        clock: Clock,
+        random: Random,
+        read: RecordReader,
+        write: RecordWriter,
+        watch_timeout_ms: float,
+    ) -> None:
+        self._registry = registry
+        self._store = store
+        self._clock = clock
+        self._random = random
+        self._read = read
+        self._write_value = write
+        self._shared: dict[str, _SharedRecord] = {}
+        self._pending: set[str] = set()
+        self._claiming: set[str] = set()
+        self._has_pending = asyncio.Event()
+        self._follower = KindFollower(
+            QUARANTINE_KIND, store, clock, self, watch_timeout_ms
+        )
+        registry.add_listener(self._on_change)
+
+    def _on_change(
+        self, fingerprint: str, state: SuspicionState, is_local: bool
+    ) -> None:
+        if is_local and state in SHARED_STATES:
+            self._pending.add(fingerprint)
+            self._has_pending.set()
+
+    async def run(self) -> None:
+        """Follow the records and write changes until cancelled."""
+        await asyncio.gather(self._follower.run(), self._write_changes())
+
+    async def _write_changes(self) -> None:
+        while True:
+            await self._has_pending.wait()
+            self._has_pending.clear()
+            for fingerprint in tuple(self._pending):
+                if await self._share(fingerprint):
+                    self._pending.discard(fingerprint)
+            if self._pending:
+                self._has_pending.set()
+                delay_ms = self._random.uniform(RETRY_DELAY_MIN_MS, RETRY_DELAY_MAX_MS)
+                await self._clock.sleep_ms(delay_ms)
+
+    async def _share(self, fingerprint: str) -> bool:
+        """Bring the record of a request up to date; return whether that succeeded."""
+        shared = self._shared.get(fingerprint)
+        action = next_write(
+            fingerprint,
+            self._registry.record(fingerprint, self._clock.now_ms()),
+            None if shared is None else shared.record,
+        )
+        if action is None:
+            return True
+        failure = await self._carry_out(action)
+        if failure is None:
+            return True
+        _log.warning(
+            "cannot write a quarantine record",
+            extra={"fingerprint": fingerprint, "result_code": failure.code},
+        )
+        await self._refresh(fingerprint)
+        return False
+
+    @singledispatchmethod
+    async def _carry_out(self, action: RecordWrite) -> Failure | None:
+        raise TypeError(f"not a write: {type(action).__name__}")
+
+    @_carry_out.register
+    async def _(self, action: CreateRecord) -> Failure | None:
+        await self._make_room()
+        record = action.record
+        written = await self._store.create(
+            QUARANTINE_KIND,
+            record.fingerprint,
+            self._write_value(record),
+            STORE_TIMEOUT_MS,
+        )
+        return self._remember(record, written)
+
+    @_carry_out.register
+    async def _(self, action: UpdateRecord) -> Failure | None:
+        return await self._update(action.record, STORE_TIMEOUT_MS)
+
+    @_carry_out.register
+    async def _(self, action: DeleteRecord) -> Failure | None:
+        return await self._delete(action.fingerprint)
+
+    async def _update(
+        self, record: QuarantineRecord, timeout_ms: float
+    ) -> Failure | None:
+        written = await self._store.update(
+            QUARANTINE_KIND,
+            record.fingerprint,
+            self._write_value(record),
+            self._shared[record.fingerprint].version,
+            timeout_ms,
+        )
+        return self._remember(record, written)
+
+    def _remember(
+        self, record: QuarantineRecord, written: StoredObject | Failure
+    ) -> Failure | None:
+        if isinstance(written, Failure):
+            return written
+        self._shared[record.fingerprint] = _SharedRecord(record, written.version)
+        return None
+
+    async def _delete(self, fingerprint: str) -> Failure | None:
+        version = self._shared[fingerprint].version
+        failure = await self._store.delete(
+            QUARANTINE_KIND, fingerprint, version, STORE_TIMEOUT_MS
+        )
+        if failure is None or failure.kind is OBJECT_NOT_FOUND:
+            self._shared.pop(fingerprint, None)
+            return None
+        return failure
+
+    async def _make_room(self) -> None:
+        """Delete the oldest record, suspicions first, if there are too many."""
+        if len(self._shared) < N_RECORDS_MAX:
+            return
+        oldest = min(
+            self._shared.values(),
+            key=lambda item: (item.record.is_quarantined, item.version),
+        )
+        await self._delete(oldest.record.fingerprint)
+
+    async def _refresh(self, fingerprint: str) -> None:
+        """Read a record that may have changed since it was last seen."""
+        stored = await self._store.get(QUARANTINE_KIND, fingerprint, STORE_TIMEOUT_MS)
+        if not isinstance(stored, Failure):
+            self.on_changed(stored)
+        elif stored.kind is OBJECT_NOT_FOUND:
+            self._shared.pop(fingerprint, None)
+
+    async def claim(self, fingerprint: str) -> bool:
+        """Count a trial in the record; return whether this instance may run it."""
+        shared = self._shared.get(fingerprint)
+        if shared is None or fingerprint in self._claiming:
+            return False
+        self._claiming.add(fingerprint)
+        record = replace(shared.record, n_trials=shared.record.n_trials + 1)
+        try:
+            failure = await self._update(record, CLAIM_TIMEOUT_MS)
+        finally:
+            self._claiming.discard(fingerprint)
+        if failure is not None:
+            _log.info(
+                "trial not claimed",
+                extra={"fingerprint": fingerprint, "result_code": failure.code},
+            )
+            return False
+        self._registry.adopt(record, self._clock.now_ms())
+        _log.info(
+            "trial claimed",
+            extra={"fingerprint": fingerprint, "n_trials": record.n_trials},
+        )
+        return True
+
+    def on_listed(self, listing: ObjectListing) -> bool:
+        """Replace all records."""
+        names = {item.name for item in listing}
+        for name in [name for name in self._shared if name not in names]:
+            self.on_deleted(name)
+        for stored in listing:
+            self.on_changed(stored)
+        return True
+
+    def on_changed(self, stored: StoredObject) -> None:
+        """Adopt a record that another instance has written."""
+        known = self._shared.get(stored.name)
+        if known is not None and known.version >= stored.version:
+            return
+        record = self._read(stored)
+        if isinstance(record, Failure):
+            _log.warning(
+                "quarantine record ignored",
+                extra={"fingerprint": stored.name, "reason": record.reason},
+            )
+            return
+        self._shared[stored.name] = _SharedRecord(record, stored.version)
+        self._registry.adopt(record, self._clock.now_ms())
+
+    def on_deleted(self, name: str) -> None:
+        """Lift a quarantine that another instance or an operator has ended.
+
+        Losses that this instance has not shared yet remain.
+        """
+        self._shared.pop(name, None)
+        if name not in self._pending:
+            self._registry.lift(name)
+
+    def on_list_failed(self, failure: Failure) -> None:
+        """Keep the known records."""
+        _log.warning("cannot list quarantines", extra={"result_code": failure.code})
+
+    def on_watch_failed(self, failure: Failure) -> None:
+        """Keep the known records."""
+        _log.warning("watch of quarantines ended", extra={"result_code": failure.code})
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -74,6 +74,7 @@
 )
 from chestnuthall.services._rejections import Rejections
 from chestnuthall.services._suspicion_notifier import SuspicionNotifier
+from chestnuthall.services._trials import OwnTrials, TrialClaims
 
 if TYPE_CHECKING:
     from chestnuthall.core.claims import KeyClaim
@@ -115,7 +116,8 @@
 
     Each request is planned, admitted and run over its shards. ``combine_shards``
     combines shards into sets that peers answer for, ``disseminate`` sends the
-    quarantine notices to peers, and ``shared_budget`` replaces the extra-load budgets
+    quarantine notices to peers, ``trials`` grants the trials of quarantined requests,
+    and ``shared_budget`` replaces the extra-load budgets
     of the classes.
     """
 
@@ -130,6 +132,7 @@
         configuration: ConfigurationManager,
         ledger: "ClaimLedger | None",
         quarantine: QuarantineRegistry,
+        trials: TrialClaims | None = None,
         admissions: Admissions,
         record_outcome: Callable[[Outcome], None] | None = None,
         disseminate: Callable[[], Awaitable[None]] | None = None,
@@ -149,6 +152,7 @@
         self._configuration = configuration
         self._ledger = ledger
         self._quarantine = quarantine
+        self._trials = trials or OwnTrials(quarantine, clock)
         self._suspicion_notifier = SuspicionNotifier(quarantine, clock, disseminate)
         self._n_instances = n_instances
         self._utilisation: dict[str, UtilisationAverage] = {}
@@ -278,10 +282,11 @@
             return UNKNOWN_GROUP.with_reason(
                 f"no upstream group named {request.group!r}"
             )
-        if self._quarantine.is_quarantined(request.fingerprint, self._clock.now_ms()):
-            return QUARANTINED.with_reason(
-                f"earlier runs lost replicas; fingerprint {request.fingerprint}"
-            )
+        now_ms = self._clock.now_ms()
+        if self._quarantine.is_quarantined(
+            request.fingerprint, now_ms
+        ) and not self._quarantine.is_trial_due(request.fingerprint, now_ms):
+            return _quarantined(request)
         partition_map = self._directory.pin(request.group)
         if partition_map is None:
             return NOT_READY.with_reason(
@@ -319,6 +324,9 @@
             self._release_claim(progress)
             failure = DEADLINE_PASSED.with_reason("the deadline passed before dispatch")
             return self._refuse(progress, failure)
+        if not await self._may_run(request):
+            self._release_claim(progress)
+            return self._refuse(progress, _quarantined(request))
         # The map is pinned again after the queue, because the snapshot may have
         # been replaced while the request waited.
         partition_map = self._directory.pin(request.group) or plan.partition_map
@@ -348,6 +356,22 @@
             self._overrun.observe(self._clock.now_ms() - completion.soft_decision_ms)
         return outcome
 
+    async def _may_run(self, request: Request) -> bool:
+        """Return whether a request may run; a quarantined one only as its trial."""
+        fingerprint = request.fingerprint
+        quarantine = self._quarantine
+        if not quarantine.is_quarantined(fingerprint, self._clock.now_ms()):
+            return True
+        if not quarantine.is_trial_due(fingerprint, self._clock.now_ms()):
+            return False
+        if not await self._trials.claim(fingerprint):
+            return False
+        now_ms = self._clock.now_ms()
+        # The instance may have been paused since the trial was claimed.
+        return now_ms < request.deadline_ms and quarantine.begin_trial(
+            fingerprint, request.request_id, now_ms
+        )
+
     def _decide_earlier(self, plan: _Plan) -> CallerClass:
         """Return the class with its soft deadline earlier by the usual overrun."""
         caller_class = plan.caller_class
@@ -496,6 +520,12 @@
         )
 
 
+def _quarantined(request: Request) -> Failure:
+    return QUARANTINED.with_reason(
+        f"earlier runs lost replicas; fingerprint {request.fingerprint}"
+    )
+
+
 def _result_code_of(outcome: Outcome) -> ResultCode:
     if isinstance(outcome, Answer):
         return outcome.result_code
--- a/chestnuthall/services/_service_directory.py
+++ b/chestnuthall/services/_service_directory.py
@@ -3,24 +3,10 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from functools import singledispatchmethod
 from random import Random
 from typing import Protocol
 
-from chestnuthall.core.configuration import (
-    WATCH_TIMEOUT_MS,
-    Delay,
-    DelayEnded,
-    FollowerAction,
-    FollowerEvent,
-    ObjectFollower,
-    ObjectRead,
-    ReadObject,
-    StoreCallFailed,
-    Watch,
-    WatchEnded,
-    WatchHistoryTrimmed,
-)
+from chestnuthall.core.configuration import WATCH_TIMEOUT_MS
 from chestnuthall.core.model import (
     KeyRange,
     PartitionMap,
@@ -34,16 +20,14 @@
     ReplicaChangeKind,
     ReplicaRegistry,
 )
-from chestnuthall.core.results import HISTORY_TRIMMED, Failure
+from chestnuthall.core.results import Failure
 from chestnuthall.core.routing import Router, RouterSettings
-from chestnuthall.ports import Clock, ObjectStore, StoredObject
+from chestnuthall.ports import Clock, ObjectListing, ObjectStore, StoredObject
+from chestnuthall.services._kind_follower import KindFollower
 
 _log = logging.getLogger(__name__)
 
 REGISTRATION_KIND = "registrations"
-# Many times the usual response time, and short compared with the time after which
-# a recovered store counts as stable.
-STORE_TIMEOUT_MS = 1_000.0
 # Lifetime of a cached map: one with a draining replica as the last resort becomes
 # stale with time, without a new registration.
 MAP_LIFETIME_MS = 250.0
@@ -84,7 +68,6 @@
         random: Random,
         watch_timeout_ms: float = WATCH_TIMEOUT_MS,
     ) -> None:
-        self._store = store
         self._connections = connections
         self._clock = clock
         self._read = read
@@ -92,7 +75,9 @@
         self._router = Router(router_settings, random)
         self._groups: dict[str, UpstreamGroup] = {}
         self._maps: dict[str, tuple[int, float, PartitionMap]] = {}
-        self._follower = ObjectFollower(watch_timeout_ms)
+        self._follower = KindFollower(
+            REGISTRATION_KIND, store, clock, self, watch_timeout_ms
+        )
         self._invalid_entry_reasons: dict[str, str] = {}
         self._expiry_timer: asyncio.TimerHandle | None = None
         self._is_loaded = False
@@ -158,65 +143,38 @@
 
     async def run(self) -> None:
         """Follow the registrations until cancelled."""
-        event = await self._perform(ReadObject())
-        while True:
-            event = await self._perform(self._follower.handle(event))
-
-    @singledispatchmethod
-    async def _perform(self, action: FollowerAction) -> FollowerEvent:
-        raise TypeError(f"not an action: {type(action).__name__}")
-
-    @_perform.register
-    async def _(self, action: ReadObject) -> FollowerEvent:
-        listed = await self._store.list_kind(REGISTRATION_KIND, STORE_TIMEOUT_MS)
-        now_ms = self._clock.now_ms()
-        if isinstance(listed, Failure):
-            _log.warning(
-                "cannot list registrations", extra={"result_code": listed.code}
-            )
-            return StoreCallFailed(now_ms)
-        found = [item for item in map(self._read_entry, listed) if item is not None]
-        self._apply(self._registry.replace_all(found, now_ms))
-        if not listed:
-            # An empty listing has no version from which to watch.
-            return StoreCallFailed(now_ms)
+        await self._follower.run()
+
+    def on_listed(self, listing: ObjectListing) -> bool:
+        """Replace all registrations; without any, they have to be read again."""
+        found = [item for item in map(self._read_entry, listing) if item is not None]
+        self._apply(self._registry.replace_all(found, self._clock.now_ms()))
+        if not listing:
+            return False
         self._is_loaded = True
-        return ObjectRead(
-            now_ms, max(item.seen_version or item.version for item in listed)
-        )
-
-    @_perform.register
-    async def _(self, action: Watch) -> FollowerEvent:
-        batch = await self._store.watch(
-            REGISTRATION_KIND, action.after_version, self._follower.watch_timeout_ms
-        )
-        now_ms = self._clock.now_ms()
-        if isinstance(batch, Failure):
-            _log.warning(
-                "watch of registrations ended", extra={"result_code": batch.code}
-            )
-            if batch.kind is HISTORY_TRIMMED:
-                return WatchHistoryTrimmed(now_ms)
-            return StoreCallFailed(now_ms)
-        for stored in batch.changed:
-            self._apply_changed(stored, now_ms)
-        for name in batch.deleted_names:
-            self._apply(self._registry.mark_missing(name, now_ms))
-        n_changes = len(batch.changed) + len(batch.deleted_names)
-        return WatchEnded(now_ms, batch.version, n_changes == 0, n_changes)
-
-    @_perform.register
-    async def _(self, action: Delay) -> FollowerEvent:
-        await self._clock.sleep_ms(action.duration_ms)
-        now_ms = self._clock.now_ms()
-        return DelayEnded(now_ms, is_watcher=True, confirmed_ms=now_ms)
+        return True
 
-    def _apply_changed(self, stored: StoredObject, now_ms: float) -> None:
+    def on_changed(self, stored: StoredObject) -> None:
+        """Add, replace or remove the registration that an entry contains."""
         registration = self._read_entry(stored)
         if registration is None:
             self._apply(self._registry.remove(stored.name))
         else:
-            self._apply(self._registry.put(registration, now_ms))
+            self._apply(self._registry.put(registration, self._clock.now_ms()))
+
+    def on_deleted(self, name: str) -> None:
+        """Mark the registration of a deleted entry as missing."""
+        self._apply(self._registry.mark_missing(name, self._clock.now_ms()))
+
+    def on_list_failed(self, failure: Failure) -> None:
+        """Keep the known registrations."""
+        _log.warning("cannot list registrations", extra={"result_code": failure.code})
+
+    def on_watch_failed(self, failure: Failure) -> None:
+        """Keep the known registrations."""
+        _log.warning(
+            "watch of registrations ended", extra={"result_code": failure.code}
+        )
 
     def _read_entry(self, stored: StoredObject) -> Registration | None:
         """Return a registration, or None if it defines no usable replica."""
--- a/chestnuthall/services/_shared_store.py
+++ b/chestnuthall/services/_shared_store.py
@@ -9,6 +9,7 @@
     Clock,
     FeedAnswer,
     FeedClient,
+    ObjectListing,
     ObjectStore,
     StoredObject,
     WatchBatch,
@@ -34,7 +35,8 @@
     Reads and writes go to the store. Watches go to the leader while its feed is
     recent, and to the store otherwise. Objects that were read are kept in feeds, from
     which peers follow this instance. An instance that has never reached the store
-    reads the feeds of its peers.
+    reads the feeds of its peers. ``sparse_kinds`` are those that may have no object;
+    of the others, an empty listing is not passed on.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         selector: LeaderSelector,
         same_zone_peers: Callable[[], Sequence[InstanceEntry]],
         seed_addresses: Sequence[str] = (),
+        sparse_kinds: Collection[str] = (),
     ) -> None:
         self._store = store
         self._clock = clock
@@ -55,6 +58,7 @@
         self._leader_selector = selector
         self._same_zone_peers = same_zone_peers
         self._seed_addresses = seed_addresses
+        self._sparse_kinds = sparse_kinds
         self._feeds = {kind: ObjectFeed(clock, timing.age_max_ms) for kind in kinds}
         # Kinds whose feeds this instance reads from the store itself.
         self._kinds_from_store: set[str] = set()
@@ -80,34 +84,28 @@
             feed.confirm()
             return stored
         if stored.kind is STORE_UNAVAILABLE:
-            for item in await self._query_peers(kind, feed):
+            for item in await self._query_peers(kind, feed) or ():
                 if item.name == name:
                     return item
         return stored
 
-    async def list_kind(
-        self, kind: str, timeout_ms: float
-    ) -> tuple[StoredObject, ...] | Failure:
+    async def list_kind(self, kind: str, timeout_ms: float) -> ObjectListing | Failure:
         """Read all objects of a kind."""
         listed = await self._store.list_kind(kind, timeout_ms)
         feed = self._feeds.get(kind)
         if feed is None:
             return listed
         if not isinstance(listed, Failure):
-            if listed:
-                feed.replace_all(
-                    listed, max(i.seen_version or i.version for i in listed)
-                )
+            if listed or kind in self._sparse_kinds:
+                feed.replace_all(listed.objects, listed.watch_version)
                 feed.confirm()
             return listed
         if listed.kind is STORE_UNAVAILABLE:
             return await self._query_peers(kind, feed) or listed
         return listed
 
-    async def _query_peers(
-        self, kind: str, feed: ObjectFeed
-    ) -> tuple[StoredObject, ...]:
-        """Return the objects of the first peer whose feed is preferable, or nothing.
+    async def _query_peers(self, kind: str, feed: ObjectFeed) -> ObjectListing | None:
+        """Return the objects of the first peer whose feed is preferable, or None.
 
         An instance that the store does not serve thus stays up to date, and one that
         starts during an outage of the store gets its first objects.
@@ -116,7 +114,9 @@
             answer = await self._feed_client.snapshot(
                 address, kind, SNAPSHOT_TIMEOUT_MS
             )
-            if isinstance(answer, Failure) or not self._is_preferable(answer, feed):
+            if isinstance(answer, Failure) or not self._is_preferable(
+                kind, answer, feed
+            ):
                 continue
             batch = answer.batch
             if batch.version > feed.version:
@@ -131,13 +131,16 @@
                 )
             feed.replace_all(batch.changed, batch.version)
             feed.confirm(answer.age_ms)
-            return batch.changed
-        return ()
+            return ObjectListing(batch.changed, batch.version)
+        return None
 
-    def _is_preferable(self, answer: FeedAnswer, feed: ObjectFeed) -> bool:
+    def _is_preferable(self, kind: str, answer: FeedAnswer, feed: ObjectFeed) -> bool:
         """Return whether an answer is newer, or as new and recently confirmed."""
         batch = answer.batch
-        if not batch.changed or batch.version < feed.version:
+        is_known = bool(batch.changed) or (
+            kind in self._sparse_kinds and batch.version > 0
+        )
+        if not is_known or batch.version < feed.version:
             return False
         is_fresh = answer.age_ms <= self._timing.age_max_ms
         return batch.version > feed.version or is_fresh
--- a/chestnuthall/services/_store_calls.py
+++ b/chestnuthall/services/_store_calls.py
@@ -3,7 +3,14 @@
 from collections import Counter, deque
 
 from chestnuthall.core.results import Failure
-from chestnuthall.ports import Clock, Metrics, ObjectStore, StoredObject, WatchBatch
+from chestnuthall.ports import (
+    Clock,
+    Metrics,
+    ObjectListing,
+    ObjectStore,
+    StoredObject,
+    WatchBatch,
+)
 
 WINDOW_MS = 60_000.0
 
@@ -42,9 +49,7 @@
         self._count("get", kind)
         return await self._store.get(kind, name, timeout_ms)
 
-    async def list_kind(
-        self, kind: str, timeout_ms: float
-    ) -> tuple[StoredObject, ...] | Failure:
+    async def list_kind(self, kind: str, timeout_ms: float) -> ObjectListing | Failure:
         """Read all objects of a kind."""
         self._count("list", kind)
         return await self._store.list_kind(kind, timeout_ms)
--- a/chestnuthall/services/tests/_harness.py
+++ b/chestnuthall/services/tests/_harness.py
@@ -114,6 +114,8 @@
     crashing: set = field(default_factory=set)
     crash_shards: set = field(default_factory=lambda: {"s0", "s1", "s2"})
     crash_ms: float = 1.0
+    # Time after which a crashed replica is back; None means never.
+    restart_s: float | None = None
     next_fault: dict = field(default_factory=dict)
     slow_ms: dict = field(default_factory=dict)
     runs: list = field(default_factory=list)
@@ -153,7 +155,7 @@
         fault = fault or self.next_fault.pop(shard_id, "")
         if call.request.fingerprint in self.crashing and shard_id in self.crash_shards:
             await asyncio.sleep(self.crash_ms / 1000.0)
-            self.dead.add(name)
+            self._crash(name)
         if name not in self.dead:
             slow_ms = self.slow_ms.pop(shard_id, 0.0)
             await asyncio.sleep((slow_ms + self.random.uniform(4, 8)) / 1000.0)
@@ -163,6 +165,13 @@
             return CONNECTION_LOST.with_reason("connection reset")
         return self._answer(call, fault)
 
+    def _crash(self, name):
+        self.dead.add(name)
+        self.on_event(f"crashed {name}")
+        if self.restart_s is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.restart_s, self.dead.discard, name)
+
     def _answer(self, call, fault):
         n = 100 + int(call.shard_id[1:])
         n //= 2 if fault == "truncated" else 1
@@ -196,12 +205,13 @@
 class QueryHarness:
     """The query services of one instance; to be created in a virtual-time loop."""
 
-    def __init__(self, seed, upstreams=None, disseminate=None):
+    def __init__(self, seed, upstreams=None, disseminate=None, share=None):
         self.clock = LoopTimeClock()
         self.store = FakeStore()
         self.random = Random(seed)
         self.upstreams = upstreams or FakeUpstreams(self.clock, self.random)
         self.registry = QuarantineRegistry(QuarantineSettings())
+        trials = None if share is None else share(self.registry, self.clock)
         manager = ConfigurationManager("t", self.store, self.clock, lambda text: None)
         self.directory = Directory(
             self.store,
@@ -221,6 +231,7 @@
             admissions=Admissions(self.clock),
             ledger=ClaimLedger(self.store, self.clock, self.store, LedgerSettings()),
             quarantine=self.registry,
+            trials=trials,
             disseminate=disseminate,
         )
         document = EnvironmentDocument(
--- /dev/null
+++ b/chestnuthall/services/tests/test_quarantine_over_time.py
@@ -0,0 +1,239 @@
+"""Plays requests that crash replicas for half an hour, in virtual time.
+
+Guards against a number of crashed replicas that grows with the number of instances, of
+their restarts, and of the quarantines that have passed.
+"""
+
+import asyncio
+import json
+from dataclasses import asdict
+from random import Random
+
+import pytest
+
+from chestnuthall.core.model import Answer
+from chestnuthall.core.quarantine import QuarantineRecord
+from chestnuthall.core.results import QUARANTINED
+from chestnuthall.services import QuarantineRecords
+from chestnuthall.services.tests._harness import (
+    FakeUpstreams,
+    LoopTimeClock,
+    QueryHarness,
+)
+from chestnuthall.standins.objectapi import MemoryObjectStore
+from chestnuthall.standins.objectapi._service import ObjectService
+from chestnuthall.standins.virtual_time import run_virtual
+
+N_INSTANCES = 8
+DURATION_S = 1_800.0
+SEND_INTERVAL_S = 0.7
+WATCH_TIMEOUT_MS = 4_000.0
+N_CRASHES = 3
+N_LATE_CALLS_MAX = 3
+STABLE_S = 4.0
+FINGERPRINT = "poison"
+
+
+def read_record(stored):
+    fields = json.loads(stored.value)
+    sets = {name: frozenset(x) for name, x in fields.items() if isinstance(x, list)}
+    return QuarantineRecord(**fields | sets)
+
+
+def write_record(record):
+    return json.dumps(asdict(record), default=sorted)
+
+
+class Node:
+    """One instance, with its own connection to the store."""
+
+    def __init__(self, number, service, upstreams):
+        self.store = MemoryObjectStore(service)
+        self.out_of_touch_until_s = 0.0
+        self.harness = QueryHarness(number, upstreams, share=self._share)
+        loop = asyncio.get_running_loop()
+        self.task = loop.create_task(self._records.run())
+
+    def _share(self, registry, clock):
+        self._records = QuarantineRecords(
+            registry,
+            self.store,
+            clock,
+            Random(1),
+            read_record,
+            write_record,
+            WATCH_TIMEOUT_MS,
+        )
+        return self._records
+
+
+class Fleet:
+    """Instances that share the store, and a count of the calls to replicas."""
+
+    def __init__(self, seed):
+        self.random = Random(seed)
+        self.upstreams = FakeUpstreams(LoopTimeClock(), Random(seed))
+        self.upstreams.restart_s = 2.0
+        self.upstreams.on_event = self._on_event
+        self.service = ObjectService()
+        self.nodes = [self._make_node(number) for number in range(N_INSTANCES)]
+        self.crashes_s = []
+        self.n_late_calls = 0
+        self._n_started = N_INSTANCES
+        self._node_of = {}
+        self._n_sent = 0
+
+    def _make_node(self, number):
+        return Node(number, self.service, self.upstreams)
+
+    def _on_event(self, event):
+        request_id = self.upstreams.runs[-1][0] if self.upstreams.runs else ""
+        now_s = asyncio.get_running_loop().time()
+        if event.startswith("crashed"):
+            self.crashes_s.append(now_s)
+        if event != "written" or request_id not in self._node_of:
+            return
+        node = self._node_of[request_id]
+        is_in_touch = now_s > node.out_of_touch_until_s + STABLE_S
+        if is_in_touch and len(self.crashes_s) >= N_CRASHES:
+            third_s = self.crashes_s[N_CRASHES - 1]
+            self.n_late_calls += now_s > third_s + STABLE_S
+
+    async def send(self, kind, fingerprint=FINGERPRINT, node=None):
+        self._n_sent += 1
+        node = node or self.random.choice(self.nodes)
+        request = node.harness.request(
+            kind, self._n_sent, fingerprint, key=f"key-{self._n_sent}"
+        )
+        if fingerprint == FINGERPRINT:
+            self._node_of[request.request_id] = node
+        return await node.harness.query.serve(request)
+
+    def restart(self, node):
+        """Replace an instance by one that knows nothing."""
+        node.task.cancel()
+        self._n_started += 1
+        new_node = self._make_node(self._n_started)
+        new_node.out_of_touch_until_s = asyncio.get_running_loop().time()
+        self.nodes[self.nodes.index(node)] = new_node
+
+    async def disconnect(self, nodes, duration_s):
+        """Disconnect instances from the store."""
+        for node in nodes:
+            node.store.is_disconnected = True
+            node.out_of_touch_until_s = float("inf")
+        await asyncio.sleep(duration_s)
+        for node in nodes:
+            node.store.is_disconnected = False
+            node.out_of_touch_until_s = asyncio.get_running_loop().time()
+
+    async def close(self):
+        for node in self.nodes:
+            node.task.cancel()
+        await asyncio.sleep(0.0)
+
+
+async def do_nothing(fleet):
+    pass
+
+
+async def restart_one(fleet):
+    while True:
+        await asyncio.sleep(fleet.random.uniform(5.0, 40.0))
+        fleet.restart(fleet.random.choice(fleet.nodes))
+
+
+async def replace_all(fleet):
+    while True:
+        await asyncio.sleep(45.0)
+        for node in tuple(fleet.nodes):
+            fleet.restart(node)
+            await asyncio.sleep(1.0)
+
+
+async def separate_one(fleet):
+    while True:
+        await asyncio.sleep(fleet.random.uniform(1.0, 50.0))
+        node = fleet.random.choice(fleet.nodes)
+        await fleet.disconnect([node], fleet.random.uniform(1.0, 60.0))
+
+
+async def stop_store(fleet):
+    while True:
+        await asyncio.sleep(fleet.random.uniform(1.0, 50.0))
+        await fleet.disconnect(tuple(fleet.nodes), fleet.random.uniform(1.0, 30.0))
+
+
+KINDS = ("lookup", "mutation", "search")
+DISTURBANCES = (do_nothing, restart_one, replace_all, separate_one, stop_store)
+
+
+@pytest.mark.parametrize("n_at_once", [1, 4], ids=["single", "repeated at once"])
+@pytest.mark.parametrize("disturb", DISTURBANCES, ids=lambda item: item.__name__)
+@pytest.mark.parametrize("kind", KINDS)
+def test_crashing_request_is_not_sent_again_after_a_quarantine(
+    kind, disturb, n_at_once
+):
+    """At most three calls may follow, however long the request keeps coming."""
+
+    async def scenario():
+        fleet = Fleet(1)
+        fleet.upstreams.crashing.add(FINGERPRINT)
+        await asyncio.sleep(STABLE_S + 1.0)
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(disturb(fleet))
+        outcomes = []
+        while loop.time() < DURATION_S:
+            sends = (fleet.send(kind) for _ in range(n_at_once))
+            outcomes += await asyncio.gather(*sends)
+            await asyncio.sleep(fleet.random.uniform(0.0, 2.0 * SEND_INTERVAL_S))
+        task.cancel()
+        await fleet.close()
+        return fleet, outcomes
+
+    fleet, outcomes = run_virtual(scenario())
+    assert len(fleet.crashes_s) >= 2
+    assert fleet.n_late_calls <= N_LATE_CALLS_MAX
+    assert not any(isinstance(item, Answer) for item in outcomes)
+
+
+def test_harmless_request_is_served_again_after_its_trial():
+    """A quarantine that was a mistake must end at its first trial, everywhere."""
+
+    async def scenario():
+        fleet = Fleet(1)
+        await asyncio.sleep(1.0)
+        fleet.upstreams.crashing.add(FINGERPRINT)
+        await fleet.send("lookup")
+        fleet.upstreams.crashing.clear()
+        await asyncio.sleep(1.0)
+        refused = [await fleet.send("lookup", node=node) for node in fleet.nodes]
+        await asyncio.sleep(300.0)
+        trial = await fleet.send("lookup")
+        await asyncio.sleep(1.0)
+        served = [await fleet.send("lookup", node=node) for node in fleet.nodes]
+        await fleet.close()
+        return refused, trial, served
+
+    refused, trial, served = run_virtual(scenario())
+    assert all(item.failure.kind is QUARANTINED for item in refused)
+    assert all(isinstance(item, Answer) for item in [trial, *served])
+
+
+def test_operator_lifts_a_quarantine_by_deleting_its_record():
+    """After its last trial a request stays refused until someone decides."""
+
+    async def scenario():
+        fleet = Fleet(1)
+        await asyncio.sleep(1.0)
+        fleet.upstreams.crashing.add(FINGERPRINT)
+        await fleet.send("lookup")
+        fleet.upstreams.crashing.clear()
+        await asyncio.sleep(2.0)
+        fleet.service.table.delete("quarantines", FINGERPRINT, None)
+        await asyncio.sleep(2.0)
+        served = [await fleet.send("lookup", node=node) for node in fleet.nodes]
+        await fleet.close()
+        return served
+
+    assert all(isinstance(item, Answer) for item in run_virtual(scenario()))
--- a/chestnuthall/services/tests/test_shared_store.py
+++ b/chestnuthall/services/tests/test_shared_store.py
@@ -15,7 +15,7 @@
     STORE_UNAVAILABLE,
     Failure,
 )
-from chestnuthall.ports import StoredObject, WatchBatch
+from chestnuthall.ports import ObjectListing, StoredObject, WatchBatch
 from chestnuthall.services import InstanceEntry, ObjectFeed, SharedObjectStore
 from chestnuthall.services.tests._harness import LoopTimeClock
 from chestnuthall.standins.virtual_time import run_virtual
@@ -73,9 +73,12 @@
     async def list_kind(self, kind, timeout_ms):
         store = self._store
         store.n_lists += 1
-        return await self._failure_of_call(timeout_ms) or tuple(
-            StoredObject(KIND, item.name, item.version, item.value, store.version)
-            for item in store.objects.values()
+        return await self._failure_of_call(timeout_ms) or ObjectListing(
+            tuple(
+                StoredObject(KIND, item.name, item.version, item.value, store.version)
+                for item in store.objects.values()
+            ),
+            store.version,
         )
 
     async def watch(self, kind, after_version, timeout_ms):
--- a/chestnuthall/standins/objectapi/_memory.py
+++ b/chestnuthall/standins/objectapi/_memory.py
@@ -13,7 +13,7 @@
     Failure,
     FailureKind,
 )
-from chestnuthall.ports import StoredObject, WatchBatch
+from chestnuthall.ports import ObjectListing, StoredObject, WatchBatch
 from chestnuthall.standins.objectapi._service import (
     Call,
     ConnectionDrop,
@@ -57,14 +57,12 @@
         reply = await self._read(GetCall(kind, name), timeout_ms)
         return reply if isinstance(reply, Failure) else _to_stored_object(reply.body)
 
-    async def list_kind(
-        self, kind: str, timeout_ms: float
-    ) -> tuple[StoredObject, ...] | Failure:
+    async def list_kind(self, kind: str, timeout_ms: float) -> ObjectListing | Failure:
         """Read all objects of a kind."""
         reply = await self._read(ListCall(kind), timeout_ms)
         if isinstance(reply, Failure):
             return reply
-        return _to_stored_objects(reply.body["objects"])
+        return ObjectListing(_to_stored_objects(reply.body["objects"]))
 
     async def create(
         self, kind: str, name: str, value: str, timeout_ms: float
--- a/chestnuthall/standins/objectapi/tests/test_contract.py
+++ b/chestnuthall/standins/objectapi/tests/test_contract.py
@@ -12,7 +12,7 @@
 from chestnuthall.adapters.http import HttpRequest
 from chestnuthall.adapters.objectapi import HttpObjectStore
 from chestnuthall.core.results import Failure
-from chestnuthall.ports import WatchBatch
+from chestnuthall.ports import ObjectListing, WatchBatch
 from chestnuthall.standins.objectapi import (
     LostAnswer,
     MemoryObjectStore,
@@ -71,7 +71,7 @@
     if isinstance(result, WatchBatch):
         names = [f"{item.name}@{item.version}" for item in result.changed]
         return f"{result.version}: {' '.join([*names, *result.deleted_names])}"
-    if isinstance(result, tuple):
+    if isinstance(result, ObjectListing):
         return " ".join(f"{item.name}@{item.version}" for item in result)
     return f"{result.name}@{result.version}={result.value[:20]}"
 
