Do not run the shards of a search that a peer refuses as quarantined

What callers saw: nothing; replicas ended. Cause: a peer's refusal of a shard set as quarantined was read like a refusal for lack of capacity, so after two peers the instance called the members itself, although the peers knew that the request crashes replicas. While the store shares no record, nothing else told it.

Change: PeerCodec recognises the result code, the fan-out quarantines the request and ends it.

--- a/chestnuthall/core/fanout/_handlers.py
+++ b/chestnuthall/core/fanout/_handlers.py
@@ -34,6 +34,7 @@
 from chestnuthall.core.results import (
     CALL_MISMATCH,
     CONNECTION_LOST,
+    QUARANTINED,
     SHED_BY_UPSTREAM,
     SNAPSHOT_GONE,
     UPSTREAM_ERROR,
@@ -185,7 +186,12 @@
     context = state.context
     # A peer that terminates does not indicate that the request crashes replicas.
     is_replica_loss = failure.kind is CONNECTION_LOST and not progress.shard.shards
-    is_attributed_to_request = is_replica_loss and state.is_suspected(now_ms)
+    is_refused_by_peer = failure.kind is QUARANTINED and bool(progress.shard.shards)
+    is_attributed_to_request = is_refused_by_peer or (
+        is_replica_loss and state.is_suspected(now_ms)
+    )
+    if is_refused_by_peer:
+        context.quarantine.quarantine(state.request.fingerprint, now_ms)
     if is_replica_loss:
         progress.has_lost_replica = True
         context.quarantine.record_loss(
--- a/chestnuthall/core/fanout/tests/test_shard_sets.py
+++ b/chestnuthall/core/fanout/tests/test_shard_sets.py
@@ -29,6 +29,7 @@
     CONNECTION_LOST,
     CONNECTION_REFUSED,
     COVERAGE_BELOW_FLOOR,
+    QUARANTINED,
     SHED_BY_UPSTREAM,
     RunState,
 )
@@ -188,3 +189,13 @@
     fan_out.context.quarantine.record_loss("f", replica, "s0", 0.0, 0.0)
     fan_out.handle(QueryStarted(1.0))
     assert all(not item.shard.shards for item in fan_out.shards.values())
+
+
+def test_request_that_a_peer_has_quarantined_is_not_sent_to_replicas():
+    """Otherwise the members of the set are called here, and more replicas crash."""
+    fan_out = make_fan_out_with_set()
+    call, _ = begin(fan_out)
+    refused = QUARANTINED.with_reason("test")
+    actions = fan_out.handle(CallFailed(1.0, call.call_id, refused))
+    assert not calls_of(actions)
+    assert fan_out.is_quarantined(2.0)
--- a/chestnuthall/core/quarantine/_registry.py
+++ b/chestnuthall/core/quarantine/_registry.py
@@ -269,6 +269,13 @@
             )
             self._notify(fingerprint, SuspicionState.SUSPECTED, False)
 
+    def quarantine(self, fingerprint: str, now_ms: float) -> None:
+        """Quarantine a request that a peer refuses as quarantined."""
+        suspicion = self._find_unexpired(fingerprint, now_ms)
+        if suspicion is None:
+            suspicion = self._add_suspicion(fingerprint, "", now_ms, is_local=True)
+        self._quarantine(suspicion, now_ms, is_local=True)
+
     def record(self, fingerprint: str, now_ms: float) -> QuarantineRecord | None:
         """Return what the fleet should know of a request, or None for nothing."""
         suspicion = self._find_unexpired(fingerprint, now_ms)
--- a/chestnuthall/platform/_frontend.py
+++ b/chestnuthall/platform/_frontend.py
@@ -21,6 +21,7 @@
 from chestnuthall.services import RelayCall, RelayService
 
 N_MISSING_SHARDS = b"x-missing-parts"
+RESULT_CODE = b"x-result-code"
 READY_PATH = "/v1/ready"
 # Statuses that guarantee that the request has not run; others guarantee nothing.
 NOT_RUN_STATUS = 503
@@ -169,7 +170,7 @@
 ) -> HttpResponse:
     headers = {
         b"content-type": b"text/plain; charset=utf-8",
-        b"x-result-code": b"%d" % failure.code,
+        RESULT_CODE: b"%d" % failure.code,
     }
     if retry_after_ms is not None:
         headers[b"retry-after"] = b"%.3f" % (retry_after_ms / 1000.0)
--- a/chestnuthall/platform/_peer_calls.py
+++ b/chestnuthall/platform/_peer_calls.py
@@ -7,9 +7,16 @@
 
 from chestnuthall.adapters.http import HttpRequest, HttpResponse
 from chestnuthall.core.model import RelayedRequest, Reply, ShardAnswer, ShardCall
-from chestnuthall.core.results import SHED_BY_UPSTREAM, UPSTREAM_ERROR, Failure
+from chestnuthall.core.results import (
+    QUARANTINED,
+    SHED_BY_UPSTREAM,
+    UPSTREAM_ERROR,
+    Failure,
+    ResultCode,
+)
 from chestnuthall.platform._frontend import (
     NOT_RUN_STATUS,
+    RESULT_CODE,
     TOO_MANY_REQUESTS_STATUS,
     RelayFrontend,
     encode_http_error,
@@ -65,6 +72,8 @@
         self, call: ShardCall, response: HttpResponse
     ) -> ShardAnswer | Failure:
         """Decode the answer of the peer; return a failure if there is none."""
+        if response.headers.get(RESULT_CODE) == b"%d" % ResultCode.QUARANTINED:
+            return QUARANTINED.with_reason("the peer knows that it crashes replicas")
         if response.status in NOT_RUN_STATUSES:
             return SHED_BY_UPSTREAM.with_reason(f"the peer answered {response.status}")
         signatures = response.headers.get(SHARD_SIGNATURES)
--- a/chestnuthall/platform/tests/test_peer_calls.py
+++ b/chestnuthall/platform/tests/test_peer_calls.py
@@ -255,3 +255,26 @@
         b"x-chestnuthall-missing-max": b"1",
         b"x-chestnuthall-waited-ms": b"204",
     }
+
+
+def test_request_that_a_peer_has_quarantined_reaches_no_replica():
+    """The refusal of a peer must hold here although the store shares no record."""
+
+    async def scenario():
+        async with two_zones() as (deployment, _):
+            deployment.store.is_unavailable = True
+            for replica in deployment.replicas.values():
+                replica.is_crashed_by = lambda request: request.target == "/sweep/x"
+            n_received = []
+            for number in range(2):
+                await deployment.send("/sweep/x", request_id=f"q{number}")
+                received = [len(r.received) for r in deployment.replicas.values()]
+                n_received.append(sum(received))
+                for replica in deployment.replicas.values():
+                    if not replica.server.is_listening:
+                        await replica.restart(replica.name)
+            return n_received
+
+    first, second = asyncio.run(scenario())
+    assert first >= len(SHARDS)
+    assert second == first
