Keep quarantines known to late instances, and let one instance run a trial

Change: after its 24 transmissions each notice is still sent in turn, one in a digest. A lift is kept as long as a quarantine, since an instance may now return with one after hours. The trial of a request is run by its owner among the live instances (rendezvous by fingerprint); a notice with a further loss counts as a trial at the others.

--- a/chestnuthall/core/quarantine/__init__.py
+++ b/chestnuthall/core/quarantine/__init__.py
@@ -3,6 +3,7 @@
 from chestnuthall.core.quarantine._record import QuarantineRecord
 from chestnuthall.core.quarantine._registry import (
     INCARNATION_MARK,
+    RETENTION_MS,
     QuarantineRegistry,
     QuarantineSettings,
     Suspicion,
@@ -20,6 +21,7 @@
     "CreateRecord",
     "DeleteRecord",
     "INCARNATION_MARK",
+    "RETENTION_MS",
     "QuarantineRecord",
     "QuarantineRegistry",
     "QuarantineSettings",
--- a/chestnuthall/core/quarantine/_registry.py
+++ b/chestnuthall/core/quarantine/_registry.py
@@ -255,6 +255,11 @@
             if suspicion is None:
                 suspicion = self._add_suspicion(fingerprint, "", now_ms, is_local=False)
                 suspicion.replica_names.clear()
+            if names - suspicion.replica_names and self.is_trial_due(
+                fingerprint, now_ms
+            ):
+                # Only a trial can have lost another replica.
+                self.count_trial(fingerprint, now_ms)
             suspicion.replica_names.update(names)
             suspicion.expires_ms = max(suspicion.expires_ms, expires_ms)
             self._quarantine(suspicion, now_ms, is_local=False)
--- a/chestnuthall/daemon/_instance.py
+++ b/chestnuthall/daemon/_instance.py
@@ -54,6 +54,7 @@
     Membership,
     NoticesStatus,
     OutcomeRecorder,
+    OwnerTrials,
     PeerConfigurations,
     QuarantineExchange,
     QuarantineLog,
@@ -191,6 +192,12 @@
             configuration=self.configuration,
             ledger=self.ledger,
             quarantine=quarantine_registry,
+            trials=OwnerTrials(
+                quarantine_registry,
+                clock,
+                settings.name,
+                lambda: (member.name for member in self.membership.members()),
+            ),
             admissions=admissions,
             record_outcome=OutcomeRecorder(
                 self.burn, metrics, self.configuration
--- a/chestnuthall/daemon/tests/test_notices.py
+++ b/chestnuthall/daemon/tests/test_notices.py
@@ -28,6 +28,7 @@
     Directory,
     DrainExchange,
     HealthChecks,
+    OwnerTrials,
     QuarantineExchange,
 )
 from chestnuthall.standins.virtual_time import run_virtual
@@ -259,6 +260,72 @@
     assert run_virtual(scenario()) == (N_INSTANCES, 0, 0)
 
 
+def n_refusing(fleet):
+    return sum(
+        item.services["quarantines"].is_quarantined("f")
+        for item in fleet.instances.values()
+    )
+
+
+@pytest.mark.parametrize("fault", ["cut", "restarted"])
+@pytest.mark.parametrize("is_lifted", [False, True], ids=["quarantine", "lift"])
+def test_quarantine_reaches_an_instance_that_missed_it_for_minutes(fault, is_lifted):
+    """An instance that returns late must not run the request, nor restore a lift."""
+
+    async def scenario():
+        fleet = make_fleet(Upstream())
+        await fleet.wait_until_converged()
+        services = fleet.instances["entry-1"].services
+        for index in range(2):
+            record_replica_loss(
+                services["quarantine_registry"], index, services["clock"].now_ms()
+            )
+        if is_lifted:
+            await asyncio.sleep(PROPAGATION_LIMIT_S)
+        missed = fleet.instances["entry-8"]
+        others = fleet.addresses([name for name in fleet.instances if name[-1] != "8"])
+        if fault == "cut":
+            fleet.network.drop_messages_both_ways([missed.address], others)
+        else:
+            fleet.kill("entry-8")
+        if is_lifted:
+            await services["quarantines"].lift("f")
+        await asyncio.sleep(120.0)
+        if fault == "cut":
+            fleet.network.restore_messages()
+        else:
+            fleet.start("entry-8")
+        await asyncio.sleep(30.0)
+        return n_refusing(fleet)
+
+    assert run_virtual(scenario()) == (0 if is_lifted else N_INSTANCES)
+
+
+def test_only_one_instance_runs_the_trial_of_a_request():
+    """Nine trials at once would crash nine replicas."""
+
+    async def scenario():
+        fleet = make_fleet(Upstream())
+        await fleet.wait_until_converged()
+        services = fleet.instances["entry-1"].services
+        for index in range(2):
+            record_replica_loss(
+                services["quarantine_registry"], index, services["clock"].now_ms()
+            )
+        await asyncio.sleep(301.0)
+        return [
+            await OwnerTrials(
+                item.services["quarantine_registry"],
+                item.services["clock"],
+                item.name,
+                lambda item=item: (x.name for x in item.membership.members()),
+            ).claim("f")
+            for item in fleet.instances.values()
+        ]
+
+    assert sum(run_virtual(scenario())) == 1
+
+
 def test_repeated_notices_do_not_prolong_a_quarantine():
     """The trial must be due on time although the notices keep circulating."""
 
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -125,6 +125,7 @@
     from chestnuthall.services._store_calls import (
         CountingObjectStore,
     )
+    from chestnuthall.services._trials import OwnerTrials
     from chestnuthall.services._two_level import (
         TwoLevelFanOut,
     )
@@ -222,6 +223,7 @@
             "StatusSection",
         ),
         "_store_calls": ("CountingObjectStore",),
+        "_trials": ("OwnerTrials",),
         "_two_level": ("TwoLevelFanOut",),
     },
 )
@@ -262,6 +264,7 @@
     "NotAdmitted",
     "ObjectFeed",
     "Outcome",
+    "OwnerTrials",
     "SharedObjectStore",
     "OutcomeRecorder",
     "PartitionCodec",
--- a/chestnuthall/services/_quarantine_exchange.py
+++ b/chestnuthall/services/_quarantine_exchange.py
@@ -5,6 +5,7 @@
 
 from chestnuthall.core.quarantine import (
     INCARNATION_MARK,
+    RETENTION_MS,
     QuarantineRegistry,
     Suspicion,
     SuspicionState,
@@ -14,14 +15,17 @@
 
 N_NOTICES_MAX = 8
 N_REPLICA_NAMES_MAX = 4
+# Number of times that a notice is sent with precedence. After that, each digest has
+# one of the other notices in turn, for instances that started or were out of touch.
 N_TRANSMISSIONS_MAX = 24
 # A notice that expires sooner than this is not sent. The value exceeds the delay of
 # any message, so that no notice expires on its way.
 REMAINING_MIN_MS = 1_000.0
 # Interval at which the registry is polled for losses that this instance observed.
 POLL_INTERVAL_MS = 100.0
-# Time for which the lift of a quarantine is sent, so that every peer receives it.
-LIFT_RETENTION_MS = 60_000.0
+# An instance that was out of touch may return with a quarantine that was lifted
+# meanwhile, so a lift is kept for as long as a quarantine.
+LIFT_RETENTION_MS = RETENTION_MS
 
 
 @dataclass(slots=True)
@@ -100,13 +104,14 @@
         """Return the digest with the quarantine notices added."""
         self._record_own_losses()
         now_ms = self._clock.now_ms()
-        pending = sorted(
+        by_n_sent = sorted(
             (entry.n_sent, name)
             for name, entry in self._notices.items()
-            if entry.n_sent < N_TRANSMISSIONS_MAX
-            and entry.expires_ms - now_ms >= REMAINING_MIN_MS
+            if entry.expires_ms - now_ms >= REMAINING_MIN_MS
         )
-        chosen = [name for _, name in pending[:N_NOTICES_MAX]]
+        n_new = sum(n_sent < N_TRANSMISSIONS_MAX for n_sent, _ in by_n_sent)
+        n_chosen = min(n_new + 1, N_NOTICES_MAX)
+        chosen = [name for _, name in by_n_sent[:n_chosen]]
         return replace(
             digest,
             quarantines=tuple(self._to_port_notice(name, now_ms) for name in chosen),
--- a/chestnuthall/services/_trials.py
+++ b/chestnuthall/services/_trials.py
@@ -1,8 +1,10 @@
 """Grants the trials of quarantined requests."""
 
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from chestnuthall.core.quarantine import QuarantineRegistry
+from chestnuthall.core.routing import HashRing
 from chestnuthall.ports import Clock
 
 
@@ -28,3 +30,29 @@
             return False
         self._registry.count_trial(fingerprint, now_ms)
         return True
+
+
+class OwnerTrials(OwnTrials):
+    """Grants the trials of a request at one instance of the fleet, its owner.
+
+    ``peer_names`` returns the names of the other instances that are alive. The owner
+    follows from the fingerprint and these names, without any message.
+    """
+
+    def __init__(
+        self,
+        registry: QuarantineRegistry,
+        clock: Clock,
+        own_name: str,
+        peer_names: Callable[[], Iterable[str]],
+    ) -> None:
+        super().__init__(registry, clock)
+        self._own_name = own_name
+        self._peer_names = peer_names
+
+    async def claim(self, fingerprint: str) -> bool:
+        """Count a trial that is due, if this instance owns the request."""
+        ring = HashRing({self._own_name, *self._peer_names()})
+        if ring.owners(fingerprint, 1) != (self._own_name,):
+            return False
+        return await super().claim(fingerprint)
