Follow registrations whatever another writer left among them

What operators reported: an odd entry among those of the replicas ended the machines that read the list, or kept them from following it. It happens here.

Evidence: with an entry nested 5,000 levels deep, or a lone surrogate, or invalid UTF-8, the parser rejects the whole list, so the instance never becomes ready, or after a change follows nothing more. A concurrency of 400 digits makes every request of the service end with 500 (integer too large to convert to float).

Change: a list or a batch that the parser rejects is parsed again leniently (adapters/objectapi/_lenient_json.py): values that are nested too deeply or have too many digits become null, strings that are no UTF-8 fail in their own entry. Addresses, slots, starts and warm-ups are checked against what they can mean. An address that the operating system does not accept is a failure to connect, also for the product's documents.

--- a/chestnuthall/adapters/http/_client.py
+++ b/chestnuthall/adapters/http/_client.py
@@ -221,4 +221,6 @@
         return CONNECTION_REFUSED.with_reason(f"{address} refused the connection")
     except OSError as error:
         return NO_REPLICA.with_reason(f"cannot connect to {address}: {error.strerror}")
+    except (ValueError, OverflowError) as error:
+        return NO_REPLICA.with_reason(f"{address} is not an address: {error!s}")
     return connection
--- a/chestnuthall/adapters/objectapi/__init__.py
+++ b/chestnuthall/adapters/objectapi/__init__.py
@@ -7,6 +7,7 @@
     VersionedDialect,
     failure_from_status,
 )
+from chestnuthall.adapters.objectapi._lenient_json import parse_leniently
 
 __all__ = [
     "HttpObjectStore",
@@ -14,4 +15,5 @@
     "ObjectDialect",
     "VersionedDialect",
     "failure_from_status",
+    "parse_leniently",
 ]
--- a/chestnuthall/platform/_dialect.py
+++ b/chestnuthall/platform/_dialect.py
@@ -3,13 +3,17 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import quote
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from chestnuthall.adapters.http import HttpRequest, HttpResponse
-from chestnuthall.adapters.objectapi import ListPage, failure_from_status
+from chestnuthall.adapters.objectapi import (
+    ListPage,
+    failure_from_status,
+    parse_leniently,
+)
 from chestnuthall.core.results import (
     OBJECT_NOT_FOUND,
     STORE_UNAVAILABLE,
@@ -37,11 +41,22 @@
     spec: Any = None
 
     def to_stored_object(self, kind: str, seen_version: int = 0) -> StoredObject:
-        value = self.spec if isinstance(self.spec, str) else json.dumps(self.spec)
         meta = self.meta
+        value = _encode_spec(self.spec)
         return StoredObject(kind, meta.name, meta.revision, value, seen_version)
 
 
+def _encode_spec(spec: Any) -> str:
+    """Return a spec as JSON text, or ``null`` if it cannot be written as such."""
+    if isinstance(spec, str):
+        return spec
+    try:
+        return json.dumps(spec)
+    except (ValueError, RecursionError):
+        # Another writer's number has more digits than Python converts.
+        return "null"
+
+
 class _Event(BaseModel):
     model_config = ConfigDict(extra="ignore", frozen=True)
 
@@ -66,6 +81,23 @@
     version: int = Field(alias="At")
 
 
+_Model = TypeVar("_Model", bound=BaseModel)
+
+
+def _decode_body(model: type[_Model], body: bytes) -> _Model | None:
+    """Decode a body; parts that no parser accepts become null.
+
+    Such a part is the work of another writer, and must not hide the other objects.
+    """
+    try:
+        return model.model_validate_json(body)
+    except ValidationError:
+        try:
+            return model.model_validate(parse_leniently(body))
+        except ValueError:
+            return None
+
+
 @dataclass(frozen=True, slots=True)
 class PlatformDialect:
     """Encodes requests to the platform's store and decodes its responses.
@@ -156,9 +188,8 @@
         """Decode one page of a list; invalid entries are left out."""
         if response.status != 200:
             return failure_from_status(response)
-        try:
-            listed = _ListResponse.model_validate_json(response.body)
-        except ValidationError:
+        listed = _decode_body(_ListResponse, response.body)
+        if listed is None:
             return STORE_UNAVAILABLE.with_reason("the store sent an invalid list")
         objects = tuple(
             item.to_stored_object(kind, listed.version)
@@ -188,9 +219,8 @@
         """Decode a watch response, keeping the last event of each object."""
         if response.status != 200:
             return failure_from_status(response)
-        try:
-            watched = _WatchResponse.model_validate_json(response.body)
-        except ValidationError:
+        watched = _decode_body(_WatchResponse, response.body)
+        if watched is None:
             return STORE_UNAVAILABLE.with_reason(
                 "the store sent an invalid watch batch"
             )
--- a/chestnuthall/platform/_instances.py
+++ b/chestnuthall/platform/_instances.py
@@ -2,9 +2,10 @@
 
 import json
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, ValidationError
 
 from chestnuthall.core.results import INVALID_REQUEST, Failure
+from chestnuthall.platform._addresses import SocketAddress
 from chestnuthall.ports import StoredObject
 from chestnuthall.services import InstanceEntry
 
@@ -12,7 +13,7 @@
 class _Entry(BaseModel):
     model_config = ConfigDict(extra="ignore", frozen=True)
 
-    peer_address: str = Field(pattern=r"^[0-9.]+:[0-9]{1,5}$")
+    peer_address: SocketAddress
     zone: str
 
 
--- a/chestnuthall/platform/_registrations.py
+++ b/chestnuthall/platform/_registrations.py
@@ -1,29 +1,36 @@
 """Decoding of the registrations that replicas write to the store."""
 
 import json
-from typing import Annotated, Literal
+from typing import Literal
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from chestnuthall.core.model import Replica
 from chestnuthall.core.registry import Registration
 from chestnuthall.core.results import INVALID_REQUEST, Failure
+from chestnuthall.platform._addresses import SocketAddress
 from chestnuthall.ports import StoredObject
 
+# Limits of what a replica can mean by its numbers.
+N_SLOTS_MAX = 100_000
+BORN_MAX_MS = 2**53
+
 
 class _ServerEntry(BaseModel):
     model_config = ConfigDict(extra="ignore", frozen=True, strict=True)
 
     service: str = Field(alias="Service", min_length=1)
-    address: str = Field(alias="Address", pattern=r"^[0-9.]+:[0-9]{1,5}$")
+    address: SocketAddress = Field(alias="Address")
     zone: str = Field(alias="Zone")
     # Calls that the replica runs concurrently; it queues a few more.
-    n_slots: Annotated[int, Field(ge=1)] = Field(alias="MaxConcurrency")
+    n_slots: int = Field(alias="MaxConcurrency", ge=1, le=N_SLOTS_MAX)
     state: Literal["ready", "draining"] = Field(alias="State")
     # Remaining time for which the replica is slower, having just started.
-    warm_up_left_ms: float = Field(alias="WarmupLeftMs", default=0.0)
+    warm_up_left_ms: float = Field(
+        alias="WarmupLeftMs", default=0.0, ge=0.0, allow_inf_nan=False
+    )
     # Start time in Unix milliseconds; identifies an incarnation with the id.
-    born: int = 0
+    born: int = Field(default=0, ge=0, le=BORN_MAX_MS)
 
 
 def read_registration(stored: StoredObject) -> Registration | Failure:
@@ -34,8 +41,8 @@
         first = error.errors()[0]
         location = ".".join(str(item) for item in first["loc"])
         return INVALID_REQUEST.with_reason(f"{location}: {first['msg']}")
-    except ValueError as error:
-        return INVALID_REQUEST.with_reason(str(error))
+    except (ValueError, RecursionError) as error:
+        return INVALID_REQUEST.with_reason(f"no valid JSON: {error!s:.100}")
     replica = Replica(stored.name, entry.address, entry.zone, entry.born, entry.n_slots)
     return Registration(
         replica, entry.service, entry.state == "draining", entry.warm_up_left_ms
--- a/chestnuthall/platform/tests/soak/__main__.py
+++ b/chestnuthall/platform/tests/soak/__main__.py
@@ -109,6 +109,7 @@
         self.evidence = Evidence()
         self.instances = []
         self.n_requests = 0
+        self.n_replicas = 0
         self.version = 1
         self.crashing = CrashingRequests(self)
 
@@ -137,8 +138,8 @@
 
     async def _set_up(self):
         for service in SERVICES:
-            for index in range(N_REPLICAS):
-                await self._add_replica(service, f"{service}r{index}")
+            for _ in range(N_REPLICAS):
+                await self._add_replica(service, self.new_name(service))
         self._configure()
         store_port = await self.deployment.store.server.start(LOOPBACK, 0)
         self.instances = [
@@ -157,6 +158,11 @@
         logs = (item.log.read_bytes() for item in self.instances)
         return all(b"configuration_in_force" in log for log in logs)
 
+    def new_name(self, service):
+        """Return a name for a replica that none has had before."""
+        self.n_replicas += 1
+        return f"{service}r{self.n_replicas}"
+
     async def _add_replica(self, service, name):
         records = b"".join(self.random.randbytes(16) for _ in range(4))
         replica = await self.deployment.add_replica(name, service, records)
@@ -302,7 +308,9 @@
         """Drain a replica and add another one in its place."""
         if replica.name in self.evidence.drain_notice_s:
             return
-        await self._add_replica(replica.service, f"{replica.name}x")
+        await self._add_replica(replica.service, self.new_name(replica.service))
+        if not replica.server.is_listening:
+            return
         put = self.deployment.store.put
         put("servers", replica.name, replica.entry(State="draining", Sequence=2))
         self.evidence.drain_notice_s[replica.name] = asyncio.get_running_loop().time()
--- a/chestnuthall/platform/tests/soak/crashes.py
+++ b/chestnuthall/platform/tests/soak/crashes.py
@@ -117,17 +117,17 @@
         store = self.soak.deployment.store
         await asyncio.sleep(random.uniform(1.0, 3.0))
         old_name = replica.name
-        base_name = old_name.partition(".")[0]
         is_drained = old_name in self.soak.evidence.drain_notice_s
         keeps_name = random.random() < 0.25 and not is_drained
-        name = old_name if keeps_name else f"{base_name}.{replica.n_starts}"
+        name = old_name if keeps_name else self.soak.new_name(replica.service)
         if not keeps_name:
             store.remove("servers", old_name)
             self.soak.deployment.replicas[name] = self.soak.deployment.replicas.pop(
                 old_name
             )
         await replica.restart(name)
-        store.put("servers", name, replica.entry())
+        if name not in self.soak.evidence.drain_notice_s:
+            store.put("servers", name, replica.entry())
 
     async def run(self, ends_at_s):
         """Send one crashing request of each kind again and again."""
--- a/chestnuthall/platform/tests/standins.py
+++ b/chestnuthall/platform/tests/standins.py
@@ -5,6 +5,7 @@
 import json
 import os
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from urllib.parse import parse_qs, unquote
 
 from chestnuthall.adapters.http import (
@@ -35,6 +36,8 @@
         self.revision = 10
         self.is_unavailable = False
         self.calls = []
+        # Bytes that the store sends in place of the specs equal to the keys.
+        self.raw_specs = {}
         self._changed = asyncio.Event()
         self.server = HttpServer(self.handle)
 
@@ -58,6 +61,13 @@
 
     async def handle(self, request):
         """Serve one call."""
+        response = await self._handle(request)
+        for spec, raw in self.raw_specs.items():
+            quoted = json.dumps(spec).encode()
+            response = replace(response, body=response.body.replace(quoted, raw))
+        return response
+
+    async def _handle(self, request):
         self.calls.append((request.method, request.target))
         if self.is_unavailable:
             return HttpResponse(503, dict(JSON), b"{}")
--- a/chestnuthall/services/tests/_harness.py
+++ b/chestnuthall/services/tests/_harness.py
@@ -122,6 +122,7 @@
     running: dict = field(default_factory=dict)
     last_answer: ShardAnswer | None = None
     on_event: object = lambda name: None
+    on_crash: object = lambda replica_name: None
 
     async def call(self, call):
         self.running[call.call_id] = call
@@ -167,7 +168,7 @@
 
     def _crash(self, name):
         self.dead.add(name)
-        self.on_event(f"crashed {name}")
+        self.on_crash(name)
         if self.restart_s is not None:
             loop = asyncio.get_running_loop()
             loop.call_later(self.restart_s, self.dead.discard, name)
--- a/chestnuthall/services/tests/test_quarantine_over_time.py
+++ b/chestnuthall/services/tests/test_quarantine_over_time.py
@@ -75,6 +75,7 @@
         self.upstreams = FakeUpstreams(LoopTimeClock(), Random(seed))
         self.upstreams.restart_s = 2.0
         self.upstreams.on_event = self._on_event
+        self.upstreams.on_crash = self._on_crash
         self.service = ObjectService()
         self.nodes = [self._make_node(number) for number in range(N_INSTANCES)]
         self.crashes_s = []
@@ -86,11 +87,12 @@
     def _make_node(self, number):
         return Node(number, self.service, self.upstreams)
 
+    def _on_crash(self, replica_name):
+        self.crashes_s.append(asyncio.get_running_loop().time())
+
     def _on_event(self, event):
         request_id = self.upstreams.runs[-1][0] if self.upstreams.runs else ""
         now_s = asyncio.get_running_loop().time()
-        if event.startswith("crashed"):
-            self.crashes_s.append(now_s)
         if event != "written" or request_id not in self._node_of:
             return
         node = self._node_of[request_id]
