Follow quarantine records with few calls to the store

Change: SparseObjectStore. Only leaders, or the instances of a zone without any, read the store, and a watch lasts up to 15 s, because the reads of the other kinds tell whether the store answers: when one fails, the watch is given up, and the objects are listed again once the store answers. Everyone else follows the leader's feed.

--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -65,11 +65,15 @@
     RelayService,
     ServiceDirectory,
     SharedObjectStore,
+    SparseObjectStore,
 )
 from chestnuthall.services._configuration import ENVIRONMENT_KIND
 from chestnuthall.services._presence import PRESENCE_KIND
 from chestnuthall.services._quarantine_records import QUARANTINE_KIND
 from chestnuthall.services._service_directory import REGISTRATION_KIND
+from chestnuthall.services._sparse_store import (
+    WATCH_TIMEOUT_MS as QUARANTINE_WATCH_TIMEOUT_MS,
+)
 
 _log = logging.getLogger(__name__)
 
@@ -163,16 +167,18 @@
             clock,
         )
         self._feed_client = HttpFeedClient(PEER_PROBES)
+        feed_timing = FeedTiming(
+            min(settings.configuration_deadline_ms, settings.drain_ms)
+        )
         shared = SharedObjectStore(
             store,
             clock,
             self._feed_client,
-            (ENVIRONMENT_KIND, REGISTRATION_KIND, QUARANTINE_KIND),
-            FeedTiming(min(settings.configuration_deadline_ms, settings.drain_ms)),
+            (ENVIRONMENT_KIND, REGISTRATION_KIND),
+            feed_timing,
             LeaderSelector(settings.name),
             lambda: self.presence.same_zone_peers,
             [x for x in settings.seed_addresses if x != settings.peer_address],
-            sparse_kinds=(QUARANTINE_KIND,),
         )
         self._extra_load_budget = ServiceExtraLoadBudget(
             ServiceExtraLoadLimits(
@@ -247,15 +253,25 @@
             settings.name, settings.zone, lambda: self.presence.peers
         )
         quarantine = QuarantineRegistry(QuarantineSettings(quarantine_ms=QUARANTINE_MS))
+        sparse = SparseObjectStore(
+            QUARANTINE_KIND,
+            store,
+            clock,
+            self._feed_client,
+            shared,
+            lambda: self.presence.n_instances is not None,
+            feed_timing.age_max_ms,
+        )
         self._quarantine_records = QuarantineRecords(
             quarantine,
-            shared,
+            sparse,
             clock,
             random,
             read_quarantine,
             encode_quarantine,
-            watch_timeout_ms,
+            QUARANTINE_WATCH_TIMEOUT_MS,
         )
+        feeds = {QUARANTINE_KIND: sparse.feed}
         query = QueryService(
             identity=InstanceIdentity(
                 settings.name, settings.caller_address, settings.zone
@@ -284,7 +300,10 @@
         self.peer_server = HttpServer(
             PeerFrontend(
                 frontend,
-                FeedHandler(shared.store_feed, shared.any_feed).handle,
+                FeedHandler(
+                    lambda kind: feeds.get(kind) or shared.store_feed(kind),
+                    lambda kind: feeds.get(kind) or shared.any_feed(kind),
+                ).handle,
                 self.is_ready,
                 lambda: self.configuration.revision,
             ).handle,
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -115,6 +115,7 @@
     from chestnuthall.services._shared_store import (
         SharedObjectStore,
     )
+    from chestnuthall.services._sparse_store import SparseObjectStore
     from chestnuthall.services._status import (
         ConfigurationStatus,
         FleetStatus,
@@ -215,6 +216,7 @@
         ),
         "_service_directory": ("ServiceDirectory",),
         "_shared_store": ("SharedObjectStore",),
+        "_sparse_store": ("SparseObjectStore",),
         "_status": (
             "ConfigurationStatus",
             "FleetStatus",
@@ -286,6 +288,7 @@
     "ReplicaObservation",
     "ServiceDirectory",
     "StatusSection",
+    "SparseObjectStore",
     "StatusReporter",
     "TwoLevelFanOut",
     "read_burn_counts",
--- a/chestnuthall/services/_quarantine_records.py
+++ b/chestnuthall/services/_quarantine_records.py
@@ -17,7 +17,7 @@
     UpdateRecord,
     next_write,
 )
-from chestnuthall.core.results import OBJECT_NOT_FOUND, Failure
+from chestnuthall.core.results import NOT_READY, OBJECT_NOT_FOUND, Failure
 from chestnuthall.ports import Clock, ObjectListing, ObjectStore, StoredObject
 from chestnuthall.services._kind_follower import KindFollower
 
@@ -222,10 +222,11 @@
         return True
 
     def on_listed(self, listing: ObjectListing) -> bool:
-        """Replace all records."""
+        """Replace all records, except those written after the listing."""
         names = {item.name for item in listing}
-        for name in [name for name in self._shared if name not in names]:
-            self.on_deleted(name)
+        for name, shared in tuple(self._shared.items()):
+            if name not in names and shared.version <= listing.watch_version:
+                self.on_deleted(name)
         for stored in listing:
             self.on_changed(stored)
         return True
@@ -256,7 +257,8 @@
 
     def on_list_failed(self, failure: Failure) -> None:
         """Keep the known records."""
-        _log.warning("cannot list quarantines", extra={"result_code": failure.code})
+        if failure.kind is not NOT_READY:
+            _log.warning("cannot list quarantines", extra={"result_code": failure.code})
 
     def on_watch_failed(self, failure: Failure) -> None:
         """Keep the known records."""
--- a/chestnuthall/services/_shared_store.py
+++ b/chestnuthall/services/_shared_store.py
@@ -4,7 +4,12 @@
 from collections.abc import Callable, Collection, Sequence
 
 from chestnuthall.core.configuration import FeedTiming, LeaderSelector
-from chestnuthall.core.results import NOT_READY, STORE_UNAVAILABLE, Failure
+from chestnuthall.core.results import (
+    NOT_READY,
+    RATE_LIMITED,
+    STORE_UNAVAILABLE,
+    Failure,
+)
 from chestnuthall.ports import (
     Clock,
     FeedAnswer,
@@ -19,6 +24,9 @@
 
 _log = logging.getLogger(__name__)
 
+# Failures of a read that show that the store does not serve this instance.
+STORE_OUTAGE_KINDS = frozenset({STORE_UNAVAILABLE, RATE_LIMITED})
+
 # Time-out of one watch at a leader, after which an unresponsive leader is detected.
 LEADER_WATCH_TIMEOUT_MS = 1_000.0
 # Time-out of the first watch of an instance that becomes a leader.
@@ -35,8 +43,7 @@
     Reads and writes go to the store. Watches go to the leader while its feed is
     recent, and to the store otherwise. Objects that were read are kept in feeds, from
     which peers follow this instance. An instance that has never reached the store
-    reads the feeds of its peers. ``sparse_kinds`` are those that may have no object;
-    of the others, an empty listing is not passed on.
+    reads the feeds of its peers.
     """
 
     def __init__(
@@ -49,7 +56,6 @@
         selector: LeaderSelector,
         same_zone_peers: Callable[[], Sequence[InstanceEntry]],
         seed_addresses: Sequence[str] = (),
-        sparse_kinds: Collection[str] = (),
     ) -> None:
         self._store = store
         self._clock = clock
@@ -58,11 +64,27 @@
         self._leader_selector = selector
         self._same_zone_peers = same_zone_peers
         self._seed_addresses = seed_addresses
-        self._sparse_kinds = sparse_kinds
         self._feeds = {kind: ObjectFeed(clock, timing.age_max_ms) for kind in kinds}
+        self._is_store_answering = False
+        self._store_listeners: list[Callable[[bool], None]] = []
         # Kinds whose feeds this instance reads from the store itself.
         self._kinds_from_store: set[str] = set()
 
+    @property
+    def is_store_answering(self) -> bool:
+        """Whether the last read of the store succeeded; False before the first."""
+        return self._is_store_answering
+
+    def add_store_listener(self, listener: Callable[[bool], None]) -> None:
+        """Call ``listener`` after each read, with whether the store answered."""
+        self._store_listeners.append(listener)
+
+    def _on_store_call(self, failure: Failure | None) -> None:
+        is_answered = failure is None or failure.kind not in STORE_OUTAGE_KINDS
+        self._is_store_answering = is_answered
+        for listener in self._store_listeners:
+            listener(is_answered)
+
     def store_feed(self, kind: str) -> ObjectFeed | None:
         """Return the feed of a shared kind, if it is read from the store."""
         return self._feeds[kind] if kind in self._kinds_from_store else None
@@ -79,6 +101,7 @@
         feed = self._feeds.get(kind)
         if feed is None:
             return stored
+        self._on_store_call(stored if isinstance(stored, Failure) else None)
         if not isinstance(stored, Failure):
             feed.replace_all((stored,), stored.seen_version or stored.version)
             feed.confirm()
@@ -96,10 +119,12 @@
         if feed is None:
             return listed
         if not isinstance(listed, Failure):
-            if listed or kind in self._sparse_kinds:
+            if listed:
                 feed.replace_all(listed.objects, listed.watch_version)
                 feed.confirm()
+            self._on_store_call(None)
             return listed
+        self._on_store_call(listed)
         if listed.kind is STORE_UNAVAILABLE:
             return await self._query_peers(kind, feed) or listed
         return listed
@@ -110,13 +135,11 @@
         An instance that the store does not serve thus stays up to date, and one that
         starts during an outage of the store gets its first objects.
         """
-        for address in self._peer_addresses():
+        for address in self.peer_addresses():
             answer = await self._feed_client.snapshot(
                 address, kind, SNAPSHOT_TIMEOUT_MS
             )
-            if isinstance(answer, Failure) or not self._is_preferable(
-                kind, answer, feed
-            ):
+            if isinstance(answer, Failure) or not self._is_preferable(answer, feed):
                 continue
             batch = answer.batch
             if batch.version > feed.version:
@@ -134,18 +157,15 @@
             return ObjectListing(batch.changed, batch.version)
         return None
 
-    def _is_preferable(self, kind: str, answer: FeedAnswer, feed: ObjectFeed) -> bool:
+    def _is_preferable(self, answer: FeedAnswer, feed: ObjectFeed) -> bool:
         """Return whether an answer is newer, or as new and recently confirmed."""
         batch = answer.batch
-        is_known = bool(batch.changed) or (
-            kind in self._sparse_kinds and batch.version > 0
-        )
-        if not is_known or batch.version < feed.version:
+        if not batch.changed or batch.version < feed.version:
             return False
         is_fresh = answer.age_ms <= self._timing.age_max_ms
         return batch.version > feed.version or is_fresh
 
-    def _peer_addresses(self) -> list[str]:
+    def peer_addresses(self) -> list[str]:
         """Return the addresses to query: peers in the zone first, then the seeds."""
         same_zone = [item.address for item in self._same_zone_peers()]
         return [*same_zone[:N_PEERS_QUERIED], *self._seed_addresses]
@@ -176,7 +196,7 @@
             return await self._store.watch(kind, after_version, timeout_ms)
         ends_at_ms = self._clock.now_ms() + timeout_ms
         while (left_ms := ends_at_ms - self._clock.now_ms()) > 0.0:
-            leader = self._leader()
+            leader = self.leader()
             if leader is None:
                 batch = await self._watch_store(kind, after_version, left_ms)
             else:
@@ -186,7 +206,8 @@
             after_version = max(after_version, batch.version)
         return WatchBatch(after_version, ())
 
-    def _leader(self) -> InstanceEntry | None:
+    def leader(self) -> InstanceEntry | None:
+        """Return the instance to follow, or None if this one reads the store."""
         peers = {item.name: item for item in self._same_zone_peers()}
         name = self._leader_selector.leader(peers, self._clock.now_ms())
         return None if name is None else peers[name]
@@ -208,6 +229,7 @@
                 left_ms = FIRST_WATCH_TIMEOUT_MS
         self._kinds_from_store.add(kind)
         batch = await self._store.watch(kind, after_version, left_ms)
+        self._on_store_call(batch if isinstance(batch, Failure) else None)
         if isinstance(batch, Failure):
             self._kinds_from_store.discard(kind)
             self._leader_selector.deprioritise_store(self._clock.now_ms())
--- /dev/null
+++ b/chestnuthall/services/_sparse_store.py
@@ -0,0 +1,203 @@
+"""An object store that follows a kind of few objects with few calls."""
+
+import asyncio
+from collections.abc import Callable
+
+from chestnuthall.core.results import (
+    HISTORY_TRIMMED,
+    NOT_READY,
+    STORE_UNAVAILABLE,
+    Failure,
+)
+from chestnuthall.ports import (
+    Clock,
+    FeedClient,
+    ObjectListing,
+    ObjectStore,
+    StoredObject,
+    WatchBatch,
+)
+from chestnuthall.services._object_feed import ObjectFeed
+from chestnuthall.services._presence import InstanceEntry
+from chestnuthall.services._shared_store import (
+    LEADER_WATCH_TIMEOUT_MS,
+    SNAPSHOT_TIMEOUT_MS,
+    SharedObjectStore,
+)
+
+# A watch of the store may last that long, as reads of other kinds show an outage.
+WATCH_TIMEOUT_MS = 15_000.0
+# Failed watches at leaders in a row, after which the store is watched instead.
+N_LEADER_FAILURES_MAX = 5
+LEADER_RETRY_MS = 500.0
+
+
+class SparseObjectStore:
+    """Watches a kind that is usually empty; calls to the store are priced.
+
+    In a zone with leaders only these read the store. A watch of the store lasts long,
+    because the reads of ``shared``, of other kinds, tell whether the store answers:
+    when one of them fails, the watch is given up, and the objects are listed again
+    once the store answers. ``are_peers_known`` tells whether the instances of the zone
+    have been listed, without which each would take itself for a leader.
+    """
+
+    def __init__(
+        self,
+        kind: str,
+        store: ObjectStore,
+        clock: Clock,
+        feed_client: FeedClient,
+        shared: SharedObjectStore,
+        are_peers_known: Callable[[], bool],
+        age_max_ms: float,
+    ) -> None:
+        self._kind = kind
+        self._store = store
+        self._clock = clock
+        self._feed_client = feed_client
+        self._shared = shared
+        self._are_peers_known = are_peers_known
+        self.feed = ObjectFeed(clock, age_max_ms)
+        self._is_watching_store = False
+        self._n_leader_failures = 0
+        self._store_failed = asyncio.Event()
+        shared.add_store_listener(self._on_store_call)
+
+    def _on_store_call(self, is_answered: bool) -> None:
+        if not is_answered:
+            self._store_failed.set()
+            self._store_failed = asyncio.Event()
+        elif self._is_watching_store:
+            self.feed.confirm()
+
+    async def get(
+        self, kind: str, name: str, timeout_ms: float
+    ) -> StoredObject | Failure:
+        """Read one object."""
+        return await self._store.get(kind, name, timeout_ms)
+
+    async def create(
+        self, kind: str, name: str, value: str, timeout_ms: float
+    ) -> StoredObject | Failure:
+        """Write an object that must not exist yet."""
+        return await self._store.create(kind, name, value, timeout_ms)
+
+    async def update(
+        self, kind: str, name: str, value: str, version: int, timeout_ms: float
+    ) -> StoredObject | Failure:
+        """Write an object whose version must still be ``version``."""
+        return await self._store.update(kind, name, value, version, timeout_ms)
+
+    async def delete(
+        self, kind: str, name: str, version: int, timeout_ms: float
+    ) -> Failure | None:
+        """Delete an object whose version must still be ``version``."""
+        return await self._store.delete(kind, name, version, timeout_ms)
+
+    async def list_kind(self, kind: str, timeout_ms: float) -> ObjectListing | Failure:
+        """Read all objects, from the leader if there is one.
+
+        While the store does not answer, any peer will do.
+        """
+        if not self._are_peers_known() and self._shared.is_store_answering:
+            return NOT_READY.with_reason("the instances of the zone are not known yet")
+        leader = self._leader()
+        if leader is not None:
+            listed = await self._read_peer(leader.address)
+            self._n_leader_failures += isinstance(listed, Failure)
+        elif not self._shared.is_store_answering:
+            listed = await self._read_any_peer()
+        else:
+            listed = await self._store.list_kind(kind, timeout_ms)
+            if not isinstance(listed, Failure):
+                self.feed.confirm()
+        if not isinstance(listed, Failure):
+            self.feed.replace_all(listed.objects, listed.watch_version)
+        return listed
+
+    def _leader(self) -> InstanceEntry | None:
+        if self._n_leader_failures > N_LEADER_FAILURES_MAX:
+            return None
+        return self._shared.leader()
+
+    async def _read_any_peer(self) -> ObjectListing | Failure:
+        for address in self._shared.peer_addresses():
+            listed = await self._read_peer(address)
+            if not isinstance(listed, Failure) and listed.version >= self.feed.version:
+                return listed
+        return STORE_UNAVAILABLE.with_reason("neither the store nor a peer answers")
+
+    async def _read_peer(self, address: str) -> ObjectListing | Failure:
+        answer = await self._feed_client.snapshot(
+            address, self._kind, SNAPSHOT_TIMEOUT_MS
+        )
+        if isinstance(answer, Failure):
+            return answer
+        if not answer.batch.version:
+            return NOT_READY.with_reason("the peer has not read the objects yet")
+        return ObjectListing(answer.batch.changed, answer.batch.version)
+
+    async def watch(
+        self, kind: str, after_version: int, timeout_ms: float
+    ) -> WatchBatch | Failure:
+        """Wait for changes after a version; an empty batch on timeout."""
+        ends_at_ms = self._clock.now_ms() + timeout_ms
+        while (left_ms := ends_at_ms - self._clock.now_ms()) > 0.0:
+            leader = self._leader()
+            batch: WatchBatch | Failure
+            if leader is not None:
+                batch = await self._watch_leader(leader, after_version, left_ms)
+            elif self._shared.is_store_answering:
+                batch = await self._watch_store(after_version, left_ms)
+                self._n_leader_failures = 0
+            else:
+                # The objects are read from peers, until the store answers again.
+                return STORE_UNAVAILABLE.with_reason("the store does not answer reads")
+            if isinstance(batch, Failure) or batch.changed or batch.deleted_names:
+                return batch
+            after_version = max(after_version, batch.version)
+        return WatchBatch(after_version, ())
+
+    async def _watch_store(
+        self, after_version: int, left_ms: float
+    ) -> WatchBatch | Failure:
+        loop = asyncio.get_running_loop()
+        watch = loop.create_task(self._store.watch(self._kind, after_version, left_ms))
+        failed = loop.create_task(self._store_failed.wait())
+        self._is_watching_store = True
+        try:
+            await asyncio.wait((watch, failed), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            self._is_watching_store = False
+            failed.cancel()
+            if not watch.done():
+                watch.cancel()
+        if not watch.done() or watch.cancelled():
+            return STORE_UNAVAILABLE.with_reason("the store does not answer reads")
+        batch = watch.result()
+        if not isinstance(batch, Failure):
+            self.feed.apply(batch)
+            self.feed.confirm()
+        return batch
+
+    async def _watch_leader(
+        self, leader: InstanceEntry, after_version: int, left_ms: float
+    ) -> WatchBatch | Failure:
+        """Watch a leader; an empty batch if it failed and another must be tried."""
+        answer = await self._feed_client.watch(
+            leader.address,
+            self._kind,
+            after_version,
+            min(left_ms, LEADER_WATCH_TIMEOUT_MS),
+        )
+        if not isinstance(answer, Failure):
+            self._n_leader_failures = 0
+            self.feed.apply(answer.batch)
+            self.feed.confirm(answer.age_ms)
+            return answer.batch
+        if answer.kind is HISTORY_TRIMMED:
+            return answer
+        self._n_leader_failures += 1
+        await self._clock.sleep_ms(LEADER_RETRY_MS)
+        return WatchBatch(after_version, ())
--- a/chestnuthall/services/tests/test_shared_store.py
+++ b/chestnuthall/services/tests/test_shared_store.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections import Counter
 
 import pytest
 
@@ -35,6 +36,7 @@
         self.objects = {}
         self.version = 1
         self.n_calls = 0
+        self.n_calls_by_kind = Counter()
         self.n_lists = 0
         self.watched_ms = {}
         self.refused = set()
@@ -42,11 +44,14 @@
         self.unanswered_watches = set()
         self._changed = asyncio.Event()
 
-    def put(self, name, value):
+    def put(self, name, value, kind=KIND):
         self.version += 1
-        self.objects[name] = StoredObject(KIND, name, self.version, value)
+        self.objects[name] = StoredObject(kind, name, self.version, value)
         self.wake()
 
+    def objects_of(self, kind):
+        return [item for item in self.objects.values() if item.kind == kind]
+
     def wake(self):
         self._changed.set()
         self._changed = asyncio.Event()
@@ -60,8 +65,9 @@
         self._store = store
         self._name = name
 
-    async def _failure_of_call(self, timeout_ms):
-        self._store.n_calls += 1
+    async def _failure_of_call(self, kind, timeout_ms):
+        self._store.n_calls += kind == KIND
+        self._store.n_calls_by_kind[kind] += 1
         if self._name in self._store.unresponsive:
             await asyncio.sleep(timeout_ms / 1000.0)
             return STORE_UNAVAILABLE.with_reason("unresponsive")
@@ -72,32 +78,33 @@
 
     async def list_kind(self, kind, timeout_ms):
         store = self._store
-        store.n_lists += 1
-        return await self._failure_of_call(timeout_ms) or ObjectListing(
+        store.n_lists += kind == KIND
+        return await self._failure_of_call(kind, timeout_ms) or ObjectListing(
             tuple(
-                StoredObject(KIND, item.name, item.version, item.value, store.version)
-                for item in store.objects.values()
+                StoredObject(kind, item.name, item.version, item.value, store.version)
+                for item in store.objects_of(kind)
             ),
             store.version,
         )
 
     async def watch(self, kind, after_version, timeout_ms):
         store = self._store
-        store.watched_ms.setdefault(self._name, []).append(timeout_ms)
-        failure = await self._failure_of_call(timeout_ms + 1_000.0)
+        if kind == KIND:
+            store.watched_ms.setdefault(self._name, []).append(timeout_ms)
+        failure = await self._failure_of_call(kind, timeout_ms + 1_000.0)
         if failure is not None:
             return failure
         # The mark applies only to watches in progress when the outage starts.
-        store.unanswered_watches.discard(self._name)
+        store.unanswered_watches.discard((self._name, kind))
         loop = asyncio.get_running_loop()
         ends_at_s = loop.time() + timeout_ms / 1000.0
         while True:
-            if self._name in store.unanswered_watches:
+            if (self._name, kind) in store.unanswered_watches:
                 # Such a watch does not notice the end of the outage either.
                 await asyncio.sleep(max(0.0, ends_at_s + 1.0 - loop.time()))
                 return STORE_UNAVAILABLE.with_reason("unresponsive")
             changed = tuple(
-                item for item in store.objects.values() if item.version > after_version
+                item for item in store.objects_of(kind) if item.version > after_version
             )
             if changed or loop.time() >= ends_at_s:
                 return WatchBatch(store.version, changed)
@@ -289,7 +296,7 @@
             fleet.start(name)
         await asyncio.sleep(7.0 + offset_s)
         fleet.store.unresponsive.update(fleet.names)
-        fleet.store.unanswered_watches.update(fleet.names)
+        fleet.store.unanswered_watches.update((name, KIND) for name in fleet.names)
         fleet.store.wake()
         await asyncio.sleep(outage_s)
         fleet.store.unresponsive.clear()
