Answer every request before the end of a planned stop

What operators reported: in a planned stop of one machine, in calm, requests that came late in the grace time were passed on, and cut off without an answer at its end, also such as may run only once (LOST). It happens here: nothing compared the time that a request needs with the end of the process, and at that end the connections were closed with the requests on them.

Change: while an instance stops, a request that needs longer than is left by its objective (twice that if it may run only once) is refused as not run; the deadline of the others, which replicas receive, is the end of the stop; and what still runs 0.2 s before it, such as a request of before the signal, is answered with 504.

--- a/chestnuthall/platform/_frontend.py
+++ b/chestnuthall/platform/_frontend.py
@@ -1,5 +1,6 @@
 """HTTP front end of an instance for callers and the balancer of the platform."""
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import replace
 from functools import singledispatch
@@ -27,6 +28,8 @@
 NOT_RUN_STATUS = 503
 TOO_MANY_REQUESTS_STATUS = 429
 GATEWAY_ERROR_STATUSES = (502, 504)
+# Status of a request that was still running at the end of a stop, and may have run.
+ENDED_STATUS = 504
 
 
 class RelayFrontend:
@@ -69,6 +72,12 @@
         self._lifecycle.begin_request()
         try:
             return encode(await self._relay.serve(call))
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if not self._lifecycle.is_ending or task is None:
+                raise
+            task.uncancel()
+            return encode_http_error(ENDED_STATUS, "the instance ends")
         finally:
             self._lifecycle.end_request()
 
--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -288,6 +288,7 @@
             shared_budget=self._extra_load_budget,
             decision_log=self._decisions,
             combine_shards=peer_shard_sets.combine_shards,
+            ends_at_ms=lambda: self.lifecycle.ends_at_ms,
         )
         QuarantineLog(quarantine, clock, metrics)
         self._relay = RelayService(query, self.configuration, self.directory)
--- a/chestnuthall/ports/_driving.py
+++ b/chestnuthall/ports/_driving.py
@@ -37,8 +37,13 @@
         """Whether a graceful stop has begun."""
         ...
 
+    @property
+    def is_ending(self) -> bool:
+        """Whether the stop has cancelled the requests that were still running."""
+        ...
+
     def begin_request(self) -> None:
-        """Record the start of a request."""
+        """Record the start of a request by the current task."""
         ...
 
     def end_request(self) -> None:
--- a/chestnuthall/services/_lifecycle.py
+++ b/chestnuthall/services/_lifecycle.py
@@ -10,6 +10,10 @@
 # Time that a stop waits, after all running requests have ended, for a slow caller
 # to read its answer or to send the rest of a request.
 LINGER_MS = 10_000.0
+# Reserved before the end of a stop: requests have to be answered the first time before
+# it, and those that still run are cancelled the second time before it.
+ANSWER_MARGIN_MS = 300.0
+CANCEL_MARGIN_MS = 200.0
 
 
 class Lifecycle:
@@ -22,7 +26,8 @@
     ``reconnect_grace_ms`` is the time from the start of the leave notice during which
     persistent connections are not closed yet, because callers that reconnect would
     still reach this instance. ``stop_timeout_ms`` bounds the stop where the platform
-    ends the process after that time.
+    ends the process after that time; requests that still run shortly before it are
+    cancelled, so that their callers get an answer.
     """
 
     def __init__(
@@ -38,6 +43,9 @@
         self._reconnect_grace_ms = min(reconnect_grace_ms, leave_notice_ms)
         self._stop_timeout_ms = stop_timeout_ms
         self._n_in_flight = 0
+        self._running: set[asyncio.Task[object]] = set()
+        self._ends_at_ms = float("inf")
+        self._is_ending = False
         self._idle = asyncio.Event()
         self._idle.set()
         self._leaving = asyncio.Event()
@@ -52,8 +60,24 @@
         """Number of requests that have started and not ended."""
         return self._n_in_flight
 
+    @property
+    def is_ending(self) -> bool:
+        """Whether the requests that still run have been cancelled."""
+        return self._is_ending
+
+    @property
+    def ends_at_ms(self) -> float:
+        """Time by which each request has to be answered.
+
+        Infinite unless a stop with a time limit was announced.
+        """
+        return self._ends_at_ms
+
     def announce_leave(self) -> None:
         """Announce the stop; repeated calls have no effect."""
+        if self._stop_timeout_ms is not None and not self.is_leaving:
+            left_ms = max(0.0, self._stop_timeout_ms - ANSWER_MARGIN_MS)
+            self._ends_at_ms = self._clock.now_ms() + left_ms
         self._leaving.set()
 
     async def wait_leave(self) -> None:
@@ -64,10 +88,16 @@
         """Record the start of a request."""
         self._n_in_flight += 1
         self._idle.clear()
+        task = asyncio.current_task()
+        if task is not None:
+            self._running.add(task)
 
     def end_request(self) -> None:
         """Record the end of a request."""
         self._n_in_flight -= 1
+        task = asyncio.current_task()
+        if task is not None:
+            self._running.discard(task)
         if self._n_in_flight == 0:
             self._idle.set()
 
@@ -80,6 +110,11 @@
         """
         limit_ms = self._stop_timeout_ms
         timeout_s = None if limit_ms is None else limit_ms / 1000.0
+        end_timer = None
+        if limit_ms is not None:
+            left_ms = max(0.0, limit_ms - CANCEL_MARGIN_MS)
+            loop = asyncio.get_running_loop()
+            end_timer = loop.call_later(left_ms / 1000.0, self._cancel_requests)
         try:
             async with asyncio.timeout(timeout_s):
                 await self._drain(server, was_ready)
@@ -87,6 +122,20 @@
             _log.warning(
                 "stop ended before all requests", extra={"n_left": self._n_in_flight}
             )
+        finally:
+            if end_timer is not None:
+                end_timer.cancel()
+
+    def _cancel_requests(self) -> None:
+        """Cancel the requests that still run; their callers get an answer."""
+        self._is_ending = True
+        if self._running:
+            _log.warning(
+                "requests cancelled by the stop",
+                extra={"n_cancelled": len(self._running)},
+            )
+        for task in self._running:
+            task.cancel()
 
     async def _drain(self, server: CallerServer, was_ready: bool) -> None:
         if was_ready:
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -67,6 +67,7 @@
     admission_decision,
     bound_deadline,
     class_for_shard_set,
+    failure_while_stopping,
     failure_without_replicas,
     may_be_combined,
     n_slots,
@@ -118,7 +119,8 @@
     combines shards into sets that peers answer for, ``disseminate`` sends the
     quarantine notices to peers, ``trials`` grants the trials of quarantined requests,
     and ``shared_budget`` replaces the extra-load budgets
-    of the classes.
+    of the classes. ``ends_at_ms`` is the time by which a request has to be answered
+    because the instance stops.
     """
 
     def __init__(
@@ -140,7 +142,9 @@
         shared_budget: ExtraLoad | None = None,
         decision_log: DecisionLog | None = None,
         combine_shards: Callable[[Sequence[Shard]], tuple[Shard, ...]] | None = None,
+        ends_at_ms: Callable[[], float] = lambda: float("inf"),
     ) -> None:
+        self._ends_at_ms = ends_at_ms
         self._combine_shards = combine_shards
         self._decision_log = decision_log
         self._record_outcome = record_outcome
@@ -237,10 +241,13 @@
         if isinstance(plan, Failure):
             return self._refuse(progress, plan)
         progress.objective_ms = plan.caller_class.objective.latency_ms
-        request = bound_deadline(request, plan.caller_class)
+        now_ms, ends_at_ms = self._clock.now_ms(), self._ends_at_ms()
+        refused = failure_while_stopping(request, plan.caller_class, now_ms, ends_at_ms)
+        request = bound_deadline(request, plan.caller_class, ends_at_ms)
         progress.request = request
         failure = (
-            failure_without_replicas(request, plan.caller_class, plan.partition_map)
+            refused
+            or failure_without_replicas(request, plan.caller_class, plan.partition_map)
             or self._rejections.failure_during_outage(
                 request,
                 plan.caller_class,
--- a/chestnuthall/services/_query_rules.py
+++ b/chestnuthall/services/_query_rules.py
@@ -13,6 +13,7 @@
     Request,
     ScatterRequest,
     UpstreamGroup,
+    is_idempotent,
     reachable_ratio,
 )
 from chestnuthall.core.overload import (
@@ -35,6 +36,10 @@
 )
 from chestnuthall.services._admission import Admitted
 
+# Time that a request that may run only once needs before the end of the instance, as a
+# multiple of its objective.
+UNREPEATABLE_TIME_FACTOR = 2.0
+
 
 def admission_decision(ticket: Admitted) -> Decision:
     """Return the decision by which a query was admitted, for the log."""
@@ -63,6 +68,23 @@
     )
 
 
+def failure_while_stopping(
+    request: Request, caller_class: CallerClass, now_ms: float, ends_at_ms: float
+) -> Failure | None:
+    """Return a failure if the instance ends before the request would be answered.
+
+    Another instance can then run it. A request that may run only once is given more
+    time, because its caller could not repeat it.
+    """
+    needed_ms = caller_class.objective.latency_ms
+    if not is_idempotent(request):
+        needed_ms *= UNREPEATABLE_TIME_FACTOR
+    needed_ms = min(needed_ms, request.deadline_ms - now_ms)
+    if now_ms + needed_ms <= ends_at_ms:
+        return None
+    return SHUTTING_DOWN.with_reason("the instance ends before the request would")
+
+
 def reaches_floor(
     request: Request,
     caller_class: CallerClass,
@@ -148,9 +170,14 @@
     return replace(caller_class, coverage_floor_ratio=n_required / n_shards)
 
 
-def bound_deadline(request: Request, caller_class: CallerClass) -> Request:
-    """Return the request with its deadline limited to that of its class."""
-    latest_ms = request.arrived_ms + caller_class.deadline_ms
+def bound_deadline(
+    request: Request, caller_class: CallerClass, ends_at_ms: float = float("inf")
+) -> Request:
+    """Return the request with its deadline limited to that of its class.
+
+    A request is also answered before the instance ends at ``ends_at_ms``.
+    """
+    latest_ms = min(request.arrived_ms + caller_class.deadline_ms, ends_at_ms)
     if request.deadline_ms <= latest_ms:
         return request
     return replace(request, deadline_ms=latest_ms)
