--- a/chestnuthall/platform/tests/soak/__main__.py
+++ b/chestnuthall/platform/tests/soak/__main__.py
@@ -5,6 +5,7 @@
 
 import argparse
 import asyncio
+import itertools
 import json
 import os
 import shutil
@@ -13,6 +14,7 @@
 import sys
 import tempfile
 from collections import Counter
+from contextlib import contextmanager
 from pathlib import Path
 from random import Random
 
@@ -37,7 +39,10 @@
 # Zone "a" has enough instances that they follow a leader. The instances in zone "b"
 # have no replicas in their zone and send their searches to peers.
 ZONES = ("a", "a", "a", "a", "a", "b", "b")
+N_INSTANCES = len(ZONES)
 READY_TIMEOUT_S = 30.0
+# Time without another fault before a stop that counts as calm.
+CALM_BEFORE_STOP_S = 4.0
 SERVICES = ("s0", "s1", "s2", "t")
 N_REPLICAS = 3
 DURATION_S = 10.0
@@ -58,6 +63,30 @@
         self.proxy = FaultProxy(store_port)
         self.process = None
         self.addresses = {}
+        # Start of the stop in progress or of the last one.
+        self.stops_since_s = None
+        self._n_other_faults = 0
+        self._last_other_fault_s = float("-inf")
+
+    @contextmanager
+    def fault(self, name):
+        """Record a fault while it lasts; a stop is planned work, others are not."""
+        loop = asyncio.get_running_loop()
+        if name == "stop":
+            self.stops_since_s = loop.time()
+            yield
+            return
+        self._n_other_faults += 1
+        try:
+            yield
+        finally:
+            self._n_other_faults -= 1
+            self._last_other_fault_s = loop.time()
+
+    def had_other_fault_since(self, since_s):
+        """Return whether a fault other than a stop came later than shortly before."""
+        earliest_s = since_s - CALM_BEFORE_STOP_S
+        return self._n_other_faults > 0 or self._last_other_fault_s > earliest_s
 
     async def prepare(self):
         await self.proxy.start()
@@ -100,7 +129,16 @@
 class Soak:
     """One run of the soak: instances, callers, injected faults and checks."""
 
-    def __init__(self, seed, folder, duration_s=DURATION_S, *, has_faults=True):
+    def __init__(
+        self,
+        seed,
+        folder,
+        duration_s=DURATION_S,
+        *,
+        has_faults=True,
+        n_instances=N_INSTANCES,
+    ):
+        self.n_instances = n_instances
         self.duration_s = duration_s
         self.has_faults = has_faults
         self.random = Random(seed)
@@ -144,7 +182,9 @@
         store_port = await self.deployment.store.server.start(LOOPBACK, 0)
         self.instances = [
             Instance(number, zone, self.folder, store_port)
-            for number, zone in enumerate(ZONES)
+            for number, zone in enumerate(
+                itertools.islice(itertools.cycle(ZONES), self.n_instances)
+            )
         ]
         for instance in self.instances:
             await instance.prepare()
@@ -206,12 +246,21 @@
             self.n_requests += 1
             request_id = f"q{self.n_requests}"
             kind = self.random.choice(KINDS)
+            sent_s = loop.time()
             response = await self.send(pool, kind, request_id)
             self.evidence.record_answer(request_id, kind, response)
+            if response is None and self._is_cut_by_a_stop(instance, sent_s):
+                self.evidence.record_cut(request_id)
             await asyncio.sleep(self.random.uniform(0.0, 0.03))
         for pool in pools.values():
             pool.close()
 
+    def _is_cut_by_a_stop(self, instance, sent_s):
+        """Return whether nothing but a stop can explain a lost answer."""
+        if instance.stops_since_s is None:
+            return False
+        return not instance.had_other_fault_since(min(sent_s, instance.stops_since_s))
+
     async def send(self, pool, kind, request_id, target_name=""):
         """Send one request and return the response, or None if there is none."""
         connection = await pool.acquire(500.0)
@@ -242,7 +291,10 @@
             fault = self.random.choice(
                 ("pause", "kill", "stop", "silent", "one_way", "reset", "delay")
             )
-            with self.crashing.evidence.disturbance(instance.name):
+            with (
+                self.crashing.evidence.disturbance(instance.name),
+                instance.fault(fault),
+            ):
                 await getattr(self, f"_{fault}")(instance)
 
     async def _pause(self, instance):
@@ -330,6 +382,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--duration-s", type=float, default=DURATION_S)
+    parser.add_argument("--instances", type=int, default=N_INSTANCES)
     parser.add_argument("--calm", action="store_true", help="inject no faults")
     parser.add_argument("--logs", type=Path, help="folder that keeps the logs")
     arguments = parser.parse_args()
@@ -341,6 +394,7 @@
                 Path(folder),
                 arguments.duration_s,
                 has_faults=not arguments.calm,
+                n_instances=arguments.instances,
             )
             evidence = asyncio.run(soak.run())
             if arguments.logs is not None:
--- a/chestnuthall/platform/tests/soak/checks.py
+++ b/chestnuthall/platform/tests/soak/checks.py
@@ -48,6 +48,13 @@
         if response.status == 200 and kind == "sweep":
             self._check_search(request_id, response)
 
+    def record_cut(self, request_id):
+        """Record a request that got no answer, while its instance only stopped."""
+        if self.calls.get(request_id):
+            self.violations.append(
+                f"{request_id} was passed on and cut off by a planned stop"
+            )
+
     def _check_attempts(self, request_id, runs):
         by_service = defaultdict(set)
         for service, replica in runs:
--- a/chestnuthall/platform/tests/test_soak.py
+++ b/chestnuthall/platform/tests/test_soak.py
@@ -66,6 +66,15 @@
         assert any(violation in item for item in evidence.violations)
 
 
+def test_request_cut_off_by_a_stop_is_detected():
+    evidence = Evidence()
+    evidence.record_cut("q")
+    assert not evidence.violations
+    evidence.record_call("q", "t", "a", 0.0)
+    evidence.record_cut("q")
+    assert evidence.violations
+
+
 def test_call_long_after_a_drain_notice_is_detected():
     evidence = Evidence(drain_notice_s={"a": 10.0})
     evidence.record_call("q", "s", "a", 13.0)
