--- a/chestnuthall/core/fanout/_handlers.py
+++ b/chestnuthall/core/fanout/_handlers.py
@@ -224,7 +224,7 @@
     is_repeatable = is_idempotent(request) and not progress.shard.shards
     if not is_repeatable and failure.kind not in NOT_STARTED_KINDS:
         return False
-    if state.is_on_trial and failure.kind not in NOT_SENT_KINDS:
+    if state.is_retest and failure.kind not in NOT_SENT_KINDS:
         return False
     return not state.is_quarantined(now_ms)
 
--- a/chestnuthall/core/fanout/_state.py
+++ b/chestnuthall/core/fanout/_state.py
@@ -349,10 +349,10 @@
         )
 
     @property
-    def is_on_trial(self) -> bool:
-        """Whether the request runs as the trial of its quarantine."""
+    def is_retest(self) -> bool:
+        """Whether the request runs as the retest of its quarantine."""
         request = self.request
-        return self.context.quarantine.is_on_trial(
+        return self.context.quarantine.is_retest(
             request.fingerprint, request.request_id
         )
 
--- a/chestnuthall/core/quarantine/_record.py
+++ b/chestnuthall/core/quarantine/_record.py
@@ -8,8 +8,8 @@
     """State of one suspected or quarantined request, shared by all instances.
 
     ``replica_names`` are the losses that count as evidence, ``lost_names`` all of
-    them, and ``zones`` and ``shard_ids`` say where they occurred. ``n_trials`` is the
-    number of trials that were started since the request was quarantined.
+    them, and ``zones`` and ``shard_ids`` say where they occurred. ``n_retests`` is the
+    number of retests that were started since the request was quarantined.
     """
 
     fingerprint: str
@@ -18,7 +18,7 @@
     zones: frozenset[str] = frozenset()
     shard_ids: frozenset[str] = frozenset()
     is_quarantined: bool = False
-    n_trials: int = 0
+    n_retests: int = 0
 
     def merged_with(self, other: "QuarantineRecord") -> "QuarantineRecord":
         """Return the record with what either of two instances knows."""
@@ -29,5 +29,5 @@
             zones=self.zones | other.zones,
             shard_ids=self.shard_ids | other.shard_ids,
             is_quarantined=self.is_quarantined or other.is_quarantined,
-            n_trials=max(self.n_trials, other.n_trials),
+            n_retests=max(self.n_retests, other.n_retests),
         )
--- a/chestnuthall/core/quarantine/_registry.py
+++ b/chestnuthall/core/quarantine/_registry.py
@@ -10,8 +10,8 @@
 
 Neither a suspicion nor a quarantine ends by time: a request that crashes replicas
 would crash more of them at each end. After some time a quarantined request is due
-for a trial, one call by one instance of the fleet, and only an answer to it lifts the
-quarantine. After ``n_trials_max`` trials the quarantine stays until it is lifted by
+for a retest, one call by one instance of the fleet, and only an answer to it lifts the
+quarantine. After ``n_retests_max`` retests the quarantine stays until it is lifted by
 an operator.
 """
 
@@ -43,27 +43,27 @@
     # Losses of any number of shards and zones that quarantine a request if it ends
     # without an answer of any replica and without a verdict.
     n_unanswered_losses_max: int = 3
-    # Time from a quarantine to the first trial; each further one takes
-    # ``trial_delay_factor`` times as long.
+    # Time from a quarantine to the first retest; each further one takes
+    # ``retest_delay_factor`` times as long.
     quarantine_ms: float = 300_000.0
-    trial_delay_factor: float = 10.0
-    n_trials_max: int = 2
+    retest_delay_factor: float = 10.0
+    n_retests_max: int = 2
     n_fingerprints_max: int = 4096
     # How long a probe is reserved, during which other queries wait for its outcome.
     probe_reservation_ms: float = 2_000.0
 
-    def trial_delay_ms(self, n_trials: int) -> float:
-        """Return the time to the next trial after ``n_trials`` of them.
+    def retest_delay_ms(self, n_retests: int) -> float:
+        """Return the time to the next retest after ``n_retests`` of them.
 
         Examples
         --------
-        >>> settings = QuarantineSettings(quarantine_ms=10.0, trial_delay_factor=4.0)
-        >>> [settings.trial_delay_ms(n_trials) for n_trials in range(3)]
+        >>> settings = QuarantineSettings(quarantine_ms=10.0, retest_delay_factor=4.0)
+        >>> [settings.retest_delay_ms(n_retests) for n_retests in range(3)]
         [10.0, 40.0, inf]
         """
-        if n_trials >= self.n_trials_max:
+        if n_retests >= self.n_retests_max:
             return float("inf")
-        return self.quarantine_ms * self.trial_delay_factor**n_trials
+        return self.quarantine_ms * self.retest_delay_factor**n_retests
 
 
 class SuspicionState(Enum):
@@ -86,7 +86,7 @@
     many replicas its first wave lost, and at least two once it is quarantined;
     ``lost_names`` has all of them. Names are those of ``loss_name``.
     ``loss_zone_by_shard`` has the zone of the first loss of each shard. While
-    ``trial_owner`` is the id of a request, that request may run in spite of the
+    ``retest_owner`` is the id of a request, that request may run in spite of the
     quarantine.
     """
 
@@ -101,9 +101,9 @@
     is_local: bool = True
     probe_owner: str = ""
     probe_reserved_until_ms: float = float("-inf")
-    n_trials: int = 0
-    trial_due_ms: float = float("inf")
-    trial_owner: str = ""
+    n_retests: int = 0
+    retest_due_ms: float = float("inf")
+    retest_owner: str = ""
 
 
 def loss_name(replica: Replica) -> str:
@@ -186,8 +186,8 @@
         is_evidence = is_probe or first_loss_zone not in (None, replica.zone)
         self._record_location(suspicion, replica, shard_id)
         suspicion.is_local = True
-        if is_probe and suspicion.trial_owner:
-            self._end_trial(suspicion)
+        if is_probe and suspicion.retest_owner:
+            self._end_retest(suspicion)
         name = loss_name(replica)
         if is_probe and name in suspicion.replica_names:
             # The replica has restarted without a change of its incarnation.
@@ -198,9 +198,9 @@
         if len(suspicion.replica_names) >= self._settings.n_replicas_lost_max:
             self._quarantine(suspicion, now_ms, is_local=True)
 
-    def _end_trial(self, suspicion: Suspicion) -> None:
-        """End a trial without an answer, which leaves the request quarantined."""
-        suspicion.trial_owner = ""
+    def _end_retest(self, suspicion: Suspicion) -> None:
+        """End a retest without an answer, which leaves the request quarantined."""
+        suspicion.retest_owner = ""
         self._notify(suspicion.fingerprint, SuspicionState.QUARANTINED, True)
 
     def _record_location(
@@ -228,8 +228,8 @@
         if suspicion.is_quarantined:
             return
         suspicion.is_quarantined = True
-        suspicion.trial_due_ms = now_ms + self._settings.trial_delay_ms(
-            suspicion.n_trials
+        suspicion.retest_due_ms = now_ms + self._settings.retest_delay_ms(
+            suspicion.n_retests
         )
         self._notify(suspicion.fingerprint, SuspicionState.QUARANTINED, is_local)
 
@@ -255,11 +255,11 @@
             if suspicion is None:
                 suspicion = self._add_suspicion(fingerprint, "", now_ms, is_local=False)
                 suspicion.replica_names.clear()
-            if names - suspicion.replica_names and self.is_trial_due(
+            if names - suspicion.replica_names and self.is_retest_due(
                 fingerprint, now_ms
             ):
-                # Only a trial can have lost another replica.
-                self.count_trial(fingerprint, now_ms)
+                # Only a retest can have lost another replica.
+                self.count_retest(fingerprint, now_ms)
             suspicion.replica_names.update(names)
             suspicion.expires_ms = max(suspicion.expires_ms, expires_ms)
             self._quarantine(suspicion, now_ms, is_local=False)
@@ -293,7 +293,7 @@
             zones=frozenset(suspicion.zones_with_losses),
             shard_ids=frozenset(suspicion.shards_with_losses),
             is_quarantined=suspicion.is_quarantined,
-            n_trials=suspicion.n_trials,
+            n_retests=suspicion.n_retests,
         )
 
     def adopt(self, record: QuarantineRecord, now_ms: float) -> None:
@@ -315,10 +315,10 @@
         suspicion.lost_names |= record.lost_names
         suspicion.zones_with_losses |= record.zones
         suspicion.shards_with_losses |= record.shard_ids
-        if record.n_trials > suspicion.n_trials:
-            suspicion.n_trials = record.n_trials
-            delay_ms = self._settings.trial_delay_ms(record.n_trials)
-            suspicion.trial_due_ms = now_ms + delay_ms
+        if record.n_retests > suspicion.n_retests:
+            suspicion.n_retests = record.n_retests
+            delay_ms = self._settings.retest_delay_ms(record.n_retests)
+            suspicion.retest_due_ms = now_ms + delay_ms
         if record.is_quarantined:
             self._quarantine(suspicion, now_ms, is_local=False)
         elif has_own_losses and len(suspicion.zones_with_losses) > 1:
@@ -339,42 +339,42 @@
     ) -> bool:
         """Return whether a request is quarantined.
 
-        The request that runs the trial, given by its id, is only suspected.
+        The request that runs the retest, given by its id, is only suspected.
         """
         suspicion = self._find_unexpired(fingerprint, now_ms)
         if suspicion is None or not suspicion.is_quarantined:
             return False
-        return not suspicion.trial_owner or suspicion.trial_owner != request_id
+        return not suspicion.retest_owner or suspicion.retest_owner != request_id
 
-    def is_trial_due(self, fingerprint: str, now_ms: float) -> bool:
+    def is_retest_due(self, fingerprint: str, now_ms: float) -> bool:
         """Return whether a quarantined request may be tried."""
         suspicion = self._find_unexpired(fingerprint, now_ms)
         return (
             suspicion is not None
             and suspicion.is_quarantined
-            and not suspicion.trial_owner
-            and now_ms >= suspicion.trial_due_ms
+            and not suspicion.retest_owner
+            and now_ms >= suspicion.retest_due_ms
         )
 
-    def count_trial(self, fingerprint: str, now_ms: float) -> None:
-        """Count a trial before it starts, whatever its outcome will be."""
+    def count_retest(self, fingerprint: str, now_ms: float) -> None:
+        """Count a retest before it starts, whatever its outcome will be."""
         suspicion = self._find_unexpired(fingerprint, now_ms)
         if suspicion is not None:
-            suspicion.n_trials += 1
-            delay_ms = self._settings.trial_delay_ms(suspicion.n_trials)
-            suspicion.trial_due_ms = now_ms + delay_ms
+            suspicion.n_retests += 1
+            delay_ms = self._settings.retest_delay_ms(suspicion.n_retests)
+            suspicion.retest_due_ms = now_ms + delay_ms
 
-    def begin_trial(self, fingerprint: str, request_id: str, now_ms: float) -> bool:
+    def begin_retest(self, fingerprint: str, request_id: str, now_ms: float) -> bool:
         """Let one request run in spite of its quarantine; return whether it may.
 
-        A trial is counted before, by ``count_trial`` or by a record of the fleet.
+        A retest is counted before, by ``count_retest`` or by a record of the fleet.
         """
         suspicion = self._find_unexpired(fingerprint, now_ms)
         if suspicion is None or not suspicion.is_quarantined:
             return True
-        if suspicion.trial_owner:
+        if suspicion.retest_owner:
             return False
-        suspicion.trial_owner = request_id
+        suspicion.retest_owner = request_id
         suspicion.probe_reserved_until_ms = float("-inf")
         return True
 
@@ -396,10 +396,10 @@
             return frozenset()
         return frozenset(suspicion.shards_with_losses)
 
-    def is_on_trial(self, fingerprint: str, request_id: str) -> bool:
-        """Return whether a request runs as the trial of its quarantine."""
+    def is_retest(self, fingerprint: str, request_id: str) -> bool:
+        """Return whether a request runs as the retest of its quarantine."""
         suspicion = self._suspicions.get(fingerprint)
-        return suspicion is not None and suspicion.trial_owner == request_id
+        return suspicion is not None and suspicion.retest_owner == request_id
 
     def try_reserve_probe(
         self, fingerprint: str, probe_owner: str, now_ms: float
@@ -432,7 +432,7 @@
         has_lost_replica: bool = False,
         is_answered: bool = False,
     ) -> None:
-        """Record the end of a request that may have held the probe or the trial.
+        """Record the end of a request that may have held the probe or the retest.
 
         Another query can then run the probe. Without a verdict, a request that lost
         replicas here stays suspected; it is quarantined if it has lost several and no
@@ -443,8 +443,8 @@
             return
         if suspicion.probe_owner == request_id:
             suspicion.probe_reserved_until_ms = now_ms
-        if suspicion.trial_owner == request_id:
-            self._end_trial(suspicion)
+        if suspicion.retest_owner == request_id:
+            self._end_retest(suspicion)
         if not has_lost_replica or suspicion.is_quarantined:
             return
         n_lost = len(suspicion.lost_names)
@@ -461,7 +461,7 @@
     def _clear(self, fingerprint: str, now_ms: float, is_local: bool) -> None:
         suspicion = self._find_unexpired(fingerprint, now_ms)
         if suspicion is None or (
-            suspicion.is_quarantined and not suspicion.trial_owner
+            suspicion.is_quarantined and not suspicion.retest_owner
         ):
             return
         del self._suspicions[fingerprint]
--- a/chestnuthall/core/quarantine/tests/test_registry.py
+++ b/chestnuthall/core/quarantine/tests/test_registry.py
@@ -61,7 +61,7 @@
 
 def quarantined_registry():
     registry = QuarantineRegistry(
-        QuarantineSettings(quarantine_ms=100.0, trial_delay_factor=10.0)
+        QuarantineSettings(quarantine_ms=100.0, retest_delay_factor=10.0)
     )
     lose_replica(registry, 0, 0.0, 10.0)
     lose_replica(registry, 1, 11.0, 20.0, is_probe=True)
@@ -73,8 +73,8 @@
     registry = quarantined_registry()
     for now_ms in (21.0, 119.0, 121.0, 1e6):
         assert registry.is_quarantined("f", now_ms)
-    assert not registry.is_trial_due("f", 119.0)
-    assert registry.is_trial_due("f", 121.0)
+    assert not registry.is_retest_due("f", 119.0)
+    assert registry.is_retest_due("f", 121.0)
 
 
 @pytest.mark.parametrize(
@@ -85,14 +85,14 @@
         pytest.param(None, True, id="without a verdict"),
     ],
 )
-def test_trial(is_answered, is_quarantined):
-    """Only an answered trial lifts a quarantine, and only its own request may run."""
+def test_retest(is_answered, is_quarantined):
+    """Only an answered retest lifts a quarantine, and only its own request may run."""
     registry = quarantined_registry()
-    registry.count_trial("f", 121.0)
-    assert registry.begin_trial("f", "q1", 121.0)
+    registry.count_retest("f", 121.0)
+    assert registry.begin_retest("f", "q1", 121.0)
     assert not registry.is_quarantined("f", 122.0, "q1")
     assert registry.is_quarantined("f", 122.0, "q2")
-    assert not registry.begin_trial("f", "q2", 122.0)
+    assert not registry.begin_retest("f", "q2", 122.0)
     assert registry.try_reserve_probe("f", "q1", 122.0)
     if is_answered:
         registry.clear("f", 123.0)
@@ -100,19 +100,19 @@
         lose_replica(registry, 2, 122.0, 123.0, is_probe=True)
     registry.end_run("f", "q1", 124.0)
     assert registry.is_quarantined("f", 125.0, "q1") == is_quarantined
-    assert not registry.is_trial_due("f", 1_120.0)
-    assert registry.is_trial_due("f", 1_122.0) == is_quarantined
+    assert not registry.is_retest_due("f", 1_120.0)
+    assert registry.is_retest_due("f", 1_122.0) == is_quarantined
 
 
-def test_trials_are_limited():
+def test_retests_are_limited():
     """The number of replicas that a request crashes must not grow with time."""
     registry = quarantined_registry()
     for number in range(2):
-        assert registry.is_trial_due("f", 1e5)
-        registry.count_trial("f", 0.0)
-        assert registry.begin_trial("f", f"q{number}", 1e5)
+        assert registry.is_retest_due("f", 1e5)
+        registry.count_retest("f", 0.0)
+        assert registry.begin_retest("f", f"q{number}", 1e5)
         registry.end_run("f", f"q{number}", 1e5)
-    assert not registry.is_trial_due("f", 8e7)
+    assert not registry.is_retest_due("f", 8e7)
 
 
 @pytest.mark.parametrize("incarnations", [(1, 2), (0, 0)], ids=["new", "unknown"])
@@ -153,25 +153,25 @@
 
 
 R8 = {"replica_names": frozenset({"r8"}), "lost_names": frozenset({"r8"})}
-# (case, whether this instance lost a replica, the fleet's record, quarantined, trials)
+# (case, whether this instance lost a replica, the fleet's record, quarantined, retests)
 ADOPTIONS = [
     ("suspicion", False, record(**R8, zones=frozenset({"z"})), False, 0),
     ("same zone", True, record(**R8, zones=frozenset({"z"})), False, 0),
     ("other zone", True, record(**R8, zones=frozenset({"y"})), True, 0),
     ("quarantine", False, record(**R8, is_quarantined=True), True, 0),
-    ("trials", True, record(**R8, is_quarantined=True, n_trials=1), True, 1),
+    ("retests", True, record(**R8, is_quarantined=True, n_retests=1), True, 1),
 ]
 
 
 @pytest.mark.parametrize(
-    ("has_own_loss", "adopted", "is_quarantined", "n_trials"),
+    ("has_own_loss", "adopted", "is_quarantined", "n_retests"),
     [case[1:] for case in ADOPTIONS],
     ids=[case[0] for case in ADOPTIONS],
 )
-def test_adoption_of_a_record(has_own_loss, adopted, is_quarantined, n_trials):
+def test_adoption_of_a_record(has_own_loss, adopted, is_quarantined, n_retests):
     """What one instance has learnt must hold at the others."""
     registry = QuarantineRegistry(
-        QuarantineSettings(quarantine_ms=100.0, trial_delay_factor=10.0)
+        QuarantineSettings(quarantine_ms=100.0, retest_delay_factor=10.0)
     )
     if has_own_loss:
         lose_replica(registry, 0, 0.0, 10.0)
@@ -180,8 +180,8 @@
     assert registry.is_suspected("f", 22.0)
     assert registry.is_quarantined("f", 22.0) == is_quarantined
     known = registry.record("f", 22.0)
-    assert known.n_trials == n_trials
+    assert known.n_retests == n_retests
     assert known.lost_names >= adopted.lost_names
-    due_ms = 20.0 + 100.0 * 10.0**n_trials
-    assert not registry.is_trial_due("f", due_ms - 1.0)
-    assert registry.is_trial_due("f", due_ms + 1.0) == is_quarantined
+    due_ms = 20.0 + 100.0 * 10.0**n_retests
+    assert not registry.is_retest_due("f", due_ms - 1.0)
+    assert registry.is_retest_due("f", due_ms + 1.0) == is_quarantined
--- a/chestnuthall/daemon/_instance.py
+++ b/chestnuthall/daemon/_instance.py
@@ -54,7 +54,7 @@
     Membership,
     NoticesStatus,
     OutcomeRecorder,
-    OwnerTrials,
+    OwnerRetests,
     PeerConfigurations,
     QuarantineExchange,
     QuarantineLog,
@@ -192,7 +192,7 @@
             configuration=self.configuration,
             ledger=self.ledger,
             quarantine=quarantine_registry,
-            trials=OwnerTrials(
+            retests=OwnerRetests(
                 quarantine_registry,
                 clock,
                 settings.name,
--- a/chestnuthall/daemon/tests/test_notices.py
+++ b/chestnuthall/daemon/tests/test_notices.py
@@ -28,7 +28,7 @@
     Directory,
     DrainExchange,
     HealthChecks,
-    OwnerTrials,
+    OwnerRetests,
     QuarantineExchange,
 )
 from chestnuthall.standins.virtual_time import run_virtual
@@ -301,8 +301,8 @@
     assert run_virtual(scenario()) == (0 if is_lifted else N_INSTANCES)
 
 
-def test_only_one_instance_runs_the_trial_of_a_request():
-    """Nine trials at once would crash nine replicas."""
+def test_only_one_instance_runs_the_retest_of_a_request():
+    """Nine retests at once would crash nine replicas."""
 
     async def scenario():
         fleet = make_fleet(Upstream())
@@ -314,7 +314,7 @@
             )
         await asyncio.sleep(301.0)
         return [
-            await OwnerTrials(
+            await OwnerRetests(
                 item.services["quarantine_registry"],
                 item.services["clock"],
                 item.name,
@@ -327,7 +327,7 @@
 
 
 def test_repeated_notices_do_not_prolong_a_quarantine():
-    """The trial must be due on time although the notices keep circulating."""
+    """The retest must be due on time although the notices keep circulating."""
 
     async def scenario():
         fleet = make_fleet(Upstream())
@@ -342,7 +342,7 @@
             await asyncio.sleep(duration_s)
             n_due.append(
                 sum(
-                    item.services["quarantine_registry"].is_trial_due(
+                    item.services["quarantine_registry"].is_retest_due(
                         "f", item.services["clock"].now_ms()
                     )
                     for item in fleet.instances.values()
--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -105,7 +105,7 @@
 # Reserved within the platform's grace time for the process to exit.
 STOP_MARGIN_MS = 500.0
 CONNECT_TIMEOUT_MS = 400.0
-# Short, so that a harmless request, which the first trial clears, is not refused for
+# Short, so that a harmless request, which the first retest clears, is not refused for
 # long.
 QUARANTINE_MS = 30_000.0
 N_WARM_CONNECTIONS = 2
@@ -283,7 +283,7 @@
             configuration=self.configuration,
             ledger=None,
             quarantine=quarantine,
-            trials=self._quarantine_records,
+            retests=self._quarantine_records,
             admissions=admissions,
             shared_budget=self._extra_load_budget,
             decision_log=self._decisions,
--- a/chestnuthall/platform/_quarantines.py
+++ b/chestnuthall/platform/_quarantines.py
@@ -17,7 +17,7 @@
     zones: frozenset[str] = Field(strict=False)
     shards: frozenset[str] = Field(strict=False)
     is_quarantined: bool
-    n_trials: int = Field(ge=0)
+    n_retests: int = Field(ge=0)
 
 
 def read_quarantine(stored: StoredObject) -> QuarantineRecord | Failure:
@@ -33,7 +33,7 @@
         zones=record.zones,
         shard_ids=record.shards,
         is_quarantined=record.is_quarantined,
-        n_trials=record.n_trials,
+        n_retests=record.n_retests,
     )
 
 
@@ -46,6 +46,6 @@
             "zones": sorted(record.zones),
             "shards": sorted(record.shard_ids),
             "is_quarantined": record.is_quarantined,
-            "n_trials": record.n_trials,
+            "n_retests": record.n_retests,
         }
     )
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -104,6 +104,7 @@
         RelayCall,
         RelayService,
     )
+    from chestnuthall.services._retests import OwnerRetests
     from chestnuthall.services._revisions import (
         RaceLost,
         RevisionAccepted,
@@ -126,7 +127,6 @@
     from chestnuthall.services._store_calls import (
         CountingObjectStore,
     )
-    from chestnuthall.services._trials import OwnerTrials
     from chestnuthall.services._two_level import (
         TwoLevelFanOut,
     )
@@ -225,7 +225,7 @@
             "StatusSection",
         ),
         "_store_calls": ("CountingObjectStore",),
-        "_trials": ("OwnerTrials",),
+        "_retests": ("OwnerRetests",),
         "_two_level": ("TwoLevelFanOut",),
     },
 )
@@ -266,7 +266,7 @@
     "NotAdmitted",
     "ObjectFeed",
     "Outcome",
-    "OwnerTrials",
+    "OwnerRetests",
     "SharedObjectStore",
     "OutcomeRecorder",
     "PartitionCodec",
--- a/chestnuthall/services/_administration.py
+++ b/chestnuthall/services/_administration.py
@@ -55,7 +55,7 @@
             QuarantineStatus(
                 fingerprint=item.fingerprint,
                 replica_names=tuple(sorted(item.replica_names)),
-                expires_in_ms=min(item.trial_due_ms, item.expires_ms) - now_ms,
+                expires_in_ms=min(item.retest_due_ms, item.expires_ms) - now_ms,
                 is_quarantined=self._quarantines.is_quarantined(item.fingerprint),
             )
             for item in self._quarantines.suspicions()
--- a/chestnuthall/services/_quarantine_records.py
+++ b/chestnuthall/services/_quarantine_records.py
@@ -25,7 +25,7 @@
 
 QUARANTINE_KIND = "quarantines"
 STORE_TIMEOUT_MS = 1_000.0
-# A caller waits for the claim of a trial.
+# A caller waits for the claim of a retest.
 CLAIM_TIMEOUT_MS = 200.0
 RETRY_DELAY_MIN_MS = 250.0
 RETRY_DELAY_MAX_MS = 1_000.0
@@ -52,7 +52,7 @@
     """Keeps a record in the store for each request that is not cleared at once.
 
     What one instance has learnt holds at all others, and survives its end: records
-    are adopted as they change, and by an instance that starts. A trial is claimed by
+    are adopted as they change, and by an instance that starts. A retest is claimed by
     a conditional write, so that only one instance runs it; while the store is
     unavailable there is none.
     """
@@ -198,26 +198,26 @@
             self._shared.pop(fingerprint, None)
 
     async def claim(self, fingerprint: str) -> bool:
-        """Count a trial in the record; return whether this instance may run it."""
+        """Count a retest in the record; return whether this instance may run it."""
         shared = self._shared.get(fingerprint)
         if shared is None or fingerprint in self._claiming:
             return False
         self._claiming.add(fingerprint)
-        record = replace(shared.record, n_trials=shared.record.n_trials + 1)
+        record = replace(shared.record, n_retests=shared.record.n_retests + 1)
         try:
             failure = await self._update(record, CLAIM_TIMEOUT_MS)
         finally:
             self._claiming.discard(fingerprint)
         if failure is not None:
             _log.info(
-                "trial not claimed",
+                "retest not claimed",
                 extra={"fingerprint": fingerprint, "result_code": failure.code},
             )
             return False
         self._registry.adopt(record, self._clock.now_ms())
         _log.info(
-            "trial claimed",
-            extra={"fingerprint": fingerprint, "n_trials": record.n_trials},
+            "retest claimed",
+            extra={"fingerprint": fingerprint, "n_retests": record.n_retests},
         )
         return True
 
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -74,8 +74,8 @@
     run_state_and_retry_advice,
 )
 from chestnuthall.services._rejections import Rejections
+from chestnuthall.services._retests import OwnRetests, RetestClaims
 from chestnuthall.services._suspicion_notifier import SuspicionNotifier
-from chestnuthall.services._trials import OwnTrials, TrialClaims
 
 if TYPE_CHECKING:
     from chestnuthall.core.claims import KeyClaim
@@ -117,7 +117,7 @@
 
     Each request is planned, admitted and run over its shards. ``combine_shards``
     combines shards into sets that peers answer for, ``disseminate`` sends the
-    quarantine notices to peers, ``trials`` grants the trials of quarantined requests,
+    quarantine notices to peers, ``retests`` grants the retests of quarantined requests,
     and ``shared_budget`` replaces the extra-load budgets
     of the classes. ``ends_at_ms`` is the time by which a request has to be answered
     because the instance stops.
@@ -134,7 +134,7 @@
         configuration: ConfigurationManager,
         ledger: "ClaimLedger | None",
         quarantine: QuarantineRegistry,
-        trials: TrialClaims | None = None,
+        retests: RetestClaims | None = None,
         admissions: Admissions,
         record_outcome: Callable[[Outcome], None] | None = None,
         disseminate: Callable[[], Awaitable[None]] | None = None,
@@ -156,7 +156,7 @@
         self._configuration = configuration
         self._ledger = ledger
         self._quarantine = quarantine
-        self._trials = trials or OwnTrials(quarantine, clock)
+        self._retests = retests or OwnRetests(quarantine, clock)
         self._suspicion_notifier = SuspicionNotifier(quarantine, clock, disseminate)
         self._n_instances = n_instances
         self._utilisation: dict[str, UtilisationAverage] = {}
@@ -292,7 +292,7 @@
         now_ms = self._clock.now_ms()
         if self._quarantine.is_quarantined(
             request.fingerprint, now_ms
-        ) and not self._quarantine.is_trial_due(request.fingerprint, now_ms):
+        ) and not self._quarantine.is_retest_due(request.fingerprint, now_ms):
             return _quarantined(request)
         partition_map = self._directory.pin(request.group)
         if partition_map is None:
@@ -364,18 +364,18 @@
         return outcome
 
     async def _may_run(self, request: Request) -> bool:
-        """Return whether a request may run; a quarantined one only as its trial."""
+        """Return whether a request may run; a quarantined one only as its retest."""
         fingerprint = request.fingerprint
         quarantine = self._quarantine
         if not quarantine.is_quarantined(fingerprint, self._clock.now_ms()):
             return True
-        if not quarantine.is_trial_due(fingerprint, self._clock.now_ms()):
+        if not quarantine.is_retest_due(fingerprint, self._clock.now_ms()):
             return False
-        if not await self._trials.claim(fingerprint):
+        if not await self._retests.claim(fingerprint):
             return False
         now_ms = self._clock.now_ms()
-        # The instance may have been paused since the trial was claimed.
-        return now_ms < request.deadline_ms and quarantine.begin_trial(
+        # The instance may have been paused since the retest was claimed.
+        return now_ms < request.deadline_ms and quarantine.begin_retest(
             fingerprint, request.request_id, now_ms
         )
 
--- a/chestnuthall/services/_trials.py
+++ b/chestnuthall/services/_retests.py
@@ -1,4 +1,4 @@
-"""Grants the trials of quarantined requests."""
+"""Grants the retests of quarantined requests."""
 
 from collections.abc import Callable, Iterable
 from typing import Protocol
@@ -8,32 +8,32 @@
 from chestnuthall.ports import Clock
 
 
-class TrialClaims(Protocol):
-    """Claims a trial on behalf of the fleet."""
+class RetestClaims(Protocol):
+    """Claims a retest on behalf of the fleet."""
 
     async def claim(self, fingerprint: str) -> bool:
-        """Count a trial and return whether this instance may run it now."""
+        """Count a retest and return whether this instance may run it now."""
         ...
 
 
-class OwnTrials:
-    """Grants every trial that is due, for an instance without peers."""
+class OwnRetests:
+    """Grants every retest that is due, for an instance without peers."""
 
     def __init__(self, registry: QuarantineRegistry, clock: Clock) -> None:
         self._registry = registry
         self._clock = clock
 
     async def claim(self, fingerprint: str) -> bool:
-        """Count a trial that is due."""
+        """Count a retest that is due."""
         now_ms = self._clock.now_ms()
-        if not self._registry.is_trial_due(fingerprint, now_ms):
+        if not self._registry.is_retest_due(fingerprint, now_ms):
             return False
-        self._registry.count_trial(fingerprint, now_ms)
+        self._registry.count_retest(fingerprint, now_ms)
         return True
 
 
-class OwnerTrials(OwnTrials):
-    """Grants the trials of a request at one instance of the fleet, its owner.
+class OwnerRetests(OwnRetests):
+    """Grants the retests of a request at one instance of the fleet, its owner.
 
     ``peer_names`` returns the names of the other instances that are alive. The owner
     follows from the fingerprint and these names, without any message.
@@ -51,7 +51,7 @@
         self._peer_names = peer_names
 
     async def claim(self, fingerprint: str) -> bool:
-        """Count a trial that is due, if this instance owns the request."""
+        """Count a retest that is due, if this instance owns the request."""
         ring = HashRing({self._own_name, *self._peer_names()})
         if ring.owners(fingerprint, 1) != (self._own_name,):
             return False
--- a/chestnuthall/services/tests/_harness.py
+++ b/chestnuthall/services/tests/_harness.py
@@ -212,7 +212,7 @@
         self.random = Random(seed)
         self.upstreams = upstreams or FakeUpstreams(self.clock, self.random)
         self.registry = QuarantineRegistry(QuarantineSettings())
-        trials = None if share is None else share(self.registry, self.clock)
+        retests = None if share is None else share(self.registry, self.clock)
         manager = ConfigurationManager("t", self.store, self.clock, lambda text: None)
         self.directory = Directory(
             self.store,
@@ -232,7 +232,7 @@
             admissions=Admissions(self.clock),
             ledger=ClaimLedger(self.store, self.clock, self.store, LedgerSettings()),
             quarantine=self.registry,
-            trials=trials,
+            retests=retests,
             disseminate=disseminate,
         )
         document = EnvironmentDocument(
--- a/chestnuthall/services/tests/test_quarantine_over_time.py
+++ b/chestnuthall/services/tests/test_quarantine_over_time.py
@@ -199,8 +199,8 @@
     assert not any(isinstance(item, Answer) for item in outcomes)
 
 
-def test_harmless_request_is_served_again_after_its_trial():
-    """A quarantine that was a mistake must end at its first trial, everywhere."""
+def test_harmless_request_is_served_again_after_its_retest():
+    """A quarantine that was a mistake must end at its first retest, everywhere."""
 
     async def scenario():
         fleet = Fleet(1)
@@ -211,19 +211,19 @@
         await asyncio.sleep(1.0)
         refused = [await fleet.send("lookup", node=node) for node in fleet.nodes]
         await asyncio.sleep(300.0)
-        trial = await fleet.send("lookup")
+        retest = await fleet.send("lookup")
         await asyncio.sleep(1.0)
         served = [await fleet.send("lookup", node=node) for node in fleet.nodes]
         await fleet.close()
-        return refused, trial, served
+        return refused, retest, served
 
-    refused, trial, served = run_virtual(scenario())
+    refused, retest, served = run_virtual(scenario())
     assert all(item.failure.kind is QUARANTINED for item in refused)
-    assert all(isinstance(item, Answer) for item in [trial, *served])
+    assert all(isinstance(item, Answer) for item in [retest, *served])
 
 
 def test_operator_lifts_a_quarantine_by_deleting_its_record():
-    """After its last trial a request stays refused until someone decides."""
+    """After its last retest a request stays refused until someone decides."""
 
     async def scenario():
         fleet = Fleet(1)
