--- a/chestnuthall/services/_shared_store.py
+++ b/chestnuthall/services/_shared_store.py
@@ -65,14 +65,14 @@
         self._same_zone_peers = same_zone_peers
         self._seed_addresses = seed_addresses
         self._feeds = {kind: ObjectFeed(clock, timing.age_max_ms) for kind in kinds}
-        self._is_store_answering = False
+        self._is_store_answering: bool | None = None
         self._store_listeners: list[Callable[[bool], None]] = []
         # Kinds whose feeds this instance reads from the store itself.
         self._kinds_from_store: set[str] = set()
 
     @property
-    def is_store_answering(self) -> bool:
-        """Whether the last read of the store succeeded; False before the first."""
+    def is_store_answering(self) -> bool | None:
+        """Whether the last read of the store succeeded; None before the first."""
         return self._is_store_answering
 
     def add_store_listener(self, listener: Callable[[bool], None]) -> None:
--- a/chestnuthall/services/_sparse_store.py
+++ b/chestnuthall/services/_sparse_store.py
@@ -100,13 +100,16 @@
 
         While the store does not answer, any peer will do.
         """
-        if not self._are_peers_known() and self._shared.is_store_answering:
+        is_store_answering = self._shared.is_store_answering
+        if is_store_answering is None:
+            return NOT_READY.with_reason("the store has not been read yet")
+        if is_store_answering and not self._are_peers_known():
             return NOT_READY.with_reason("the instances of the zone are not known yet")
         leader = self._leader()
         if leader is not None:
             listed = await self._read_peer(leader.address)
             self._n_leader_failures += isinstance(listed, Failure)
-        elif not self._shared.is_store_answering:
+        elif not is_store_answering:
             listed = await self._read_any_peer()
         else:
             listed = await self._store.list_kind(kind, timeout_ms)
