--- a/chestnuthall/services/tests/test_quarantine_over_time.py
+++ b/chestnuthall/services/tests/test_quarantine_over_time.py
@@ -5,23 +5,24 @@
 """
 
 import asyncio
-import json
-from dataclasses import asdict
 from random import Random
 
 import pytest
 
 from chestnuthall.core.model import Answer
-from chestnuthall.core.quarantine import QuarantineRecord
-from chestnuthall.core.results import QUARANTINED
+from chestnuthall.core.results import (
+    OBJECT_CONFLICT,
+    OBJECT_NOT_FOUND,
+    QUARANTINED,
+    STORE_UNAVAILABLE,
+)
+from chestnuthall.ports import ObjectListing, StoredObject, WatchBatch
 from chestnuthall.services import QuarantineRecords
 from chestnuthall.services.tests._harness import (
     FakeUpstreams,
     LoopTimeClock,
     QueryHarness,
 )
-from chestnuthall.standins.objectapi import MemoryObjectStore
-from chestnuthall.standins.objectapi._service import ObjectService
 from chestnuthall.standins.virtual_time import run_virtual
 
 N_INSTANCES = 8
@@ -34,21 +35,100 @@
 FINGERPRINT = "poison"
 
 
-def read_record(stored):
-    fields = json.loads(stored.value)
-    sets = {name: frozenset(x) for name, x in fields.items() if isinstance(x, list)}
-    return QuarantineRecord(**fields | sets)
+class Objects:
+    """Objects of one kind with a common version, and the changes of them."""
+
+    def __init__(self):
+        self.by_name = {}
+        self.version = 1
+        self.changes = []
+        self.changed = asyncio.Event()
+
+    def change(self, name, stored):
+        self.version += 1
+        self.by_name.pop(name, None)
+        if stored is not None:
+            self.by_name[name] = stored
+        self.changes.append((self.version, name, stored))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def put(self, kind, name, value):
+        stored = StoredObject(kind, name, self.version + 1, value)
+        self.change(name, stored)
+        return stored
+
+    def changes_after(self, version):
+        last = {name: stored for at, name, stored in self.changes if at > version}
+        changed = tuple(item for item in last.values() if item is not None)
+        deleted = tuple(name for name, item in last.items() if item is None)
+        return WatchBatch(self.version, changed, deleted)
+
+
+class StoreClient:
+    """The connection of one instance to the objects, which answer after 4 ms."""
+
+    def __init__(self, objects):
+        self._objects = objects
+        self.is_disconnected = False
+
+    async def _failure(self, name=None, version=None):
+        await asyncio.sleep(0.004)
+        if self.is_disconnected:
+            return STORE_UNAVAILABLE.with_reason("disconnected")
+        if name is None:
+            return None
+        stored = self._objects.by_name.get(name)
+        if version is None and stored is None:
+            return OBJECT_NOT_FOUND.with_reason(name)
+        if version is not None and version != (stored.version if stored else 0):
+            return OBJECT_CONFLICT.with_reason(name)
+        return None
+
+    async def get(self, kind, name, timeout_ms):
+        return await self._failure(name) or self._objects.by_name[name]
+
+    async def list_kind(self, kind, timeout_ms):
+        objects = self._objects
+        return await self._failure() or ObjectListing(
+            tuple(objects.by_name.values()), objects.version
+        )
+
+    async def create(self, kind, name, value, timeout_ms):
+        return await self.update(kind, name, value, 0, timeout_ms)
 
+    async def update(self, kind, name, value, version, timeout_ms):
+        failure = await self._failure(name, version)
+        return failure or self._objects.put(kind, name, value)
 
-def write_record(record):
-    return json.dumps(asdict(record), default=sorted)
+    async def delete(self, kind, name, version, timeout_ms):
+        failure = await self._failure(name, version)
+        if failure is None:
+            self._objects.change(name, None)
+        return failure
+
+    async def watch(self, kind, after_version, timeout_ms):
+        loop = asyncio.get_running_loop()
+        ends_at_s = loop.time() + timeout_ms / 1000.0
+        while True:
+            failure = await self._failure()
+            if failure is not None:
+                return failure
+            batch = self._objects.changes_after(after_version)
+            if batch.changed or batch.deleted_names or loop.time() >= ends_at_s:
+                return batch
+            try:
+                async with asyncio.timeout_at(ends_at_s):
+                    await self._objects.changed.wait()
+            except TimeoutError:
+                continue
 
 
 class Node:
     """One instance, with its own connection to the store."""
 
-    def __init__(self, number, service, upstreams):
-        self.store = MemoryObjectStore(service)
+    def __init__(self, number, objects, upstreams):
+        self.store = StoreClient(objects)
         self.out_of_touch_until_s = 0.0
         self.harness = QueryHarness(number, upstreams, share=self._share)
         loop = asyncio.get_running_loop()
@@ -60,8 +140,9 @@
             self.store,
             clock,
             Random(1),
-            read_record,
-            write_record,
+            # Records are stored without encoding.
+            lambda stored: stored.value,
+            lambda record: record,
             WATCH_TIMEOUT_MS,
         )
         return self._records
@@ -76,7 +157,7 @@
         self.upstreams.restart_s = 2.0
         self.upstreams.on_event = self._on_event
         self.upstreams.on_crash = self._on_crash
-        self.service = ObjectService()
+        self.objects = Objects()
         self.nodes = [self._make_node(number) for number in range(N_INSTANCES)]
         self.crashes_s = []
         self.n_late_calls = 0
@@ -85,7 +166,7 @@
         self._n_sent = 0
 
     def _make_node(self, number):
-        return Node(number, self.service, self.upstreams)
+        return Node(number, self.objects, self.upstreams)
 
     def _on_crash(self, replica_name):
         self.crashes_s.append(asyncio.get_running_loop().time())
@@ -232,7 +313,7 @@
         await fleet.send("lookup")
         fleet.upstreams.crashing.clear()
         await asyncio.sleep(2.0)
-        fleet.service.table.delete("quarantines", FINGERPRINT, None)
+        fleet.objects.change(FINGERPRINT, None)
         await asyncio.sleep(2.0)
         served = [await fleet.send("lookup", node=node) for node in fleet.nodes]
         await fleet.close()
