Read no request from a connection that is accepted while the server stops

What callers saw: in a planned stop a search was passed on and its connection closed without an answer.

Cause: the event loop hands over a connection some iterations after it has accepted it. A server that stops listening in between counts no connection, takes itself for idle, and the process ends while the request of that connection runs.

Change: a connection that is handed over after the stop is closed before anything is read from it, so its caller repeats the request elsewhere.

adapters/http/tests/test_late_connections.py stops the server 0 to 7 iterations after the connection; the case of 3 fails on the code before (request handled, no answer).

--- a/chestnuthall/adapters/http/_server.py
+++ b/chestnuthall/adapters/http/_server.py
@@ -64,6 +64,7 @@
         self.limits = limits or ServerLimits()
         self.error_responder = error_responder
         self.is_closing = False
+        self._has_stopped = False
         # While this is set, each connection is closed after its next response.
         self.closes_connections = False
         self.n_connections_peak = 0
@@ -74,6 +75,7 @@
     async def start(self, host: str, port: int) -> int:
         """Start listening; return the port, which the system chooses for port 0."""
         loop = asyncio.get_running_loop()
+        self.is_closing = self._has_stopped = False
         self._server = await loop.create_server(
             lambda: _ServerConnection(self), host, port, backlog=1024
         )
@@ -91,7 +93,13 @@
         return len(self._connections)
 
     def add(self, connection: "_ServerConnection") -> bool:
-        """Register a new connection; return False if there are too many."""
+        """Register a new connection; return False if it has to be closed.
+
+        The event loop may still hand over a connection that it accepted before the
+        server stopped listening, after the others have been counted.
+        """
+        if self._has_stopped:
+            return False
         if len(self._connections) >= self.limits.n_connections_max:
             return False
         self._connections.add(connection)
@@ -114,6 +122,7 @@
     async def stop_listening(self) -> None:
         """Accept no further connections and close the idle ones."""
         self.announce_close()
+        self._has_stopped = True
         if self._server is not None:
             self._server.close()
         for connection in tuple(self._connections):
