--- a/chestnuthall/platform/tests/soak/proxy.py
+++ b/chestnuthall/platform/tests/soak/proxy.py
@@ -50,7 +50,8 @@
         """Reset every open connection."""
         for writer in tuple(self._writers):
             sock = writer.get_extra_info("socket")
-            if sock is not None:
+            # The descriptor of a connection that is already closed is -1.
+            if sock is not None and sock.fileno() >= 0:
                 linger = struct.pack("ii", 1, 0)
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             writer.close()
