--- a/chestnuthall/core/fanout/_machine.py
+++ b/chestnuthall/core/fanout/_machine.py
@@ -54,7 +54,7 @@
         return [*self.cancel(now_ms), Complete(completion)]
 
     def cancel(self, now_ms: float) -> list[Action]:
-        """Cancel every call, and end the probe or trial that the query may hold."""
+        """Cancel every call, and end the probe or retest that the query may hold."""
         actions = self.cancel_all(now_ms)
         self.is_complete = True
         request = self.request
--- a/chestnuthall/core/quarantine/_registry.py
+++ b/chestnuthall/core/quarantine/_registry.py
@@ -30,8 +30,7 @@
 N_CLEARED_MAX = 2
 # Separates the name of a replica from its incarnation in the name of a loss.
 INCARNATION_MARK = "#"
-# Suspicions and quarantines that are not known to the rest of the fleet are dropped
-# after this time without a further loss.
+# Suspicions and quarantines are dropped after this time, to bound their number.
 RETENTION_MS = 86_400_000.0
 
 
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -118,9 +118,8 @@
     Each request is planned, admitted and run over its shards. ``combine_shards``
     combines shards into sets that peers answer for, ``disseminate`` sends the
     quarantine notices to peers, ``retests`` grants the retests of quarantined requests,
-    and ``shared_budget`` replaces the extra-load budgets
-    of the classes. ``ends_at_ms`` is the time by which a request has to be answered
-    because the instance stops.
+    and ``shared_budget`` replaces the extra-load budgets of the classes. ``ends_at_ms``
+    returns the time by which a request has to be answered because the instance stops.
     """
 
     def __init__(
