--- a/chestnuthall/daemon/tests/test_notices.py
+++ b/chestnuthall/daemon/tests/test_notices.py
@@ -260,6 +260,18 @@
     assert run_virtual(scenario()) == (N_INSTANCES, 0, 0)
 
 
+async def make_fleet_with_quarantine():
+    """Return a fleet in which one instance has just quarantined a request."""
+    fleet = make_fleet(Upstream())
+    await fleet.wait_until_converged()
+    services = fleet.instances["entry-1"].services
+    for index in range(2):
+        record_replica_loss(
+            services["quarantine_registry"], index, services["clock"].now_ms()
+        )
+    return fleet, services
+
+
 def n_refusing(fleet):
     return sum(
         item.services["quarantines"].is_quarantined("f")
@@ -273,13 +285,7 @@
     """An instance that returns late must not run the request, nor restore a lift."""
 
     async def scenario():
-        fleet = make_fleet(Upstream())
-        await fleet.wait_until_converged()
-        services = fleet.instances["entry-1"].services
-        for index in range(2):
-            record_replica_loss(
-                services["quarantine_registry"], index, services["clock"].now_ms()
-            )
+        fleet, services = await make_fleet_with_quarantine()
         if is_lifted:
             await asyncio.sleep(PROPAGATION_LIMIT_S)
         missed = fleet.instances["entry-8"]
@@ -305,13 +311,7 @@
     """Nine retests at once would crash nine replicas."""
 
     async def scenario():
-        fleet = make_fleet(Upstream())
-        await fleet.wait_until_converged()
-        services = fleet.instances["entry-1"].services
-        for index in range(2):
-            record_replica_loss(
-                services["quarantine_registry"], index, services["clock"].now_ms()
-            )
+        fleet, _ = await make_fleet_with_quarantine()
         await asyncio.sleep(301.0)
         return [
             await OwnerRetests(
@@ -330,13 +330,7 @@
     """The retest must be due on time although the notices keep circulating."""
 
     async def scenario():
-        fleet = make_fleet(Upstream())
-        await fleet.wait_until_converged()
-        services = fleet.instances["entry-1"].services
-        for index in range(2):
-            record_replica_loss(
-                services["quarantine_registry"], index, services["clock"].now_ms()
-            )
+        fleet, _ = await make_fleet_with_quarantine()
         n_due = []
         for duration_s in (299.0, 2.0):
             await asyncio.sleep(duration_s)
--- a/chestnuthall/services/tests/test_quarantine_over_time.py
+++ b/chestnuthall/services/tests/test_quarantine_over_time.py
@@ -280,15 +280,21 @@
     assert not any(isinstance(item, Answer) for item in outcomes)
 
 
+async def make_fleet_with_mistaken_quarantine():
+    """Return a fleet after a request crashed replicas, as it no longer does."""
+    fleet = Fleet(1)
+    await asyncio.sleep(1.0)
+    fleet.upstreams.crashing.add(FINGERPRINT)
+    await fleet.send("lookup")
+    fleet.upstreams.crashing.clear()
+    return fleet
+
+
 def test_harmless_request_is_served_again_after_its_retest():
     """A quarantine that was a mistake must end at its first retest, everywhere."""
 
     async def scenario():
-        fleet = Fleet(1)
-        await asyncio.sleep(1.0)
-        fleet.upstreams.crashing.add(FINGERPRINT)
-        await fleet.send("lookup")
-        fleet.upstreams.crashing.clear()
+        fleet = await make_fleet_with_mistaken_quarantine()
         await asyncio.sleep(1.0)
         refused = [await fleet.send("lookup", node=node) for node in fleet.nodes]
         await asyncio.sleep(300.0)
@@ -307,11 +313,7 @@
     """After its last retest a request stays refused until someone decides."""
 
     async def scenario():
-        fleet = Fleet(1)
-        await asyncio.sleep(1.0)
-        fleet.upstreams.crashing.add(FINGERPRINT)
-        await fleet.send("lookup")
-        fleet.upstreams.crashing.clear()
+        fleet = await make_fleet_with_mistaken_quarantine()
         await asyncio.sleep(2.0)
         fleet.objects.change(FINGERPRINT, None)
         await asyncio.sleep(2.0)
