--- a/chestnuthall/services/tests/_harness.py
+++ b/chestnuthall/services/tests/_harness.py
@@ -116,6 +116,8 @@
     crash_ms: float = 1.0
     # Time after which a crashed replica is back; None means never.
     restart_s: float | None = None
+    # Whether a crash leaves the connection open, as the loss of power does.
+    is_crash_silent: bool = False
     next_fault: dict = field(default_factory=dict)
     slow_ms: dict = field(default_factory=dict)
     runs: list = field(default_factory=list)
@@ -162,6 +164,9 @@
             await asyncio.sleep((slow_ms + self.random.uniform(4, 8)) / 1000.0)
         # A fault that was injected while the call ran also affects it.
         fault = fault or self.next_fault.pop(shard_id, "")
+        if name in self.dead and self.is_crash_silent:
+            # Ends with the time-out of the call.
+            await asyncio.sleep(float("inf"))
         if name in self.dead or fault in ("cut-after", "cut-before", "shed"):
             return CONNECTION_LOST.with_reason("connection reset")
         return self._answer(call, fault)
--- a/chestnuthall/services/tests/test_quarantine_over_time.py
+++ b/chestnuthall/services/tests/test_quarantine_over_time.py
@@ -27,6 +27,7 @@
 
 N_INSTANCES = 8
 DURATION_S = 1_800.0
+SILENT_DURATION_S = 120.0
 SEND_INTERVAL_S = 0.7
 WATCH_TIMEOUT_MS = 4_000.0
 N_CRASHES = 3
@@ -251,6 +252,22 @@
 DISTURBANCES = (do_nothing, restart_one, replace_all, separate_one, stop_store)
 
 
+async def send_again_and_again(fleet, kind, disturb, n_at_once, duration_s):
+    """Send a crashing request for some time; return the outcomes."""
+    fleet.upstreams.crashing.add(FINGERPRINT)
+    await asyncio.sleep(STABLE_S + 1.0)
+    loop = asyncio.get_running_loop()
+    task = loop.create_task(disturb(fleet))
+    outcomes = []
+    while loop.time() < duration_s:
+        sends = (fleet.send(kind) for _ in range(n_at_once))
+        outcomes += await asyncio.gather(*sends)
+        await asyncio.sleep(fleet.random.uniform(0.0, 2.0 * SEND_INTERVAL_S))
+    task.cancel()
+    await fleet.close()
+    return outcomes
+
+
 @pytest.mark.parametrize("n_at_once", [1, 4], ids=["single", "repeated at once"])
 @pytest.mark.parametrize("disturb", DISTURBANCES, ids=lambda item: item.__name__)
 @pytest.mark.parametrize("kind", KINDS)
@@ -261,18 +278,9 @@
 
     async def scenario():
         fleet = Fleet(1)
-        fleet.upstreams.crashing.add(FINGERPRINT)
-        await asyncio.sleep(STABLE_S + 1.0)
-        loop = asyncio.get_running_loop()
-        task = loop.create_task(disturb(fleet))
-        outcomes = []
-        while loop.time() < DURATION_S:
-            sends = (fleet.send(kind) for _ in range(n_at_once))
-            outcomes += await asyncio.gather(*sends)
-            await asyncio.sleep(fleet.random.uniform(0.0, 2.0 * SEND_INTERVAL_S))
-        task.cancel()
-        await fleet.close()
-        return fleet, outcomes
+        return fleet, await send_again_and_again(
+            fleet, kind, disturb, n_at_once, DURATION_S
+        )
 
     fleet, outcomes = run_virtual(scenario())
     assert len(fleet.crashes_s) >= 2
@@ -280,6 +288,22 @@
     assert not any(isinstance(item, Answer) for item in outcomes)
 
 
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt 15")
+@pytest.mark.parametrize("kind", KINDS)
+def test_request_that_crashes_replicas_silently_is_not_sent_again_and_again(kind):
+    """Their connections stay open, as those of a replica that loses power do."""
+
+    async def scenario():
+        fleet = Fleet(1)
+        fleet.upstreams.is_crash_silent = True
+        await send_again_and_again(fleet, kind, do_nothing, 1, SILENT_DURATION_S)
+        return fleet
+
+    fleet = run_virtual(scenario())
+    print(f"{fleet.n_late_calls} late calls")
+    assert fleet.n_late_calls <= N_LATE_CALLS_MAX
+
+
 async def make_fleet_with_mistaken_quarantine():
     """Return a fleet after a request crashed replicas, as it no longer does."""
     fleet = Fleet(1)
