Collect the sockets of late connections in their own test

Traced: test_late_connections leaves a socket that asyncio accepted and gave no transport. When it is collected while test_names parses a module, its ResourceWarning is an error, pytest formats the traceback, and traceback parses a line itself, which CPython 3.11 does not allow inside ast.parse.

--- a/chestnuthall/adapters/http/tests/test_late_connections.py
+++ b/chestnuthall/adapters/http/tests/test_late_connections.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+import gc
 import socket
+import warnings
 
 import pytest
 
@@ -46,4 +48,9 @@
         return len(handled), answer
 
     n_handled, answer = asyncio.run(scenario())
+    with warnings.catch_warnings():
+        # The socket of such a connection warns when it is collected, here rather than
+        # during another test.
+        warnings.simplefilter("ignore", ResourceWarning)
+        gc.collect()
     assert answer.startswith(b"HTTP/1.1 200") == (n_handled == 1)
