Write a quarantine that follows its suspicion while that is being written

What callers would see: a request that ended without a verdict and was quarantined by its next run, within the 4 ms of the first write, stayed only suspected for the rest of the fleet, where it crashed one more replica. Found by reading the change again.

Cause: QuarantineRecords took a fingerprint off its list after the write, and with it the change that had come meanwhile. Change: it is taken off before.

services/tests/test_quarantine_records.py: two of three cases fail on the code before.

--- a/chestnuthall/services/_quarantine_records.py
+++ b/chestnuthall/services/_quarantine_records.py
@@ -98,8 +98,10 @@
             await self._has_pending.wait()
             self._has_pending.clear()
             for fingerprint in tuple(self._pending):
-                if await self._share(fingerprint):
-                    self._pending.discard(fingerprint)
+                # A change during the write has to be written afterwards.
+                self._pending.discard(fingerprint)
+                if not await self._share(fingerprint):
+                    self._pending.add(fingerprint)
             if self._pending:
                 self._has_pending.set()
                 delay_ms = self._random.uniform(RETRY_DELAY_MIN_MS, RETRY_DELAY_MAX_MS)
