--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,13 +14,13 @@
 N_INSTANCES = 3
 N_REPLICAS = 5
 # Replicas that send additional bytes, and the share of their answers.
-N_FAULTY = 3
-SPOILED_RATIO = 0.03
+N_FAULTY = 2
+SPOILED_RATIO = 0.022
 # Length of one disruption and the time from one to the next.
-TROUBLE_S, TROUBLE_EVERY_S = 5.0, 6.0
+TROUBLE_S, TROUBLE_EVERY_S = 6.0, 7.0
 DURATION_S = 60.0
-N_CLIENTS_PER_INSTANCE = 10
-PAUSE_S = 0.1
+N_CLIENTS_PER_INSTANCE = 12
+PAUSE_S = 0.05
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -52,6 +52,13 @@
         self.replicas = []
         self.instances = []
         self._n_requests = 0
+        self._tasks = set()
+
+    def start_task(self, coroutine):
+        """Run a coroutine beside the case."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def add_replica(self, name, service, **settings):
         await self.register(Replica(self.record, name, service, **settings))
--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -132,9 +132,13 @@
         )
         self.address = f"{LOOPBACK}:{self._server.sockets[0].getsockname()[1]}"
 
-    async def close(self):
+    def stop_accepting(self):
+        """Accept no further connections; the open ones stay."""
         if self._server is not None:
             self._server.close()
+
+    async def close(self):
+        self.stop_accepting()
         for connection in tuple(self.connections):
             connection.close()
 
