--- a/review/4/case.py
+++ b/review/4/case.py
@@ -13,7 +13,7 @@
 
 SEED = 3
 N_INSTANCES = 2
-N_REPLICAS = 5
+N_REPLICAS = 6
 # Replicas that spoil answers, and the share of their answers.
 N_FAULTY = 2
 SPOILED_RATIO = 0.02
