--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
+import traceback
 from pathlib import Path
 
 from standins.http import ClientConnection
@@ -14,6 +16,9 @@
 
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 READY_TIMEOUT_S = 20.0
+# A case runs for 120 s at most, with the time to end its processes.
+DURATION_MAX_S = 115.0
+N_BREACHES_SHOWN = 20
 HOST = "register.example"
 
 
@@ -160,25 +165,33 @@
 
 
 def run_case(script, play):
-    """Play a case and exit with its result; ``play`` returns the breaches."""
+    """Play a case and exit with its result; ``play`` returns the breaches.
+
+    An error of the case itself is no breach: then the case could not run.
+    """
     if not (ROOT / "target/deps").is_dir():
         print("target/deps is missing: run the build line of deploy/system.toml")
         sys.exit(EXIT_NOT_RUN)
-    sys.exit(asyncio.run(_run(Path(script).resolve().parent, play)))
+    try:
+        breaches = asyncio.run(_run(Path(script).resolve().parent, play))
+        print(f"{len(breaches)} breaches, the first of them:" if breaches else "")
+        print("\n".join(breaches[:N_BREACHES_SHOWN]))
+        print("the rule was broken" if breaches else "the rule held", flush=True)
+    except (Exception, asyncio.CancelledError):
+        traceback.print_exc()
+        sys.exit(EXIT_NOT_RUN)
+    sys.exit(EXIT_BROKEN if breaches else EXIT_HELD)
 
 
 async def _run(case_folder, play):
+    """Play a case; end all processes that it started, also if it is terminated."""
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     with tempfile.TemporaryDirectory() as folder:
         deployment = Deployment(Path(folder))
         try:
-            breaches = await play(deployment)
-        except NotRunError as error:
-            print(f"the case could not run: {error}")
-            return EXIT_NOT_RUN
+            async with asyncio.timeout(DURATION_MAX_S):
+                return await play(deployment)
         finally:
             await deployment.close()
             deployment.record.write(case_folder / "record.txt")
-    for line in breaches[:20]:
-        print(line)
-    print("the rule was broken" if breaches else "the rule held")
-    return EXIT_BROKEN if breaches else EXIT_HELD
