Take the status of a response from its own head

With other pairs of answers a 500 became a 200.

Cause: ResponseParser read the status from the parser after all received bytes had been parsed. Where a second message had begun in the same bytes, the parser held the status of that one. Headers and body were already guarded; the status was the only part that was read late.

Change: the status is stored as the head of the message is complete, and used from there on. Bytes after the response still close the connection. All clients share this parser, so the same holds for answers of the store and of peers.

--- a/chestnuthall/adapters/http/_responses.py
+++ b/chestnuthall/adapters/http/_responses.py
@@ -68,6 +68,7 @@
     def __init__(self, method: str) -> None:
         self._method = method
         self._parser = httptools.HttpResponseParser(self)
+        self._status = 0
         self._pairs: list[tuple[bytes, bytes]] = []
         self._body = bytearray()
         self._n_received_bytes = 0
@@ -127,9 +128,7 @@
 
     def _build_response(self) -> HttpResponse:
         pairs = tuple(self._pairs)
-        return HttpResponse(
-            self._parser.get_status_code(), dict(pairs), bytes(self._body), pairs
-        )
+        return HttpResponse(self._status, dict(pairs), bytes(self._body), pairs)
 
     def _reject(self, reason: str) -> ResponseError:
         """Store the reason, which the parser would not pass on, and return it."""
@@ -153,7 +152,9 @@
             return
         if self._parser.get_http_version() not in _HTTP_VERSIONS:
             raise self._reject("the HTTP version is not supported")
-        if self._parser.get_status_code() == _SWITCHING_PROTOCOLS:
+        # The parser's status becomes that of a further message in the same bytes.
+        self._status = self._parser.get_status_code()
+        if self._status == _SWITCHING_PROTOCOLS:
             raise self._reject("the protocol was switched without a request for it")
         self._check_head()
         if self._is_informational():
@@ -171,7 +172,7 @@
         if self._method == "HEAD":
             self._is_complete = True
             return
-        has_body = self._parser.get_status_code() not in _STATUSES_WITHOUT_BODY
+        has_body = self._status not in _STATUSES_WITHOUT_BODY
         self._ends_at_eof = has_body and not has_length and not is_chunked
 
     def _check_head(self) -> None:
@@ -193,13 +194,13 @@
 
     def on_message_complete(self) -> None:
         """Complete the response or skip an interim one; called by the parser."""
-        if self._is_informational() and not self._is_complete:
+        if not self._is_complete and self._is_informational():
             self._pairs.clear()
             return
         self._is_complete = True
 
     def _is_informational(self) -> bool:
-        return 100 <= self._parser.get_status_code() < 200
+        return 100 <= self._status < 200
 
 
 def _header_values(
--- a/chestnuthall/adapters/http/tests/test_responses.py
+++ b/chestnuthall/adapters/http/tests/test_responses.py
@@ -119,6 +119,46 @@
     assert parser.is_reusable == is_reusable
 
 
+def message(status, headers=b"content-length: 1\r\n", body=b"x"):
+    return b"HTTP/1.1 %d S\r\n%s\r\n%s" % (status, headers, body)
+
+
+# (case, status, complete response)
+FIRST_MESSAGES = [
+    ("success", 200, message(200)),
+    ("error", 500, message(500)),
+    ("rejection", 503, message(503)),
+    ("chunked", 200, message(200, CHUNKED[:-2], b"1\r\nx\r\n0\r\n\r\n")),
+    ("no content", 204, message(204, b"", b"")),
+]
+# (case, bytes after the response)
+FURTHER_MESSAGES = [
+    ("success", message(200)),
+    ("rejection", message(503)),
+    ("part of a head", message(421)[:30]),
+    ("part of a body", message(503, b"content-length: 9\r\n")),
+    ("interim response", b"HTTP/1.1 103 E\r\n\r\n"),
+]
+
+
+@pytest.mark.parametrize(
+    "further",
+    [case[1] for case in FURTHER_MESSAGES],
+    ids=[case[0] for case in FURTHER_MESSAGES],
+)
+@pytest.mark.parametrize(
+    ("status", "first"),
+    [case[1:] for case in FIRST_MESSAGES],
+    ids=[case[0] for case in FIRST_MESSAGES],
+)
+def test_further_message_does_not_change_the_status(status, first, further):
+    """A success was reported with the status of a rejection that followed it."""
+    parser = ResponseParser("GET")
+    response = parser.feed(first + further)
+    assert response.status == status
+    assert not parser.is_reusable
+
+
 # (case, bytes)
 INVALID_RESPONSES = [
     ("switched protocol", b"HTTP/1.1 101 Switching\r\nupgrade: x\r\n\r\n"),
