Answer a request although its response cannot be encoded

Cause: two decisions without an owner. ResponseParser accepted any three digits as a status, although only 100 to 599 are statuses, and passed the reply on as served. The server then encoded it outside of any error handling: h11 raised, the task ended, and nothing was left to answer or close the connection. The same held for a success to CONNECT, which h11 treats as a tunnel.

Change: a status outside 100 to 599 is an invalid response, so the call fails and a repeatable request is sent again. In the server, a response that cannot be encoded is replaced by an error; an exception after that closes the connection, and either way the end of the request is counted, for which a planned stop waits. CONNECT is refused with 501 before it reaches a handler.

Ruled out: headers. All bytes that httptools accepts in names and values were tried one by one, and h11 encodes them.

--- a/chestnuthall/adapters/http/_responses.py
+++ b/chestnuthall/adapters/http/_responses.py
@@ -25,6 +25,8 @@
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _SWITCHING_PROTOCOLS = 101
 _HTTP_VERSIONS = frozenset({"1.0", "1.1"})
+# The parser accepts any three digits.
+_STATUS_MIN, _STATUS_MAX = 100, 599
 
 
 class ResponseError(Exception):
@@ -154,6 +156,8 @@
             raise self._reject("the HTTP version is not supported")
         # The parser's status becomes that of a further message in the same bytes.
         self._status = self._parser.get_status_code()
+        if not _STATUS_MIN <= self._status <= _STATUS_MAX:
+            raise self._reject(f"{self._status:03} is not a status")
         if self._status == _SWITCHING_PROTOCOLS:
             raise self._reject("the protocol was switched without a request for it")
         self._check_head()
--- a/chestnuthall/adapters/http/_server.py
+++ b/chestnuthall/adapters/http/_server.py
@@ -270,6 +270,9 @@
             if self._is_head_timer_running:
                 self._is_head_timer_running = False
                 self._start_idle_timer()
+            if event.method == b"CONNECT":
+                # A success would turn the connection into a tunnel.
+                raise h11.RemoteProtocolError("CONNECT is not supported", 501)
             self._head = event
             self._body = []
             self._n_body_bytes = 0
@@ -312,21 +315,29 @@
             response = self._server.error_responder(500, "internal error")
         await self._can_write.wait()
         self._task = None
-        self._send(response)
-        self._start_next_cycle()
-        self._server.on_request_completed()
+        try:
+            self._send(response)
+            self._start_next_cycle()
+        except Exception:
+            # Open, the connection would leave the client waiting for a response.
+            _log.exception("response cannot be sent")
+            self.close()
+        finally:
+            self._server.on_request_completed()
 
     def _send(self, response: HttpResponse) -> None:
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        headers = [
-            *response.all_headers,
-            (b"content-length", b"%d" % len(response.body)),
-        ]
-        if self._server.is_closing or self._server.closes_connections:
-            headers.append((b"connection", b"close"))
-        head = h11.Response(status_code=response.status, headers=headers)
+        try:
+            head = self._make_head(response)
+        except h11.LocalProtocolError as error:
+            _log.warning(
+                "response cannot be encoded",
+                extra={"status": response.status, "reason": str(error)},
+            )
+            response = self._server.error_responder(500, "the response is invalid")
+            head = self._make_head(response)
         data = self._h11.send(head) or b""
         is_head = self._head is not None and self._head.method == b"HEAD"
         if response.body and not is_head:
@@ -334,6 +345,16 @@
         data += self._h11.send(h11.EndOfMessage()) or b""
         self._write(response, data)
 
+    def _make_head(self, response: HttpResponse) -> h11.Response:
+        """Return the head of a response; raises if HTTP has none like it."""
+        headers = [
+            *response.all_headers,
+            (b"content-length", b"%d" % len(response.body)),
+        ]
+        if self._server.is_closing or self._server.closes_connections:
+            headers.append((b"connection", b"close"))
+        return h11.Response(status_code=response.status, headers=headers)
+
     def _write(self, response: HttpResponse, data: bytes) -> None:
         assert self._transport is not None
         must_close = False
--- a/chestnuthall/adapters/http/tests/test_responses.py
+++ b/chestnuthall/adapters/http/tests/test_responses.py
@@ -169,6 +169,10 @@
     ("too many headers", OK + b"x: y\r\n" * 300 + b"\r\n"),
     ("not HTTP", b"\x16\x03\x01 hello\r\n\r\n"),
     ("no status", b"HTTP/1.1 OK\r\n\r\n"),
+    ("status 000", message(0).replace(b" 0 ", b" 000 ")),
+    ("status below 100", message(99).replace(b" 99 ", b" 099 ")),
+    ("status 600", message(600)),
+    ("status 999", message(999)),
     (
         "length and transfer encoding",
         OK + b"content-length: 2\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
--- a/chestnuthall/adapters/http/tests/test_server.py
+++ b/chestnuthall/adapters/http/tests/test_server.py
@@ -48,11 +48,11 @@
     return HttpResponse(200, {}, request.method.encode() + request.body)
 
 
-def serve(chunks, limits=LIMITS):
+def serve(chunks, limits=LIMITS, handler=echo):
     """Feed chunks to one connection and return its transport."""
 
     async def scenario():
-        connection = _ServerConnection(HttpServer(echo, limits))
+        connection = _ServerConnection(HttpServer(handler, limits))
         transport = RecordingTransport()
         connection.connection_made(transport)
         for chunk in chunks:
@@ -108,6 +108,22 @@
         pytest.param(
             [GOOD, b"\x00\r\n\r\n"], [b"200", b"400"], True, id="valid-then-invalid"
         ),
+        pytest.param(
+            [b"CONNECT a:1 HTTP/1.1\r\nhost: a:1\r\n\r\n"],
+            [b"501"],
+            True,
+            id="tunnel",
+        ),
+        pytest.param(
+            [
+                b"GET /x HTTP/1.1\r\nhost: a\r\nconnection: upgrade\r\n"
+                b"upgrade: h2c\r\n\r\n",
+                GOOD,
+            ],
+            [b"200", b"200"],
+            False,
+            id="upgrade-is-declined",
+        ),
     ],
 )
 def test_statuses(chunks, statuses, closed):
@@ -117,6 +133,43 @@
     assert transport.closed == closed
 
 
+# (case, response of the handler)
+INVALID_RESPONSES = [
+    ("status 000", HttpResponse(0)),
+    ("status 099", HttpResponse(99, {}, b"x")),
+    ("interim status", HttpResponse(101)),
+    ("status 1000", HttpResponse(1000)),
+    ("line break in a header", HttpResponse(200, {b"a": b"1\r\nb: 2"})),
+    ("invalid header name", HttpResponse(200, {b"a b": b"1"})),
+    ("second length", HttpResponse(200, {b"content-length": b"7"}, b"x")),
+]
+
+
+@pytest.mark.parametrize(
+    "response",
+    [case[1] for case in INVALID_RESPONSES],
+    ids=[case[0] for case in INVALID_RESPONSES],
+)
+def test_response_that_cannot_be_encoded_is_replaced_by_an_error(response):
+    """The client was never answered, and its connection stayed open."""
+
+    async def respond(request):
+        return response
+
+    transport = serve([GOOD], handler=respond)
+    assert transport.written.startswith(b"HTTP/1.1 500 ")
+
+
+def test_connection_is_closed_if_the_response_cannot_be_sent(monkeypatch):
+    """A client must not wait on a connection on which nothing will be sent."""
+
+    def fail(connection, response, data):
+        raise RuntimeError("test")
+
+    monkeypatch.setattr(_ServerConnection, "_write", fail)
+    assert serve([GOOD]).closed
+
+
 @settings(max_examples=60, deadline=None, derandomize=True, database=None)
 @given(
     st.lists(
--- a/chestnuthall/platform/tests/test_spoiled_answers.py
+++ b/chestnuthall/platform/tests/test_spoiled_answers.py
@@ -14,6 +14,9 @@
     open_deployment,
 )
 
+# Of the routes of ``forward_route``.
+ROUTE_TIMEOUT_S = 0.8
+
 
 def message(request_id, status, header):
     return (
@@ -72,3 +75,45 @@
     response = asyncio.run(scenario())
     assert response.status == status
     assert response.headers[b"x-server-stamp"] == b"s"
+
+
+# (case, kind of the route, status line, most calls, status of the caller)
+SPOILED_STATUSES = [
+    ("000, repeatable", "idempotent", b"000 OK", 2, 502),
+    ("000, must run once", "non_idempotent", b"000 OK", 1, 502),
+    ("099", "non_idempotent", b"099 OK", 1, 502),
+    ("interim", "non_idempotent", b"101 OK", 1, 502),
+    ("700", "non_idempotent", b"700 OK", 1, 502),
+]
+
+
+@pytest.mark.parametrize(
+    ("kind", "status_line", "n_calls_max", "status"),
+    [case[1:] for case in SPOILED_STATUSES],
+    ids=[case[0] for case in SPOILED_STATUSES],
+)
+def test_request_whose_answer_has_no_valid_status_is_answered(
+    kind, status_line, n_calls_max, status
+):
+    """The caller waited without an end, on a connection that stayed open."""
+    calls = []
+
+    async def serve(connection, request_id):
+        calls.append(request_id)
+        connection.write(signed(request_id, 200).replace(b"200 S", status_line))
+
+    async def scenario():
+        async with open_deployment() as deployment:
+            for name in ("t0", "t1"):
+                await deployment.add_raw_replica(RawReplica(name, "t", serve))
+            deployment.configure(1, [forward_route("t", Kind=kind)])
+            await deployment.start()
+            loop = asyncio.get_running_loop()
+            started_s = loop.time()
+            response = await deployment.send("/fetch/x")
+            return response.status, loop.time() - started_s
+
+    result, duration_s = asyncio.run(scenario())
+    assert result == status
+    assert len(calls) <= n_calls_max
+    assert duration_s < ROUTE_TIMEOUT_S
