Keep a defect in applying outside data from going unanswered

What callers could see: a request without an answer beyond its deadline, or an instance that serves an outdated configuration or directory for good.

Cause and change: - An exception in a timer or a callback of a fan-out prevented its next timer, and with it the deadline. It now ends the run, and the caller gets 500. - A replica whose name another writer gave a line break, a NUL byte or half a surrogate pair could not be sent any call, and raised for each request that chose it. Such a registration names no replica. - An exception while one stored object was applied ended the task that follows its kind. It is logged, and the other objects are followed.

--- a/chestnuthall/platform/_registrations.py
+++ b/chestnuthall/platform/_registrations.py
@@ -34,7 +34,12 @@
 
 
 def read_registration(stored: StoredObject) -> Registration | Failure:
-    """Decode a replica's registration; return a failure if it is invalid."""
+    """Decode a replica's registration; return a failure if it is invalid.
+
+    The name is sent to the replica in a header of each call.
+    """
+    if not stored.name.isprintable():
+        return INVALID_REQUEST.with_reason("the name has unprintable characters")
     try:
         entry = _ServerEntry.model_validate(json.loads(stored.value))
     except ValidationError as error:
--- a/chestnuthall/platform/tests/test_foreign_entries.py
+++ b/chestnuthall/platform/tests/test_foreign_entries.py
@@ -9,7 +9,10 @@
 
 import pytest
 
+from chestnuthall.core.results import Failure
+from chestnuthall.platform._registrations import read_registration
 from chestnuthall.platform.tests.standins import forward_route, open_deployment
+from chestnuthall.ports import StoredObject
 
 VALID = {
     "Service": "t",
@@ -91,3 +94,10 @@
     assert statuses == [200] * 6
     assert names == {"t0", "t1"}
     assert n_at_second == 3
+
+
+@pytest.mark.parametrize("name", ["t\r\nx: y", "t\0", "\ud800", "t\x7f"])
+def test_name_that_cannot_be_sent_names_no_replica(name):
+    """Each request for which such a replica was chosen ended with an error."""
+    stored = StoredObject("servers", name, 1, json.dumps(VALID))
+    assert isinstance(read_registration(stored), Failure)
--- a/chestnuthall/services/_fan_out_run.py
+++ b/chestnuthall/services/_fan_out_run.py
@@ -111,8 +111,13 @@
             cancel()
 
     def _handle(self, event: Event) -> None:
-        for action in self._fan_out.handle(event):
-            self._perform_action(action)
+        """Apply an event; an error ends the run, whose timer it may have prevented."""
+        try:
+            for action in self._fan_out.handle(event):
+                self._perform_action(action)
+        except Exception as error:
+            if not self._done.done():
+                self._done.set_exception(error)
 
     @singledispatchmethod
     def _perform(self, action: Action) -> None:
--- a/chestnuthall/services/_kind_follower.py
+++ b/chestnuthall/services/_kind_follower.py
@@ -1,7 +1,9 @@
 """Follows all objects of one kind in the store."""
 
+import logging
+from collections.abc import Callable
 from functools import singledispatchmethod
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 from chestnuthall.core.configuration import (
     Delay,
@@ -19,6 +21,10 @@
 from chestnuthall.core.results import HISTORY_TRIMMED, Failure
 from chestnuthall.ports import Clock, ObjectListing, ObjectStore, StoredObject
 
+_log = logging.getLogger(__name__)
+
+_Change = TypeVar("_Change")
+
 # Many times the usual response time, and short compared with the time after which
 # a recovered store counts as stable.
 STORE_TIMEOUT_MS = 1_000.0
@@ -82,7 +88,7 @@
         if isinstance(listed, Failure):
             self._listener.on_list_failed(listed)
             return StoreCallFailed(now_ms)
-        if not self._listener.on_listed(listed) or not listed.watch_version:
+        if not self._replace_all(listed) or not listed.watch_version:
             return StoreCallFailed(now_ms)
         return ObjectRead(now_ms, listed.watch_version)
 
@@ -98,12 +104,32 @@
                 return WatchHistoryTrimmed(now_ms)
             return StoreCallFailed(now_ms)
         for stored in batch.changed:
-            self._listener.on_changed(stored)
+            self._apply(self._listener.on_changed, stored, stored.name)
         for name in batch.deleted_names:
-            self._listener.on_deleted(name)
+            self._apply(self._listener.on_deleted, name, name)
         n_changes = len(batch.changed) + len(batch.deleted_names)
         return WatchEnded(now_ms, batch.version, n_changes == 0, n_changes)
 
+    def _replace_all(self, listing: ObjectListing) -> bool:
+        """Pass on a listing; return whether it could be used."""
+        try:
+            return self._listener.on_listed(listing)
+        except Exception:
+            _log.exception("listing cannot be applied", extra={"kind": self._kind})
+            return False
+
+    def _apply(
+        self, apply: Callable[[_Change], None], change: _Change, object_name: str
+    ) -> None:
+        """Pass on a change; one that cannot be applied must not hide the others."""
+        try:
+            apply(change)
+        except Exception:
+            _log.exception(
+                "change cannot be applied",
+                extra={"kind": self._kind, "object_name": object_name},
+            )
+
     @_perform.register
     async def _(self, action: Delay) -> FollowerEvent:
         await self._clock.sleep_ms(action.duration_ms)
