Attribute replicas that end silently to the request they ran

Cause: only a connection that ended was evidence of a loss. The calls of a replica that falls silent end with their time-out, or with the answer of a hedge, so its end was attributed to nothing.

Change: after 500 ms, and at the end of a request that no replica has answered, the replicas that received it are asked for a connection, twice. What silence means is decided by the quarantine registry. A partition, and the end of many replicas, look the same from one instance, so silence makes a request suspected only, for few requests at a time, and any answer of a replica clears it. The next run is one call, a probe, which is sent on a connection that was accepted just before; if its replica then accepts none, the request is quarantined. Suspicions and quarantines are shared by the records that exist. The next probe waits for the check of the last one.

Counting losses: requests in flight at a loss of many replicas lose several in one run.

--- a/chestnuthall/adapters/http/_pool.py
+++ b/chestnuthall/adapters/http/_pool.py
@@ -69,6 +69,18 @@
             self._n_open -= 1
         return None
 
+    async def acquire_new(self, timeout_ms: float) -> ClientConnection | Failure:
+        """Return a connection of which the other end was alive just now.
+
+        It is opened, or it is one that another request has released.
+        """
+        if self._idle and self._n_open >= self.n_connections_max:
+            self._idle.pop(0).close()
+            self._n_open -= 1
+        if self._n_open < self.n_connections_max:
+            return await self._open(timeout_ms)
+        return await self._wait_for_release(timeout_ms)
+
     async def _open(self, timeout_ms: float) -> ClientConnection | Failure:
         self._n_open += 1
         connection: ClientConnection | Failure | None = None
--- a/chestnuthall/adapters/http/tests/test_pool.py
+++ b/chestnuthall/adapters/http/tests/test_pool.py
@@ -8,6 +8,7 @@
 import pytest
 
 from chestnuthall.adapters.http import ConnectionPool, PoolSettings
+from chestnuthall.core.results import Failure
 
 
 @pytest.mark.parametrize(
@@ -40,3 +41,33 @@
         server.close()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("n_max", "n_idle", "n_open"),
+    [
+        pytest.param(3, 1, 2, id="another-one-is-opened"),
+        pytest.param(2, 2, 2, id="an-idle-one-is-replaced"),
+    ],
+)
+def test_new_connection_is_not_an_idle_one(n_max, n_idle, n_open):
+    """An idle connection does not tell whether its server still runs."""
+
+    async def scenario():
+        server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        settings = PoolSettings(n_connections_max=n_max, n_connections_warm=n_idle)
+        pool = ConnectionPool(f"{host}:{port}", settings)
+        await pool.warm_up()
+        idle = list(pool._idle)
+        connection = await pool.acquire_new(100.0)
+        assert connection not in idle
+        assert pool.n_open == n_open
+        pool.release(connection)
+        server.close()
+        await server.wait_closed()
+        failure = await pool.acquire_new(100.0)
+        assert isinstance(failure, Failure)
+        pool.close()
+
+    asyncio.run(scenario())
--- a/chestnuthall/adapters/upstreams/_caller.py
+++ b/chestnuthall/adapters/upstreams/_caller.py
@@ -11,6 +11,7 @@
     HttpRequest,
     HttpResponse,
     PoolSettings,
+    connect,
 )
 from chestnuthall.adapters.upstreams._codec import UpstreamCodec
 from chestnuthall.core.model import (
@@ -37,6 +38,8 @@
 # closed. Opening another connection costs the upstream up to 6 ms.
 LATE_ANSWER_TIMEOUT_MS = 1_000.0
 CANCEL_TIMEOUT_MS = 100.0
+# A probe that finds its replica unreachable is sent to another one.
+PROBE_CONNECT_TIMEOUT_MS = 100.0
 # Time in which a running process accepts a connection. The retry of a lost call is
 # delayed by this check.
 CRASH_CHECK_TIMEOUT_MS = 30.0
@@ -197,9 +200,14 @@
     async def call(self, call: ShardCall) -> ShardAnswer | Failure:
         """Run one call and return the complete answer that echoes its id."""
         pool = self._pool(call.replica.address, self._budget_key(call))
-        connection: ClientConnection | Failure | None = pool.try_acquire_idle()
-        if connection is None:
-            connection = await pool.acquire(call.deadline_ms - self._clock.now_ms())
+        remaining_ms = call.deadline_ms - self._clock.now_ms()
+        connection: ClientConnection | Failure | None
+        if call.is_probe:
+            connection = await pool.acquire_new(
+                min(remaining_ms, PROBE_CONNECT_TIMEOUT_MS)
+            )
+        else:
+            connection = pool.try_acquire_idle() or await pool.acquire(remaining_ms)
         if isinstance(connection, Failure):
             return connection
         remaining_ms = call.deadline_ms - self._clock.now_ms()
@@ -214,9 +222,12 @@
     def start_call(self, call: ShardCall, on_result: CallCallback) -> CancelCall | None:
         """Start a call if a connection is idle; return a function that cancels it.
 
-        Returns None if the call would have to wait for a connection or its deadline
-        has passed. The call has no timeout: it has to be cancelled at its deadline.
+        Returns None if the call needs a new connection or would have to wait for one,
+        or if its deadline has passed. The call has no timeout: it has to be cancelled
+        at its deadline.
         """
+        if call.is_probe:
+            return None
         pool = self._pool(call.replica.address, self._budget_key(call))
         remaining_ms = call.deadline_ms - self._clock.now_ms()
         connection = pool.try_acquire_idle() if remaining_ms > 0.0 else None
@@ -241,6 +252,7 @@
         connection.send_with_callback(
             self._codec.encode_call(call, remaining_ms), on_response
         )
+        call.trace.is_written = True
         return cancel
 
     async def _report_loss(
@@ -270,6 +282,7 @@
         remaining_ms: float,
     ) -> ShardAnswer | Failure:
         response = connection.send(self._codec.encode_call(call, remaining_ms))
+        call.trace.is_written = True
         # Each call runs this; a timer handle costs a fraction of asyncio.timeout.
         timer = asyncio.get_running_loop().call_later(
             remaining_ms / 1000.0, _set_timed_out, response
@@ -332,6 +345,14 @@
             return ANSWER_CUT.with_reason(failure.reason)
         return failure
 
+    async def accepts_connections(self, replica: Replica, timeout_ms: float) -> bool:
+        """Return whether a replica accepts a new connection, which is closed again."""
+        connection = await connect(replica.address, timeout_ms)
+        if isinstance(connection, Failure):
+            return False
+        connection.close()
+        return True
+
     async def send_request(
         self, replica: Replica, group: str, request: HttpRequest, timeout_ms: float
     ) -> HttpResponse | Failure:
--- a/chestnuthall/core/fanout/__init__.py
+++ b/chestnuthall/core/fanout/__init__.py
@@ -30,6 +30,9 @@
     merge_partial_answers,
     sum_coverage,
 )
+from chestnuthall.core.fanout._progress import (
+    RunningCall,
+)
 from chestnuthall.core.fanout._state import (
     FanOutContext,
 )
@@ -55,6 +58,7 @@
     "PeersNotified",
     "QueryStarted",
     "Replan",
+    "RunningCall",
     "SetTimer",
     "TimerFired",
     "VerdictReached",
--- a/chestnuthall/core/fanout/_handlers.py
+++ b/chestnuthall/core/fanout/_handlers.py
@@ -33,6 +33,7 @@
 )
 from chestnuthall.core.results import (
     CALL_MISMATCH,
+    CALL_TIMED_OUT,
     CONNECTION_LOST,
     QUARANTINED,
     SHED_BY_UPSTREAM,
@@ -80,6 +81,8 @@
         state.n_discarded += 1
         failure = CALL_MISMATCH.with_reason("the answer has the ids of another call")
         return _handle_failure(state, progress, running, failure, event.now_ms)
+    if not progress.shard.shards:
+        state.context.quarantine.on_answered(state.request.fingerprint, event.now_ms)
     if answer.is_error:
         failure = UPSTREAM_ERROR.with_reason("the replica answered with an error")
         state.error_reply = answer.reply
@@ -186,6 +189,8 @@
     context = state.context
     # A peer that terminates does not indicate that the request crashes replicas.
     is_replica_loss = failure.kind is CONNECTION_LOST and not progress.shard.shards
+    if failure.kind is CALL_TIMED_OUT and not progress.shard.shards:
+        state.timed_out.append(running)
     is_refused_by_peer = failure.kind is QUARANTINED and bool(progress.shard.shards)
     is_attributed_to_request = is_refused_by_peer or (
         is_replica_loss and state.is_suspected(now_ms)
--- a/chestnuthall/core/fanout/_machine.py
+++ b/chestnuthall/core/fanout/_machine.py
@@ -55,6 +55,7 @@
 
     def cancel(self, now_ms: float) -> list[Action]:
         """Cancel every call, and end the probe or retest that the query may hold."""
+        self.unanswered = self.unanswered_calls()
         actions = self.cancel_all(now_ms)
         self.is_complete = True
         request = self.request
@@ -66,6 +67,7 @@
                 progress.has_lost_replica for progress in self.shards.values()
             ),
             is_answered=self.n_answered > 0,
+            has_unanswered_probe=any(item.is_probe for item in self.unanswered),
         )
         return actions
 
--- a/chestnuthall/core/fanout/_progress.py
+++ b/chestnuthall/core/fanout/_progress.py
@@ -18,15 +18,18 @@
 class RunningCall:
     """A call that has neither been answered nor failed.
 
-    ``is_probe`` marks a call whose outcome is the verdict on a suspected request, and
-    ``is_trial`` a call to a replica that is persistently slow.
+    ``is_trial`` marks a call to a replica that is persistently slow.
     """
 
     call: ShardCall
     started_ms: float
-    is_probe: bool = False
     is_trial: bool = False
 
+    @property
+    def is_probe(self) -> bool:
+        """Whether the outcome is the verdict on a suspected request."""
+        return self.call.is_probe
+
 
 @dataclass(slots=True)
 class ShardProgress:
--- a/chestnuthall/core/fanout/_state.py
+++ b/chestnuthall/core/fanout/_state.py
@@ -104,6 +104,10 @@
         self.unavailable_snapshot_ids: list[int] = []
         self.last_failure: Failure | None = None
         self.error_reply: Reply | None = None
+        # Calls to replicas that timed out, and all that are without an answer at the
+        # end of the query.
+        self.timed_out: list[RunningCall] = []
+        self.unanswered: tuple[RunningCall, ...] = ()
         self.n_calls = 0
         self.n_trials = 0
         self.n_not_started = 0
@@ -260,11 +264,11 @@
             deadline_ms=self.request.deadline_ms,
             request=self.request,
             shard_set=self._shard_set(progress.shard),
+            is_probe=reason == PROBE_REASON,
         )
-        is_probe = reason == PROBE_REASON
         is_trial = self.context.router.is_persistently_slow(replica)
         self.n_trials += is_trial
-        progress.running[call.call_id] = RunningCall(call, now_ms, is_probe, is_trial)
+        progress.running[call.call_id] = RunningCall(call, now_ms, is_trial)
         progress.tried_names.add(replica.name)
         progress.contacted_names.add(replica.name)
         progress.n_attempts += 1
@@ -333,6 +337,22 @@
             actions += self.cancel_running(progress, now_ms)
         return actions
 
+    def unanswered_calls(self) -> tuple[RunningCall, ...]:
+        """Return the calls that replicas have received and not answered, oldest first.
+
+        The result is empty once any replica has answered the query.
+        """
+        if self.n_answered or self.error_reply is not None:
+            return ()
+        running = [
+            call
+            for progress in self.shards.values()
+            if not progress.shard.shards
+            for call in progress.running.values()
+        ]
+        received = [x for x in self.timed_out + running if x.call.trace.is_written]
+        return tuple(sorted(received, key=lambda item: item.started_ms))
+
     def may_replan(self) -> bool:
         """Return whether the query may start over on another snapshot."""
         return len(self.unavailable_snapshot_ids) < N_REPLANS_MAX
--- a/chestnuthall/core/model/_answers.py
+++ b/chestnuthall/core/model/_answers.py
@@ -1,6 +1,6 @@
 """Shard calls, shard answers, coverage and answers to callers."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from chestnuthall.core.model._accounts import Account
 from chestnuthall.core.model._partition_map import KeyRange, Replica
@@ -29,11 +29,20 @@
     n_missing_max: int
 
 
+@dataclass(slots=True)
+class CallTrace:
+    """What the port that runs a call has done with it so far."""
+
+    is_written: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class ShardCall:
     """One call to one replica, or to a peer for a set of shards.
 
-    ``deadline_ms`` is a reading of the instance's monotonic clock.
+    ``deadline_ms`` is a reading of the instance's monotonic clock. ``is_probe`` marks
+    a call whose outcome tells whether its request crashes replicas. It is sent only to
+    a replica that has just accepted a connection or answered another call.
     """
 
     call_id: str
@@ -43,6 +52,8 @@
     deadline_ms: float
     request: Request
     shard_set: ShardSet | None = None
+    is_probe: bool = False
+    trace: CallTrace = field(default_factory=CallTrace, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnuthall/core/quarantine/__init__.py
+++ b/chestnuthall/core/quarantine/__init__.py
@@ -8,6 +8,7 @@
     QuarantineSettings,
     Suspicion,
     SuspicionState,
+    loss_name,
 )
 from chestnuthall.core.quarantine._sharing import (
     CreateRecord,
@@ -29,5 +30,6 @@
     "Suspicion",
     "SuspicionState",
     "UpdateRecord",
+    "loss_name",
     "next_write",
 ]
--- a/chestnuthall/core/quarantine/_registry.py
+++ b/chestnuthall/core/quarantine/_registry.py
@@ -8,6 +8,12 @@
 second replica of the same shard in another zone counts as a lost probe, because
 a hedge acts as a probe.
 
+A replica that loses power closes no connection. Its loss is inferred from silence: no
+replica has answered the request, and this one accepts no connection. A partition or
+the failure of many replicas looks the same, so silence alone never quarantines a
+request. It makes the request suspected, and any answer of a replica clears it; only a
+probe, whose replica accepted a connection just before, is evidence.
+
 Neither a suspicion nor a quarantine ends by time: a request that crashes replicas
 would crash more of them at each end. After some time a quarantined request is due
 for a retest, one call by one instance of the fleet, and only an answer to it lifts the
@@ -15,6 +21,7 @@
 an operator.
 """
 
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -28,6 +35,12 @@
 # The next loss after this many clearances quarantines the request. Without the
 # limit, a request that crashes only some of its runs would always be cleared.
 N_CLEARED_MAX = 2
+# Suspicions inferred from silence within the window. Each one is shared, and the next
+# run of a suspected request is a single call.
+N_SILENT_SUSPICIONS_MAX = 8
+SILENT_SUSPICIONS_WINDOW_MS = 10_000.0
+# How long the next probe waits for the check of the replica of the last one.
+SILENCE_CHECK_MAX_MS = 1_500.0
 # Separates the name of a replica from its incarnation in the name of a loss.
 INCARNATION_MARK = "#"
 # Suspicions and quarantines are dropped after this time, to bound their number.
@@ -97,6 +110,8 @@
     shards_with_losses: set[str] = field(default_factory=set)
     loss_zone_by_shard: dict[str, str] = field(default_factory=dict)
     is_quarantined: bool = False
+    # Whether the suspicion is inferred from silence only.
+    is_silent: bool = False
     is_local: bool = True
     probe_owner: str = ""
     probe_reserved_until_ms: float = float("-inf")
@@ -137,6 +152,11 @@
         self._settings = settings
         self._suspicions: dict[str, Suspicion] = {}
         self._cleared: dict[str, _Clearance] = {}
+        # Number of checks of silent replicas by request. A request that a replica
+        # answers meanwhile is removed.
+        self._n_silence_checks: dict[str, int] = {}
+        # Start times of the latest suspicions that were inferred from silence.
+        self._silences_ms: deque[float] = deque(maxlen=N_SILENT_SUSPICIONS_MAX)
         self._listeners: list[Listener] = []
 
     def add_listener(self, listener: Listener) -> None:
@@ -181,6 +201,7 @@
             else:
                 self._notify(fingerprint, SuspicionState.SUSPECTED, True)
             return
+        suspicion.is_silent = False
         first_loss_zone = suspicion.loss_zone_by_shard.get(shard_id)
         is_evidence = is_probe or first_loss_zone not in (None, replica.zone)
         self._record_location(suspicion, replica, shard_id)
@@ -197,6 +218,71 @@
         if len(suspicion.replica_names) >= self._settings.n_replicas_lost_max:
             self._quarantine(suspicion, now_ms, is_local=True)
 
+    def begin_silence_check(self, fingerprint: str) -> None:
+        """Note that replicas which have not answered a request are being checked."""
+        self._n_silence_checks[fingerprint] = (
+            self._n_silence_checks.get(fingerprint, 0) + 1
+        )
+
+    def on_answered(self, fingerprint: str, now_ms: float) -> None:
+        """Record that a replica has run a request and survived.
+
+        A request that crashes replicas crashes each one that runs it.
+        """
+        self._n_silence_checks.pop(fingerprint, None)
+        suspicion = self._suspicions.get(fingerprint)
+        if suspicion is not None and suspicion.is_silent:
+            self.clear(fingerprint, now_ms)
+
+    def record_silence(
+        self,
+        fingerprint: str,
+        replica: Replica,
+        shard_id: str,
+        now_ms: float,
+        started_ms: float,
+        is_probe: bool = False,
+    ) -> None:
+        """Record that a replica answers neither a request nor a new connection.
+
+        Ignored if a replica has answered the request since the check began. The end
+        of many replicas at once leaves many requests unanswered, so only a few of them
+        become suspected; one that crashes replicas comes again.
+        """
+        if fingerprint not in self._n_silence_checks:
+            return
+        suspicion = self._find_unexpired(fingerprint, now_ms)
+        if is_probe and suspicion is not None:
+            self.record_loss(
+                fingerprint, replica, shard_id, now_ms, started_ms, is_probe=True
+            )
+            return
+        if suspicion is not None or not self._may_suspect_silence(now_ms):
+            return
+        self._silences_ms.append(now_ms)
+        suspicion = self._add_suspicion(
+            fingerprint, loss_name(replica), now_ms, is_local=True
+        )
+        suspicion.is_silent = True
+        self._notify(fingerprint, SuspicionState.UNRESOLVED, True)
+
+    def _may_suspect_silence(self, now_ms: float) -> bool:
+        silences_ms = self._silences_ms
+        is_full = len(silences_ms) == N_SILENT_SUSPICIONS_MAX
+        return not is_full or now_ms - silences_ms[0] > SILENT_SUSPICIONS_WINDOW_MS
+
+    def end_silence_check(self, fingerprint: str) -> None:
+        """Note that a check has ended."""
+        n_checks = self._n_silence_checks.pop(fingerprint, 1)
+        if n_checks > 1:
+            self._n_silence_checks[fingerprint] = n_checks - 1
+
+    def release_probe(self, fingerprint: str, request_id: str, now_ms: float) -> None:
+        """Let another query run the next probe, if this request holds the last one."""
+        suspicion = self._find_unexpired(fingerprint, now_ms)
+        if suspicion is not None and suspicion.probe_owner == request_id:
+            suspicion.probe_reserved_until_ms = now_ms
+
     def _end_retest(self, suspicion: Suspicion) -> None:
         """End a retest without an answer, which leaves the request quarantined."""
         suspicion.retest_owner = ""
@@ -309,6 +395,7 @@
             suspicion.replica_names.clear()
             if not record.is_quarantined:
                 self._notify(record.fingerprint, SuspicionState.SUSPECTED, False)
+            suspicion.is_silent = not record.is_quarantined and not record.lost_names
         has_own_losses = not suspicion.lost_names <= record.lost_names
         suspicion.replica_names |= record.replica_names
         suspicion.lost_names |= record.lost_names
@@ -430,10 +517,12 @@
         *,
         has_lost_replica: bool = False,
         is_answered: bool = False,
+        has_unanswered_probe: bool = False,
     ) -> None:
         """Record the end of a request that may have held the probe or the retest.
 
-        Another query can then run the probe. Without a verdict, a request that lost
+        Another query can then run the probe, unless its replica has not answered and
+        remains to be checked. Without a verdict, a request that lost
         replicas here stays suspected; it is quarantined if it has lost several and no
         replica answered it.
         """
@@ -441,7 +530,8 @@
         if suspicion is None:
             return
         if suspicion.probe_owner == request_id:
-            suspicion.probe_reserved_until_ms = now_ms
+            check_ms = SILENCE_CHECK_MAX_MS if has_unanswered_probe else 0.0
+            suspicion.probe_reserved_until_ms = now_ms + check_ms
         if suspicion.retest_owner == request_id:
             self._end_retest(suspicion)
         if not has_lost_replica or suspicion.is_quarantined:
@@ -464,7 +554,7 @@
         ):
             return
         del self._suspicions[fingerprint]
-        n_cleared = self._n_cleared(fingerprint, now_ms) + 1
+        n_cleared = self._n_cleared(fingerprint, now_ms) + (not suspicion.is_silent)
         self._cleared[fingerprint] = _Clearance(now_ms, n_cleared, is_local)
         self._notify(fingerprint, SuspicionState.CLEARED, is_local)
 
--- a/chestnuthall/core/quarantine/tests/test_registry.py
+++ b/chestnuthall/core/quarantine/tests/test_registry.py
@@ -185,3 +185,84 @@
     due_ms = 20.0 + 100.0 * 10.0**n_retests
     assert not registry.is_retest_due("f", due_ms - 1.0)
     assert registry.is_retest_due("f", due_ms + 1.0) == is_quarantined
+
+
+def fall_silent(registry, now_ms, fingerprint="f", number=0, **options):
+    """Report that a replica has been found silent by a check."""
+    replica = Replica(f"r{number}", f"r{number}", "z")
+    registry.begin_silence_check(fingerprint)
+    registry.record_silence(fingerprint, replica, "s", now_ms, now_ms - 1.0, **options)
+    registry.end_silence_check(fingerprint)
+
+
+def test_silence_alone_quarantines_no_request():
+    """Many replicas lost at once leave the same request unanswered again and again."""
+    registry = QuarantineRegistry(QuarantineSettings())
+    for number in range(9):
+        fall_silent(registry, 10.0 * number, number=number)
+        registry.end_run("f", "q", 10.0 * number + 1.0, has_lost_replica=True)
+    assert registry.is_suspected("f", 100.0)
+    assert not registry.is_quarantined("f", 100.0)
+
+
+def test_silent_probe_quarantines_a_request():
+    registry = QuarantineRegistry(QuarantineSettings())
+    fall_silent(registry, 10.0)
+    assert registry.try_reserve_probe("f", "q", 20.0)
+    fall_silent(registry, 30.0, number=1, is_probe=True)
+    assert registry.is_quarantined("f", 31.0)
+
+
+def test_answer_clears_what_was_inferred_from_silence():
+    """It must not count as a clearance of a request that crashes some of its runs."""
+    registry = QuarantineRegistry(QuarantineSettings())
+    for number in range(4):
+        fall_silent(registry, 10.0 * number, number=number)
+        registry.on_answered("f", 10.0 * number + 1.0)
+        assert not registry.is_suspected("f", 10.0 * number + 2.0)
+    lose_replica(registry, 9, 50.0, 51.0)
+    assert not registry.is_quarantined("f", 52.0)
+
+
+def test_answer_during_a_check_counts():
+    """A replica that answers another run of the request proves that it is harmless."""
+    registry = QuarantineRegistry(QuarantineSettings())
+    registry.begin_silence_check("f")
+    registry.on_answered("f", 5.0)
+    registry.record_silence("f", Replica("r", "r", "z"), "s", 10.0, 0.0)
+    assert not registry.is_suspected("f", 11.0)
+
+
+def test_end_of_many_replicas_makes_few_requests_suspected():
+    """Each suspicion costs a write, and makes the next run of the request slower."""
+    registry = QuarantineRegistry(QuarantineSettings())
+    for number in range(40):
+        fall_silent(registry, float(number), fingerprint=f"f{number}")
+    assert len(registry.suspicions(50.0)) == 8
+    fall_silent(registry, 20_000.0, fingerprint="later")
+    assert registry.is_suspected("later", 20_001.0)
+
+
+def test_next_probe_waits_for_the_check_of_the_last_one():
+    """Otherwise it could crash another replica before the result is known."""
+    registry = QuarantineRegistry(QuarantineSettings())
+    fall_silent(registry, 10.0)
+    assert registry.try_reserve_probe("f", "q1", 20.0)
+    registry.end_run("f", "q1", 500.0, has_unanswered_probe=True)
+    assert not registry.try_reserve_probe("f", "q2", 1_000.0)
+    registry.release_probe("f", "q1", 1_300.0)
+    assert registry.try_reserve_probe("f", "q2", 1_301.0)
+
+
+def test_suspicion_inferred_from_silence_is_shared_as_such():
+    """Two instances that see the same outage must not add up to a quarantine."""
+    registries = [QuarantineRegistry(QuarantineSettings()) for _ in range(2)]
+    for number, registry in enumerate(registries):
+        fall_silent(registry, 10.0, number=number)
+    registries[0].adopt(registries[1].record("f", 20.0), 20.0)
+    assert not registries[0].is_quarantined("f", 21.0)
+    new = QuarantineRegistry(QuarantineSettings())
+    new.adopt(registries[0].record("f", 30.0), 30.0)
+    assert new.is_suspected("f", 31.0)
+    new.on_answered("f", 32.0)
+    assert not new.is_suspected("f", 33.0)
--- a/chestnuthall/daemon/_instance.py
+++ b/chestnuthall/daemon/_instance.py
@@ -188,6 +188,7 @@
             clock=clock,
             metrics=metrics,
             caller=DrainDetectingCaller(self.caller, self.drain_exchange.on_signal),
+            reachability=self.caller,
             directory=self.directory,
             configuration=self.configuration,
             ledger=self.ledger,
--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -289,6 +289,7 @@
             decision_log=self._decisions,
             combine_shards=peer_shard_sets.combine_shards,
             ends_at_ms=lambda: self.lifecycle.ends_at_ms,
+            reachability=self._caller,
         )
         QuarantineLog(quarantine, clock, metrics)
         self._relay = RelayService(query, self.configuration, self.directory)
--- a/chestnuthall/platform/tests/soak/crashes.py
+++ b/chestnuthall/platform/tests/soak/crashes.py
@@ -15,6 +15,8 @@
 MARKER = "crashing"
 N_CRASHES = 3
 N_SENDS_MAX = 3
+# Crashes that close no connection.
+SILENT_RATIO = 0.5
 # Time after a disturbance from which an instance counts as undisturbed.
 STABLE_S = 4.0
 
@@ -98,6 +100,7 @@
         now_s = asyncio.get_running_loop().time()
         senders = self._possible_senders(self._entry_of[request_id], request.target)
         self.evidence.record_crash(request.target, replica.name, senders, now_s)
+        replica.is_crash_silent = self.soak.random.random() < SILENT_RATIO
         task = asyncio.get_running_loop().create_task(self._restart(replica))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/chestnuthall/platform/tests/standins.py
+++ b/chestnuthall/platform/tests/standins.py
@@ -144,6 +144,9 @@
         self.respond = None
         # Returns whether a request crashes this replica as soon as it runs.
         self.is_crashed_by = None
+        # Whether a crash leaves the connections open, as a loss of power does.
+        self.is_crash_silent = False
+        self.is_silent = False
         self.n_starts = 1
         self.fault = ""
         self.received = []
@@ -159,10 +162,15 @@
         """Start again as a new incarnation at the same address."""
         self.name = name
         self.n_starts += 1
+        self.is_silent = False
+        for connection in tuple(self.server._connections):
+            connection.close()
         await self.server.start(LOOPBACK, int(self.address.rpartition(":")[2]))
 
     async def handle(self, request):
         """Serve one call."""
+        if self.is_silent:
+            await asyncio.sleep(float("inf"))
         if request.headers.get(b"x-expect-instance") != self.name.encode():
             headers = {
                 b"x-instance-id": self.name.encode(),
@@ -171,13 +179,14 @@
             return HttpResponse(421, headers)
         self.received.append(request)
         if self.is_crashed_by is not None and self.is_crashed_by(request):
-            await self.server.close()
-            raise DropConnection
+            await self._crash()
         try:
             await asyncio.sleep(self.delay_s)
         except asyncio.CancelledError:
             self.n_cancelled += 1
             raise
+        if self.is_silent:
+            await asyncio.sleep(float("inf"))
         if self.respond is not None:
             response = self.respond(request)
             if response is None:
@@ -185,6 +194,14 @@
             return response
         return self.signed_response(request)
 
+    async def _crash(self):
+        if not self.is_crash_silent:
+            await self.server.close()
+            raise DropConnection
+        self.is_silent = True
+        self.server._server.close()
+        await asyncio.sleep(float("inf"))
+
     def signed_response(self, request, status=200):
         """Return a complete response with this replica's signature."""
         headers = {
@@ -212,8 +229,8 @@
 class RawReplica:
     """A replica whose bytes a test writes itself.
 
-    ``serve`` is called with the connection and the id of each request, which has no
-    body.
+    ``serve`` is called with the connection, and the id and target of each request,
+    which has no body.
     """
 
     def __init__(self, name, service, serve):
@@ -235,10 +252,15 @@
                 head = await reader.readuntil(b"\r\n\r\n")
                 lines = head.decode().lower().split("\r\n")
                 ids = [x.partition(": ")[2] for x in lines if x.startswith("x-request")]
-                await self._serve(writer, next(iter(ids), ""))
+                target = lines[0].split(" ")[1]
+                await self._serve(writer, next(iter(ids), ""), target)
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
 
+    def stop_listening(self):
+        """Refuse new connections; the open ones stay open."""
+        self._server.close()
+
     async def close(self):
         for writer in self._writers:
             writer.close()
--- a/chestnuthall/platform/tests/test_answers_of_other_requests.py
+++ b/chestnuthall/platform/tests/test_answers_of_other_requests.py
@@ -124,7 +124,7 @@
     """The running request was sent again elsewhere, or refused as not run."""
     n_runs = []
 
-    async def serve(connection, request_id):
+    async def serve(connection, request_id, target):
         if request_id == "q0":
             connection.write(rejection(request_id, status))
             return
--- a/chestnuthall/platform/tests/test_spoiled_answers.py
+++ b/chestnuthall/platform/tests/test_spoiled_answers.py
@@ -62,7 +62,7 @@
 def test_caller_gets_the_status_of_the_replica(kind, first, further, status):
     """Bytes after an answer belong to no request, and must not change its status."""
 
-    async def serve(connection, request_id):
+    async def serve(connection, request_id, target):
         connection.write(first + further)
 
     async def scenario():
@@ -98,7 +98,7 @@
     """The caller waited without an end, on a connection that stayed open."""
     calls = []
 
-    async def serve(connection, request_id):
+    async def serve(connection, request_id, target):
         calls.append(request_id)
         connection.write(signed(request_id, 200).replace(b"200 S", status_line))
 
--- a/chestnuthall/ports/__init__.py
+++ b/chestnuthall/ports/__init__.py
@@ -59,6 +59,7 @@
         MapFetcher,
         MapFetchingCaller,
         ReplicaHealth,
+        ReplicaReachability,
         ShardCaller,
     )
 
@@ -115,6 +116,7 @@
             "MapFetcher",
             "MapFetchingCaller",
             "ReplicaHealth",
+            "ReplicaReachability",
             "ShardCaller",
         ),
     },
@@ -152,6 +154,7 @@
     "QuarantineNotice",
     "QuarantineStatus",
     "ReplicaHealth",
+    "ReplicaReachability",
     "RequestHandler",
     "RequestTracker",
     "RevisionCodec",
--- a/chestnuthall/ports/_shards.py
+++ b/chestnuthall/ports/_shards.py
@@ -13,7 +13,7 @@
     The kind of a failure tells whether the replica may have started the call. It
     has not with ``NO_REPLICA``, ``CONNECTION_REFUSED``, ``DEADLINE_PASSED``
     (nothing was written), ``SHED_BY_UPSTREAM`` and ``SNAPSHOT_GONE``; with any
-    other kind it may have.
+    other kind it may have. The trace of a call says whether it has been written.
     """
 
     async def call(self, call: ShardCall) -> ShardAnswer | Failure:
@@ -67,6 +67,14 @@
         ...
 
 
+class ReplicaReachability(Protocol):
+    """Tells whether replicas accept connections."""
+
+    async def accepts_connections(self, replica: Replica, timeout_ms: float) -> bool:
+        """Return whether the replica accepts a new connection within the time."""
+        ...
+
+
 class ReplicaHealth(Protocol):
     """Health checks of replicas; only a hint, because health reports lag."""
 
--- a/chestnuthall/services/_fan_out_run.py
+++ b/chestnuthall/services/_fan_out_run.py
@@ -27,6 +27,7 @@
 from chestnuthall.core.model import PartitionMap, ShardAnswer, ShardCall
 from chestnuthall.core.results import Failure
 from chestnuthall.ports import Clock, DirectShardCaller, ShardCaller
+from chestnuthall.services._silence_checks import CHECK_DELAY_MS, SilenceChecks
 from chestnuthall.services._suspicion_notifier import SuspicionNotifier
 
 CallObserver: TypeAlias = Callable[[ShardCall, ShardAnswer | Failure, float], None]
@@ -72,7 +73,10 @@
         directory: MapSource,
         suspicion_notifier: SuspicionNotifier,
         on_call_result: CallObserver = _ignore_result,
+        silence_checks: SilenceChecks | None = None,
     ) -> None:
+        self._silence_checks = silence_checks
+        self._silence_timer: asyncio.TimerHandle | None = None
         self._on_call_result = on_call_result
         self._fan_out = fan_out
         self._clock = clock
@@ -95,6 +99,10 @@
         self._suspicion_notifier.add_waiter(fingerprint, self._on_verdict)
         try:
             self._handle(QueryStarted(self._clock.now_ms()))
+            if self._silence_checks is not None:
+                self._silence_timer = self._loop.call_later(
+                    CHECK_DELAY_MS / 1000.0, self._check_silence
+                )
             return await self._done
         finally:
             self._suspicion_notifier.remove_waiter(fingerprint, self._on_verdict)
@@ -103,12 +111,20 @@
     def _stop(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
+        if self._silence_timer is not None:
+            self._silence_timer.cancel()
         for task in self._tasks:
             task.cancel()
         if not self._fan_out.is_complete:
             self._fan_out.cancel(self._clock.now_ms())
         for cancel in self._cancel_by_call_id.values():
             cancel()
+        self._check_silence()
+
+    def _check_silence(self) -> None:
+        """Check the replicas of a query that none of them has answered."""
+        if self._silence_checks is not None:
+            self._silence_checks.start(self._fan_out)
 
     def _handle(self, event: Event) -> None:
         """Apply an event; an error ends the run, whose timer it may have prevented."""
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -50,7 +50,7 @@
     ExtraLoadBudget,
     UtilisationAverage,
 )
-from chestnuthall.ports import Clock, Metrics, ShardCaller
+from chestnuthall.ports import Clock, Metrics, ReplicaReachability, ShardCaller
 from chestnuthall.services._admission import (
     Admission,
     Admissions,
@@ -75,6 +75,7 @@
 )
 from chestnuthall.services._rejections import Rejections
 from chestnuthall.services._retests import OwnRetests, RetestClaims
+from chestnuthall.services._silence_checks import SilenceChecks
 from chestnuthall.services._suspicion_notifier import SuspicionNotifier
 
 if TYPE_CHECKING:
@@ -120,6 +121,7 @@
     quarantine notices to peers, ``retests`` grants the retests of quarantined requests,
     and ``shared_budget`` replaces the extra-load budgets of the classes. ``ends_at_ms``
     returns the time by which a request has to be answered because the instance stops.
+    Without ``reachability``, replicas that end silently are not attributed to requests.
     """
 
     def __init__(
@@ -142,6 +144,7 @@
         decision_log: DecisionLog | None = None,
         combine_shards: Callable[[Sequence[Shard]], tuple[Shard, ...]] | None = None,
         ends_at_ms: Callable[[], float] = lambda: float("inf"),
+        reachability: ReplicaReachability | None = None,
     ) -> None:
         self._ends_at_ms = ends_at_ms
         self._combine_shards = combine_shards
@@ -157,6 +160,11 @@
         self._quarantine = quarantine
         self._retests = retests or OwnRetests(quarantine, clock)
         self._suspicion_notifier = SuspicionNotifier(quarantine, clock, disseminate)
+        self._silence_checks = (
+            None
+            if reachability is None
+            else SilenceChecks(quarantine, clock, metrics, reachability)
+        )
         self._n_instances = n_instances
         self._utilisation: dict[str, UtilisationAverage] = {}
         self._admissions = admissions
@@ -403,6 +411,7 @@
             self._directory,
             self._suspicion_notifier,
             on_call_result,
+            self._silence_checks,
         )
         return await run.complete()
 
@@ -420,6 +429,7 @@
             self._caller,
             NoReplacementMap(),
             self._suspicion_notifier,
+            silence_checks=self._silence_checks,
         )
         return await run.complete()
 
--- a/chestnuthall/services/tests/_harness.py
+++ b/chestnuthall/services/tests/_harness.py
@@ -151,6 +151,7 @@
             return SHED_BY_UPSTREAM.with_reason("overloaded")
         if call.snapshot_id not in self.snapshots:
             return SNAPSHOT_GONE.with_reason("the snapshot was replaced")
+        call.trace.is_written = True
         self.runs.append((call.request.request_id, shard_id, name))
         self.on_event("written")
         if sum(item.shard_id == shard_id for item in self.running.values()) > 1:
@@ -198,6 +199,13 @@
             return replace(answer, call_id="other.1", hits=(Hit("x/x/x", 1.0, "0"),))
         return answer
 
+    async def accepts_connections(self, replica, timeout_ms):
+        if replica.name in self.dead:
+            await asyncio.sleep(timeout_ms / 1000.0)
+            return False
+        await asyncio.sleep(0.001)
+        return True
+
     async def fetch_partition_map(self, replica, timeout_ms):
         await asyncio.sleep(0.001)
         return self.newest
@@ -239,6 +247,7 @@
             quarantine=self.registry,
             retests=retests,
             disseminate=disseminate,
+            reachability=self.upstreams,
         )
         document = EnvironmentDocument(
             classes=(
--- a/chestnuthall/services/tests/test_quarantine_over_time.py
+++ b/chestnuthall/services/tests/test_quarantine_over_time.py
@@ -268,16 +268,18 @@
     return outcomes
 
 
+@pytest.mark.parametrize("is_silent", [False, True], ids=["closes", "silent"])
 @pytest.mark.parametrize("n_at_once", [1, 4], ids=["single", "repeated at once"])
 @pytest.mark.parametrize("disturb", DISTURBANCES, ids=lambda item: item.__name__)
 @pytest.mark.parametrize("kind", KINDS)
 def test_crashing_request_is_not_sent_again_after_a_quarantine(
-    kind, disturb, n_at_once
+    kind, disturb, n_at_once, is_silent
 ):
     """At most three calls may follow, however long the request keeps coming."""
 
     async def scenario():
         fleet = Fleet(1)
+        fleet.upstreams.is_crash_silent = is_silent
         return fleet, await send_again_and_again(
             fleet, kind, disturb, n_at_once, DURATION_S
         )
@@ -288,7 +290,6 @@
     assert not any(isinstance(item, Answer) for item in outcomes)
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt 15")
 @pytest.mark.parametrize("kind", KINDS)
 def test_request_that_crashes_replicas_silently_is_not_sent_again_and_again(kind):
     """Their connections stay open, as those of a replica that loses power do."""
