Bound the memory of messages in reception, and free it when they end

Each response was bounded (16 MB), but not all of them together.

Change: a parser is closed as its response ends, for whatever reason, which frees the body. Incomplete responses of replicas, peers and the store together hold 32 MB at most; beyond that the largest is dropped, and its call fails as cut. A response whose length exceeds its limit is rejected by its head. The same where callers and peers are read: incomplete request bodies together hold 64 MB, beyond which the largest request is refused as not run.

--- a/chestnuthall/adapters/http/_client.py
+++ b/chestnuthall/adapters/http/_client.py
@@ -6,12 +6,14 @@
 from dataclasses import dataclass
 
 from chestnuthall.adapters.http._messages import HttpRequest, HttpResponse
+from chestnuthall.adapters.http._reception import RESPONSES, ReceptionBudget
 from chestnuthall.adapters.http._responses import (
     ResponseError,
     ResponseParser,
     encode_request,
 )
 from chestnuthall.core.results import (
+    ANSWER_CUT,
     CONNECTION_LOST,
     CONNECTION_REFUSED,
     NO_REPLICA,
@@ -63,7 +65,8 @@
 class ClientConnection(asyncio.Protocol):
     """A persistent HTTP/1.1 connection for successive requests."""
 
-    def __init__(self) -> None:
+    def __init__(self, reception: ReceptionBudget = RESPONSES) -> None:
+        self._reception = reception
         self._parser: ResponseParser | None = None
         self._transport: asyncio.Transport | None = None
         self._on_response: ResponseCallback | None = None
@@ -84,6 +87,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the pending request; called by the event loop."""
         self.is_open = False
+        self._discard_parser()
         self._complete_request(CONNECTION_LOST.with_reason("the connection was closed"))
 
     def eof_received(self) -> bool:
@@ -111,13 +115,28 @@
             return
         if response is not None:
             self._finish_response(response)
+        else:
+            self._reception.hold(self, self._parser.n_held_bytes)
+
+    def drop_message(self, reason: str) -> None:
+        """Give up a response that has arrived in part; its sender is running."""
+        self.close()
+        self._complete_request(ANSWER_CUT.with_reason(reason))
+
+    def _discard_parser(self) -> None:
+        """Free what has been received of a response."""
+        if self._parser is not None:
+            self._parser.close()
+            self._parser = None
+        self._reception.release(self)
 
     def _finish_response(self, response: HttpResponse) -> None:
         assert self._parser is not None
         self._update_keep_alive(response.headers.get(b"keep-alive"))
-        if not self._parser.is_reusable:
+        is_reusable = self._parser.is_reusable
+        self._discard_parser()
+        if not is_reusable:
             self.close()
-        self._parser = None
         self._complete_request(response)
 
     def _update_keep_alive(self, value: bytes | None) -> None:
@@ -198,6 +217,7 @@
     def close(self) -> None:
         """Close the connection; a pending request fails."""
         self.is_open = False
+        self._discard_parser()
         if self._transport is not None:
             self._transport.close()
 
--- a/chestnuthall/adapters/http/_responses.py
+++ b/chestnuthall/adapters/http/_responses.py
@@ -88,6 +88,13 @@
         is_delimited = self._is_complete and not self._has_extra_bytes
         return is_delimited and self._keeps_alive and self._method != "HEAD"
 
+    @property
+    def n_held_bytes(self) -> int:
+        """Number of bytes of the response that are kept so far."""
+        if not self._has_head:
+            return self._n_received_bytes
+        return self._n_head_bytes + len(self._body)
+
     def feed(self, data: bytes) -> HttpResponse | None:
         """Parse received bytes; return the response once it is complete.
 
@@ -107,6 +114,16 @@
         self._check_overhead()
         return None
 
+    def close(self) -> None:
+        """Free the memory of the response.
+
+        This object and the parser refer to each other, so without this the body would
+        be kept until the next garbage collection.
+        """
+        self._body = bytearray()
+        self._pairs = []
+        del self._parser
+
     def _check_overhead(self) -> None:
         """Raise ``ResponseError`` for too many bytes that are not body content.
 
@@ -166,13 +183,16 @@
         self._has_head = True
         # The parser provides this only until the message is complete.
         self._keeps_alive = self._parser.should_keep_alive()
-        has_length = bool(_header_values(self._pairs, b"content-length"))
+        lengths = _header_values(self._pairs, b"content-length")
+        has_length = bool(lengths)
         encodings = _header_values(self._pairs, b"transfer-encoding")
         if has_length and encodings:
             raise self._reject("both content-length and transfer-encoding are present")
         is_chunked = bool(encodings)
         if is_chunked and [item.lower() for item in encodings] != [b"chunked"]:
             raise self._reject("the transfer encoding is not supported")
+        if self._method != "HEAD" and any(int(x) > N_BODY_BYTES_MAX for x in lengths):
+            raise self._reject("the response body is too large")
         if self._method == "HEAD":
             self._is_complete = True
             return
--- a/chestnuthall/adapters/http/_server.py
+++ b/chestnuthall/adapters/http/_server.py
@@ -12,6 +12,7 @@
     HttpRequest,
     HttpResponse,
 )
+from chestnuthall.adapters.http._reception import REQUESTS, ReceptionBudget
 
 _log = logging.getLogger(__name__)
 
@@ -58,7 +59,9 @@
         limits: ServerLimits | None = None,
         error_responder: ErrorResponder = _plain_error,
         output_filter: OutputFilter | None = None,
+        reception: ReceptionBudget = REQUESTS,
     ) -> None:
+        self.reception = reception
         self.handler = handler
         self.output_filter = output_filter
         self.limits = limits or ServerLimits()
@@ -193,6 +196,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the running request; called by the event loop."""
         self._server.discard(self)
+        self._server.reception.release(self)
         self._stop_idle_timer()
         self._can_write.set()
         if self._task is not None:
@@ -250,6 +254,8 @@
             event = self._h11.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 self._limit_head_time()
+                if self._n_body_bytes:
+                    self._server.reception.hold(self, self._n_body_bytes)
                 return
             if isinstance(event, h11.ConnectionClosed):
                 self.close()
@@ -286,6 +292,10 @@
         elif isinstance(event, h11.EndOfMessage):
             self._dispatch_request()
 
+    def drop_message(self, reason: str) -> None:
+        """Refuse a request of which the body has arrived in part."""
+        self._reject(503, reason)
+
     def _send_continue(self) -> None:
         assert self._transport is not None
         interim_response = h11.InformationalResponse(status_code=100, headers=[])
@@ -293,6 +303,7 @@
 
     def _dispatch_request(self) -> None:
         assert self._head is not None
+        self._server.reception.release(self)
         self._stop_idle_timer()
         request = HttpRequest(
             self._head.method.decode("ascii"),
@@ -301,6 +312,7 @@
             b"".join(self._body),
             tuple(self._head.headers),
         )
+        self._body, self._n_body_bytes = [], 0
         self._task = asyncio.get_running_loop().create_task(self._serve(request))
 
     async def _serve(self, request: HttpRequest) -> None:
