Compare the object that an answer of the store names

What callers could see: a quarantined request that two instances retest, or an instance with the state of another object.

Cause: a connection to the store carries one call at a time, and the answer was taken as that to the call which waited, whatever object it named.

Change: a read whose answer names another object has failed. The outcome of a write whose answer names another object, or a revision before the one that the write required, is unknown.

--- a/chestnuthall/adapters/objectapi/_client.py
+++ b/chestnuthall/adapters/objectapi/_client.py
@@ -59,7 +59,10 @@
         response = await self._exchange(self._dialect.get(kind, name), timeout_ms)
         if isinstance(response, Failure):
             return _as_read_failure(response)
-        return self._dialect.decode_object(kind, name, response)
+        stored = self._dialect.decode_object(kind, name, response)
+        if isinstance(stored, StoredObject) and stored.name != name:
+            return STORE_UNAVAILABLE.with_reason("the store sent another object")
+        return stored
 
     async def list_kind(self, kind: str, timeout_ms: float) -> ObjectListing | Failure:
         """Read all objects of a kind."""
@@ -91,14 +94,15 @@
     ) -> StoredObject | Failure:
         """Write an object that must not exist yet."""
         request = self._dialect.create(kind, name, value)
-        return await self._write(kind, request, timeout_ms)
+        return _matching(await self._write(kind, request, timeout_ms), name)
 
     async def update(
         self, kind: str, name: str, value: str, version: int, timeout_ms: float
     ) -> StoredObject | Failure:
         """Write an object whose version must still be ``version``."""
         request = self._dialect.update(kind, name, value, version)
-        return await self._write(kind, request, timeout_ms)
+        written = await self._write(kind, request, timeout_ms)
+        return _matching(written, name, version)
 
     async def delete(
         self, kind: str, name: str, version: int, timeout_ms: float
@@ -150,5 +154,19 @@
             self._pool.release(connection)
 
 
+def _matching(
+    written: StoredObject | Failure, name: str, version_min: int = 0
+) -> StoredObject | Failure:
+    """Return the result of a write, unless it is that of another one.
+
+    A write that changes nothing keeps the version of the object.
+    """
+    if isinstance(written, Failure):
+        return written
+    if written.name != name or written.version < version_min:
+        return STORE_WRITE_UNKNOWN.with_reason("the store answered another write")
+    return written
+
+
 def _as_read_failure(failure: Failure) -> Failure:
     return STORE_UNAVAILABLE.with_reason(failure.reason)
