Reject a 204 that announces a body

What callers could get: a success with an empty body in place of the replica's, if one bit of the status 200 is wrong.

Cause: a status without content ended the response at its head, whatever length the head announced.

Result: test_responses.py, two new cases failed before.

--- a/chestnuthall/adapters/http/_responses.py
+++ b/chestnuthall/adapters/http/_responses.py
@@ -22,7 +22,8 @@
 FRAMING_RATIO_MAX = 1
 # Requests with these methods have a content-length header even without a body.
 METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
-_STATUSES_WITHOUT_BODY = frozenset({204, 304})
+_NO_CONTENT = 204
+_STATUSES_WITHOUT_BODY = frozenset({_NO_CONTENT, 304})
 _SWITCHING_PROTOCOLS = 101
 _HTTP_VERSIONS = frozenset({"1.0", "1.1"})
 # The parser accepts any three digits.
@@ -200,6 +201,9 @@
         is_chunked = bool(encodings)
         if is_chunked and [item.lower() for item in encodings] != [b"chunked"]:
             raise self._reject("the transfer encoding is not supported")
+        if self._status == _NO_CONTENT and (is_chunked or any(map(int, lengths))):
+            # Another status of which one bit is wrong.
+            raise self._reject("a response without content has a body")
         if self._method != "HEAD" and any(int(x) > N_BODY_BYTES_MAX for x in lengths):
             raise self._reject("the response body is too large")
         if self._method == "HEAD":
--- a/chestnuthall/adapters/http/tests/test_responses.py
+++ b/chestnuthall/adapters/http/tests/test_responses.py
@@ -205,6 +205,8 @@
     ("status 000", message(0).replace(b" 0 ", b" 000 ")),
     ("status below 100", message(99).replace(b" 99 ", b" 099 ")),
     ("status 600", message(600)),
+    ("no content, with a length", message(204)),
+    ("no content, chunked", message(204, CHUNKED[:-2], b"0\r\n\r\n")),
     ("status 999", message(999)),
     (
         "length and transfer encoding",
