Start a background task again after a defect

What callers could see: an instance that keeps an outdated configuration or directory for good, as the task that follows it had ended with an exception that nothing logged.

Change: the tasks of the platform's composition are kept running; a failure is logged as background_task_failed, and the task starts again after a second. The two tasks of the quarantine records end together.

Result: test_defects.py.

--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -66,6 +66,7 @@
     ServiceDirectory,
     SharedObjectStore,
     SparseObjectStore,
+    keep_running,
 )
 from chestnuthall.services._configuration import ENVIRONMENT_KIND
 from chestnuthall.services._presence import PRESENCE_KIND
@@ -389,15 +390,18 @@
         await _listen(self.metrics_server, self.settings.metrics_address)
         loop = asyncio.get_running_loop()
         self._tasks = [
-            loop.create_task(self.configuration.run()),
-            loop.create_task(self.directory.run()),
-            loop.create_task(self.presence.run()),
-            loop.create_task(self._quarantine_records.run()),
-            loop.create_task(self._connections.run()),
-            loop.create_task(self._caller.run()),
-            loop.create_task(self._quotas.run()),
-            loop.create_task(self._report_dropped_lines()),
-            loop.create_task(self._measure_loop_lag()),
+            loop.create_task(keep_running(name, run, self._clock))
+            for name, run in (
+                ("configuration", self.configuration.run),
+                ("directory", self.directory.run),
+                ("presence", self.presence.run),
+                ("quarantine_records", self._quarantine_records.run),
+                ("connections", self._connections.run),
+                ("caller", self._caller.run),
+                ("quotas", self._quotas.run),
+                ("log_report", self._report_dropped_lines),
+                ("loop_lag", self._measure_loop_lag),
+            )
         ]
         _log.info("instance started", extra={"zone": self.settings.zone})
 
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -127,6 +127,9 @@
     from chestnuthall.services._store_calls import (
         CountingObjectStore,
     )
+    from chestnuthall.services._supervision import (
+        keep_running,
+    )
     from chestnuthall.services._two_level import (
         TwoLevelFanOut,
     )
@@ -226,6 +229,7 @@
         ),
         "_store_calls": ("CountingObjectStore",),
         "_retests": ("OwnerRetests",),
+        "_supervision": ("keep_running",),
         "_two_level": ("TwoLevelFanOut",),
     },
 )
@@ -291,5 +295,6 @@
     "SparseObjectStore",
     "StatusReporter",
     "TwoLevelFanOut",
+    "keep_running",
     "read_burn_counts",
 ]
--- a/chestnuthall/services/_quarantine_records.py
+++ b/chestnuthall/services/_quarantine_records.py
@@ -91,7 +91,9 @@
 
     async def run(self) -> None:
         """Follow the records and write changes until cancelled."""
-        await asyncio.gather(self._follower.run(), self._write_changes())
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._follower.run())
+            group.create_task(self._write_changes())
 
     async def _write_changes(self) -> None:
         while True:
--- a/chestnuthall/services/tests/test_defects.py
+++ b/chestnuthall/services/tests/test_defects.py
@@ -10,6 +10,7 @@
 
 from chestnuthall.core.model import Answer
 from chestnuthall.ports import ObjectListing, StoredObject, WatchBatch
+from chestnuthall.services import keep_running
 from chestnuthall.services._kind_follower import KindFollower
 from chestnuthall.services.tests._harness import DEADLINE_MS, QueryHarness
 from chestnuthall.standins.virtual_time import run_virtual
@@ -121,6 +122,26 @@
     assert listener.names[:3] == ["b1", "b2", "b3"]
 
 
+def test_background_task_is_started_again_after_a_defect():
+    """An instance must not stop following the store for good."""
+    n_started = 0
+
+    async def run():
+        nonlocal n_started
+        n_started += 1
+        await asyncio.sleep(5.0)
+        raise ValueError("test")
+
+    async def scenario():
+        clock = QueryHarness(1).clock
+        task = asyncio.get_running_loop().create_task(keep_running("t", run, clock))
+        await asyncio.sleep(20.0)
+        task.cancel()
+
+    run_virtual(scenario())
+    assert n_started == 4
+
+
 def test_harness_serves():
     """The harness of these tests answers without a defect."""
 
--- a/chestnuthall/services/tests/test_quarantine_over_time.py
+++ b/chestnuthall/services/tests/test_quarantine_over_time.py
@@ -305,6 +305,28 @@
     assert fleet.n_late_calls <= N_LATE_CALLS_MAX
 
 
+@pytest.mark.parametrize("kind", KINDS)
+def test_request_whose_caller_leaves_early_is_not_sent_again_and_again(kind):
+    """Its calls are cancelled long before the silence of a replica is noticed."""
+
+    async def scenario():
+        fleet = Fleet(1)
+        fleet.upstreams.is_crash_silent = True
+        fleet.upstreams.crashing.add(FINGERPRINT)
+        loop = asyncio.get_running_loop()
+        while loop.time() < SILENT_DURATION_S:
+            task = loop.create_task(fleet.send(kind))
+            await asyncio.sleep(0.03)
+            task.cancel()
+            await asyncio.sleep(fleet.random.uniform(0.0, 2.0 * SEND_INTERVAL_S))
+        await fleet.close()
+        return fleet
+
+    fleet = run_virtual(scenario())
+    assert len(fleet.crashes_s) >= 2
+    assert fleet.n_late_calls <= N_LATE_CALLS_MAX
+
+
 async def make_fleet_with_mistaken_quarantine():
     """Return a fleet after a request crashed replicas, as it no longer does."""
     fleet = Fleet(1)
