Ignore SIGHUP from the first statement of the program on

Cause: the handler was installed last, after all imports; until then the signal ended the process.

Change: the signal is ignored before the first import. The handler that did nothing is no longer needed.

--- a/chestnuthall/platform/__main__.py
+++ b/chestnuthall/platform/__main__.py
@@ -1,8 +1,14 @@
 """Entry point of the daemon on the platform."""
 
-import gc
-import os
-import sys
+import signal
+
+# The settings file is read only at the start, so a change of it needs no action. The
+# signal may come while the modules are still being imported.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import gc  # noqa: E402
+import os  # noqa: E402
+import sys  # noqa: E402
 
 # No module is freed, so collections during the imports find next to nothing.
 gc.disable()
--- a/chestnuthall/platform/_main.py
+++ b/chestnuthall/platform/_main.py
@@ -48,6 +48,4 @@
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, instance.lifecycle.announce_leave)
-    # SIGHUP is ignored, since the settings file is read only at the start.
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
     await instance.run()
