Take an answer to another call as a sign of life in a silence check

What callers could see: a harmless request refused as quarantined, if its probe was slow at a replica whose queue of new connections is full.

Cause: a replica counted as ended if it accepted no connection twice. One that is busy accepts none either: the packet that opens a connection is dropped while the queue is full. It answers on the connections that are open.

Change: a response of the address to any call during the check shows that it runs.

--- a/chestnuthall/adapters/upstreams/_caller.py
+++ b/chestnuthall/adapters/upstreams/_caller.py
@@ -95,6 +95,8 @@
         self._budgets: dict[str, _Budget] = {}
         self._default_budget = BUDGET_DEFAULT
         self._same_zone_addresses: set[str] = set()
+        # Time of the last response from each address.
+        self._answered_ms_by_address: dict[str, float] = {}
         self._background_tasks: set[asyncio.Task[None]] = set()
 
     def set_connection_budget(
@@ -187,6 +189,7 @@
         pool = self._pools.pop(address, None)
         self._group_of_address.pop(address, None)
         self._same_zone_addresses.discard(address)
+        self._answered_ms_by_address.pop(address, None)
         if pool is not None:
             pool.close()
 
@@ -299,6 +302,7 @@
         response: HttpResponse,
     ) -> ShardAnswer | Failure:
         """Decode a response and release its connection."""
+        self._answered_ms_by_address[pool.address] = self._clock.now_ms()
         answer = self._codec.decode_answer(call, response)
         if isinstance(answer, Failure) and answer.kind in _CLOSING_KINDS:
             connection.close()
@@ -379,10 +383,16 @@
         return failure
 
     async def accepts_connections(self, replica: Replica, timeout_ms: float) -> bool:
-        """Return whether a replica accepts a new connection, which is closed again."""
+        """Return whether a replica accepts a new connection, which is closed again.
+
+        A replica that answers another call meanwhile is running, too: while its queue
+        of new connections is full, it accepts none.
+        """
+        started_ms = self._clock.now_ms()
         connection = await connect(replica.address, timeout_ms)
         if isinstance(connection, Failure):
-            return False
+            answered_ms = self._answered_ms_by_address.get(replica.address, 0.0)
+            return answered_ms > started_ms
         connection.close()
         return True
 
--- a/chestnuthall/ports/_shards.py
+++ b/chestnuthall/ports/_shards.py
@@ -71,7 +71,10 @@
     """Tells whether replicas accept connections."""
 
     async def accepts_connections(self, replica: Replica, timeout_ms: float) -> bool:
-        """Return whether the replica accepts a new connection within the time."""
+        """Return whether the replica accepts a new connection within the time.
+
+        Any other sign of life within the time counts as well.
+        """
         ...
 
 
