Keep silence from adding to the evidence of observed losses

What callers saw, in a trial of ours: a popular hold refused as quarantined.

Cause: two places in which what silence suggests was taken for an observed loss. A suspicion that silence raised and an answer cleared prolonged the time for which earlier clearances count, so that losses far apart added up to the limit. And the observed loss of a probe counted as the second one, after a silence that was none.

Change: a clearance after silence leaves the count of clearances and its time as they are. If the probe of a request that is only suspected by silence is observed to be lost, that is the first loss; if it falls silent, the request is quarantined as before.

--- a/chestnuthall/core/quarantine/_registry.py
+++ b/chestnuthall/core/quarantine/_registry.py
@@ -137,9 +137,15 @@
 
 @dataclass(frozen=True, slots=True)
 class _Clearance:
+    """Last clearance of a request, and the number of those that followed a loss.
+
+    ``counted_ms`` is the time of the last one that is counted.
+    """
+
     cleared_ms: float
     n_cleared: int
     is_local: bool
+    counted_ms: float
 
 
 Listener = Callable[[str, SuspicionState, bool], None]
@@ -179,10 +185,12 @@
         now_ms: float,
         started_ms: float,
         is_probe: bool = False,
+        is_silent: bool = False,
     ) -> None:
-        """Record a connection that was lost while a replica ran a request.
+        """Record a replica that was lost while it ran a request.
 
-        ``is_probe`` says that the call started while the request was suspected.
+        ``is_probe`` says that the call started while the request was suspected, and
+        ``is_silent`` that the loss was inferred from the silence of the replica.
         The loss of a call that started before the request was cleared is ignored,
         because it belongs to the wave that the clearance covers.
         """
@@ -201,7 +209,7 @@
             else:
                 self._notify(fingerprint, SuspicionState.SUSPECTED, True)
             return
-        suspicion.is_silent = False
+        was_silent, suspicion.is_silent = suspicion.is_silent, False
         first_loss_zone = suspicion.loss_zone_by_shard.get(shard_id)
         is_evidence = is_probe or first_loss_zone not in (None, replica.zone)
         self._record_location(suspicion, replica, shard_id)
@@ -214,6 +222,9 @@
             name = f"{name}{INCARNATION_MARK}{len(suspicion.replica_names)}"
         if not is_evidence or name in suspicion.replica_names:
             return
+        if was_silent and not is_silent:
+            # What silence suggested is no first loss beside one that was observed.
+            suspicion.replica_names.clear()
         suspicion.replica_names.add(name)
         if len(suspicion.replica_names) >= self._settings.n_replicas_lost_max:
             self._quarantine(suspicion, now_ms, is_local=True)
@@ -254,7 +265,13 @@
         suspicion = self._find_unexpired(fingerprint, now_ms)
         if is_probe and suspicion is not None:
             self.record_loss(
-                fingerprint, replica, shard_id, now_ms, started_ms, is_probe=True
+                fingerprint,
+                replica,
+                shard_id,
+                now_ms,
+                started_ms,
+                is_probe=True,
+                is_silent=True,
             )
             return
         if suspicion is not None or not self._may_suspect_silence(now_ms):
@@ -554,13 +571,17 @@
         ):
             return
         del self._suspicions[fingerprint]
-        n_cleared = self._n_cleared(fingerprint, now_ms) + (not suspicion.is_silent)
-        self._cleared[fingerprint] = _Clearance(now_ms, n_cleared, is_local)
+        n_cleared, counted_ms = self._n_cleared(fingerprint, now_ms), now_ms
+        if not suspicion.is_silent:
+            n_cleared += 1
+        elif n_cleared:
+            counted_ms = self._cleared[fingerprint].counted_ms
+        self._cleared[fingerprint] = _Clearance(now_ms, n_cleared, is_local, counted_ms)
         self._notify(fingerprint, SuspicionState.CLEARED, is_local)
 
     def _n_cleared(self, fingerprint: str, now_ms: float) -> int:
         cleared = self._cleared.get(fingerprint)
-        if cleared is None or now_ms - cleared.cleared_ms > CLEARED_RETENTION_MS:
+        if cleared is None or now_ms - cleared.counted_ms > CLEARED_RETENTION_MS:
             return 0
         return cleared.n_cleared
 
--- a/chestnuthall/core/quarantine/tests/test_registry.py
+++ b/chestnuthall/core/quarantine/tests/test_registry.py
@@ -266,3 +266,26 @@
     assert new.is_suspected("f", 31.0)
     new.on_answered("f", 32.0)
     assert not new.is_suspected("f", 33.0)
+
+
+def test_loss_of_a_probe_after_silence_is_a_first_loss():
+    """A harmless request may meet a loss of many replicas and another loss later."""
+    registry = QuarantineRegistry(QuarantineSettings())
+    fall_silent(registry, 10.0)
+    lose_replica(registry, 1, 20.0, 30.0, is_probe=True)
+    assert registry.is_suspected("f", 31.0)
+    assert not registry.is_quarantined("f", 31.0)
+    lose_replica(registry, 2, 40.0, 50.0, is_probe=True)
+    assert registry.is_quarantined("f", 51.0)
+
+
+def test_clearance_after_silence_keeps_no_earlier_one():
+    """Losses far apart must not add up because of the silence between them."""
+    registry = QuarantineRegistry(QuarantineSettings())
+    for number in range(6):
+        now_ms = 11_000.0 * number
+        lose_replica(registry, number, now_ms, now_ms + 1.0)
+        registry.clear("f", now_ms + 50.0)
+        fall_silent(registry, now_ms + 5_500.0, number=number)
+        registry.on_answered("f", now_ms + 5_600.0)
+        assert not registry.is_quarantined("f", now_ms + 5_700.0)
