Let answered runs of a request outweigh earlier clearances

Seven of eight replicas lost power every 6.5 s and closed their connections on their return.

Cause: a request that loses a replica within 10 s of two clearances is quarantined, as it might crash only some of its runs. A popular one is in flight whenever replicas are lost, and was answered hundreds of times in between; that evidence was not looked at.

Change: after 20 runs that were answered and lost no replica, earlier clearances no longer count. A request that crashes one run in six is still quarantined.

Result: test_registry.py, the popular case failed before.

--- a/chestnuthall/core/quarantine/_registry.py
+++ b/chestnuthall/core/quarantine/_registry.py
@@ -35,6 +35,9 @@
 # The next loss after this many clearances quarantines the request. Without the
 # limit, a request that crashes only some of its runs would always be cleared.
 N_CLEARED_MAX = 2
+# Answered runs after which earlier clearances no longer count. A popular request is in
+# flight whenever replicas are lost, whatever their reason.
+N_ANSWERED_TRUSTED = 20
 # Suspicions inferred from silence within the window. Each one is shared, and the next
 # run of a suspected request is a single call.
 N_SILENT_SUSPICIONS_MAX = 8
@@ -135,17 +138,19 @@
     return f"{replica.name}{INCARNATION_MARK}{replica.incarnation}"
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Clearance:
     """Last clearance of a request, and the number of those that followed a loss.
 
-    ``counted_ms`` is the time of the last one that is counted.
+    ``counted_ms`` is the time of the last one that is counted, and ``n_answered`` the
+    number of runs since the last one that lost no replica and were answered.
     """
 
     cleared_ms: float
     n_cleared: int
     is_local: bool
     counted_ms: float
+    n_answered: int = 0
 
 
 Listener = Callable[[str, SuspicionState, bool], None]
@@ -543,6 +548,9 @@
         replicas here stays suspected; it is quarantined if it has lost several and no
         replica answered it.
         """
+        cleared = self._cleared.get(fingerprint)
+        if cleared is not None and is_answered and not has_lost_replica:
+            cleared.n_answered += 1
         suspicion = self._find_unexpired(fingerprint, now_ms)
         if suspicion is None:
             return
@@ -583,6 +591,8 @@
         cleared = self._cleared.get(fingerprint)
         if cleared is None or now_ms - cleared.counted_ms > CLEARED_RETENTION_MS:
             return 0
+        if cleared.n_answered >= N_ANSWERED_TRUSTED:
+            return 0
         return cleared.n_cleared
 
     def lift(self, fingerprint: str) -> bool:
--- a/chestnuthall/core/quarantine/tests/test_registry.py
+++ b/chestnuthall/core/quarantine/tests/test_registry.py
@@ -289,3 +289,24 @@
         fall_silent(registry, now_ms + 5_500.0, number=number)
         registry.on_answered("f", now_ms + 5_600.0)
         assert not registry.is_quarantined("f", now_ms + 5_700.0)
+
+
+@pytest.mark.parametrize(
+    ("n_answered", "is_quarantined"),
+    [
+        pytest.param(0, True, id="crashes-every-other-run"),
+        pytest.param(5, True, id="crashes-many-runs"),
+        pytest.param(50, False, id="popular"),
+    ],
+)
+def test_answered_runs_outweigh_earlier_clearances(n_answered, is_quarantined):
+    """A popular request is in flight at each loss of replicas, and harmless."""
+    registry = QuarantineRegistry(QuarantineSettings())
+    for number in range(4):
+        now_ms = 5_000.0 * number
+        lose_replica(registry, number, now_ms, now_ms + 1.0)
+        registry.end_run("f", "q", now_ms + 2.0, has_lost_replica=True)
+        registry.clear("f", now_ms + 50.0)
+        for index in range(n_answered):
+            registry.end_run("f", f"q{index}", now_ms + 60.0, is_answered=True)
+    assert registry.is_quarantined("f", 15_001.5) == is_quarantined
