Serve only once the quarantines have been read

Callers saw: nothing but 502 and 503; replicas saw a search that had crashed replicas for seconds run again in full at each instance that had taken the place of another one.

Cause: an instance was ready with its configuration and replicas. The records of quarantines were listed once the instances of the zone were known, 3 s after the start of a new one, and then from a leader that may have ended.

Change: the first listing goes to the store, or to the peer with the newest records while the store does not answer. Requests are rejected as not run, and readiness withheld, until it has succeeded or has failed three times: with the store and all peers out of reach an instance serves without it. Two failures of a leader, not five, let an instance read the store itself.

A start costs two calls to the store instead of none. The test of the cost of a calm minute counted the start as well; both have a bound of their own now, the minute a lower one.

--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -291,6 +291,7 @@
             combine_shards=peer_shard_sets.combine_shards,
             ends_at_ms=lambda: self.lifecycle.ends_at_ms,
             reachability=self._caller,
+            knows_quarantines=self._quarantine_records.may_serve,
         )
         QuarantineLog(quarantine, clock, metrics)
         self._relay = RelayService(query, self.configuration, self.directory)
@@ -348,7 +349,11 @@
         )
 
     def _is_initialised(self) -> bool:
-        return self.configuration.is_ready and self.directory.is_ready
+        return (
+            self.configuration.is_ready
+            and self.directory.is_ready
+            and self._quarantine_records.may_serve()
+        )
 
     async def _serve_metrics(self, request: HttpRequest) -> HttpResponse:
         if request.path != METRICS_PATH:
--- a/chestnuthall/platform/tests/test_crash_runs.py
+++ b/chestnuthall/platform/tests/test_crash_runs.py
@@ -15,7 +15,6 @@
 N_RUNS_AT_ONCE = 10
 N_LATE_CALLS_MAX = 3
 RUN_TIMEOUT_S = 120.0
-LATE_AFTER_REPLACEMENT = "KNOWN-RED 23: new instances know no quarantine"
 LATE_IN_ANSWERED_SEARCHES = "KNOWN-RED 24: answers of other shards hide silent crashes"
 KNOWN_RED = {
     "one_shard_silently": LATE_IN_ANSWERED_SEARCHES,
@@ -24,11 +23,6 @@
     "many_requests_for_one_shard": LATE_IN_ANSWERED_SEARCHES,
     "sent_at_once_for_one_shard": LATE_IN_ANSWERED_SEARCHES,
     "replaced_one_shard_silently": LATE_IN_ANSWERED_SEARCHES,
-    "replaced": LATE_AFTER_REPLACEMENT,
-    "replaced_and_reached_late": LATE_AFTER_REPLACEMENT,
-    "replaced_all": LATE_AFTER_REPLACEMENT,
-    "replaced_silently": LATE_AFTER_REPLACEMENT,
-    "replaced_in_store_outage": LATE_AFTER_REPLACEMENT,
 }
 
 
--- a/chestnuthall/services/_quarantine_records.py
+++ b/chestnuthall/services/_quarantine_records.py
@@ -29,6 +29,9 @@
 CLAIM_TIMEOUT_MS = 200.0
 RETRY_DELAY_MIN_MS = 250.0
 RETRY_DELAY_MAX_MS = 1_000.0
+# Failed listings after which an instance serves without the records. With the store
+# and all peers out of reach, nobody can tell it more.
+N_LISTINGS_FAILED_MAX = 3
 # Limit of the records in the store. When it is reached, the oldest suspicion makes
 # room for a new record.
 N_RECORDS_MAX = 512
@@ -76,6 +79,8 @@
         self._shared: dict[str, _SharedRecord] = {}
         self._pending: set[str] = set()
         self._claiming: set[str] = set()
+        self._is_listed = False
+        self._n_listings_failed = 0
         self._has_pending = asyncio.Event()
         self._follower = KindFollower(
             QUARANTINE_KIND, store, clock, self, watch_timeout_ms
@@ -89,6 +94,14 @@
             self._pending.add(fingerprint)
             self._has_pending.set()
 
+    def may_serve(self) -> bool:
+        """Return whether requests may be served with what is known of the records.
+
+        Before the first listing an instance would run quarantined requests. If the
+        records are out of reach, it serves without them.
+        """
+        return self._is_listed or self._n_listings_failed >= N_LISTINGS_FAILED_MAX
+
     async def run(self) -> None:
         """Follow the records and write changes until cancelled."""
         async with asyncio.TaskGroup() as group:
@@ -233,6 +246,7 @@
                 self.on_deleted(name)
         for stored in listing:
             self.on_changed(stored)
+        self._is_listed = True
         return True
 
     def on_changed(self, stored: StoredObject) -> None:
@@ -261,8 +275,11 @@
 
     def on_list_failed(self, failure: Failure) -> None:
         """Keep the known records."""
+        self._n_listings_failed += 1
         if failure.kind is not NOT_READY:
             _log.warning("cannot list quarantines", extra={"result_code": failure.code})
+        if not self._is_listed and self._n_listings_failed == N_LISTINGS_FAILED_MAX:
+            _log.warning("serving without knowledge of the quarantines")
 
     def on_watch_failed(self, failure: Failure) -> None:
         """Keep the known records."""
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -122,6 +122,7 @@
     and ``shared_budget`` replaces the extra-load budgets of the classes. ``ends_at_ms``
     returns the time by which a request has to be answered because the instance stops.
     Without ``reachability``, replicas that end silently are not attributed to requests.
+    ``knows_quarantines`` tells whether the fleet's quarantines have been read.
     """
 
     def __init__(
@@ -145,7 +146,9 @@
         combine_shards: Callable[[Sequence[Shard]], tuple[Shard, ...]] | None = None,
         ends_at_ms: Callable[[], float] = lambda: float("inf"),
         reachability: ReplicaReachability | None = None,
+        knows_quarantines: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._knows_quarantines = knows_quarantines
         self._ends_at_ms = ends_at_ms
         self._combine_shards = combine_shards
         self._decision_log = decision_log
@@ -288,6 +291,8 @@
         configuration = self._configuration.in_force
         if configuration is None:
             return NOT_READY.with_reason("no configuration is in force")
+        if not self._knows_quarantines():
+            return NOT_READY.with_reason("the quarantines have not been read yet")
         caller_class = configuration.document.find_class(request.class_name)
         if caller_class is None:
             return UNKNOWN_CLASS.with_reason(f"no class named {request.class_name!r}")
--- a/chestnuthall/services/_sparse_store.py
+++ b/chestnuthall/services/_sparse_store.py
@@ -27,19 +27,23 @@
 
 # A watch of the store may last that long, as reads of other kinds show an outage.
 WATCH_TIMEOUT_MS = 15_000.0
-# Failed watches at leaders in a row, after which the store is watched instead.
-N_LEADER_FAILURES_MAX = 5
-LEADER_RETRY_MS = 500.0
+# Watch of an instance that does not know its peers yet, and with them its leader.
+FIRST_WATCH_TIMEOUT_MS = 3_200.0
+# Failed reads of leaders in a row, after which the store is read instead.
+N_LEADER_FAILURES_MAX = 2
+LEADER_RETRY_MS = 200.0
 
 
 class SparseObjectStore:
     """Watches a kind that is usually empty; calls to the store are priced.
 
-    In a zone with leaders only these read the store. A watch of the store lasts long,
-    because the reads of ``shared``, of other kinds, tell whether the store answers:
-    when one of them fails, the watch is given up, and the objects are listed again
-    once the store answers. ``are_peers_known`` tells whether the instances of the zone
-    have been listed, without which each would take itself for a leader.
+    In a zone with leaders only these read the store, except that each instance lists
+    the objects there when it starts: it must know them before it serves, and its peers
+    become known later. A watch of the store lasts long, because the reads of
+    ``shared``, of other kinds, tell whether the store answers: when one of them fails,
+    the watch is given up, and the objects are listed again once the store answers.
+    ``are_peers_known`` tells whether the instances of the zone have been listed,
+    without which each would take itself for a leader.
     """
 
     def __init__(
@@ -96,40 +100,56 @@
         return await self._store.delete(kind, name, version, timeout_ms)
 
     async def list_kind(self, kind: str, timeout_ms: float) -> ObjectListing | Failure:
-        """Read all objects, from the leader if there is one.
+        """Read all objects, the first time from the store, then from the leader.
 
         While the store does not answer, any peer will do.
         """
-        is_store_answering = self._shared.is_store_answering
-        if is_store_answering is None:
-            return NOT_READY.with_reason("the store has not been read yet")
-        if is_store_answering and not self._are_peers_known():
-            return NOT_READY.with_reason("the instances of the zone are not known yet")
         leader = self._leader()
-        if leader is not None:
+        if not self.feed.is_loaded:
+            listed = await self._list_first(kind, timeout_ms)
+        elif leader is not None:
             listed = await self._read_peer(leader.address)
             self._n_leader_failures += isinstance(listed, Failure)
-        elif not is_store_answering:
-            listed = await self._read_any_peer()
+        elif self._shared.is_store_answering is False:
+            listed = await self._read_peers()
         else:
-            listed = await self._store.list_kind(kind, timeout_ms)
-            if not isinstance(listed, Failure):
-                self.feed.confirm()
+            listed = await self._list_store(kind, timeout_ms)
         if not isinstance(listed, Failure):
             self.feed.replace_all(listed.objects, listed.watch_version)
         return listed
 
+    async def _list_first(
+        self, kind: str, timeout_ms: float
+    ) -> ObjectListing | Failure:
+        if self._shared.is_store_answering is not False:
+            listed = await self._list_store(kind, timeout_ms)
+            if not isinstance(listed, Failure):
+                return listed
+        return await self._read_peers()
+
+    async def _list_store(
+        self, kind: str, timeout_ms: float
+    ) -> ObjectListing | Failure:
+        listed = await self._store.list_kind(kind, timeout_ms)
+        if not isinstance(listed, Failure):
+            self.feed.confirm()
+        return listed
+
     def _leader(self) -> InstanceEntry | None:
         if self._n_leader_failures > N_LEADER_FAILURES_MAX:
             return None
         return self._shared.leader()
 
-    async def _read_any_peer(self) -> ObjectListing | Failure:
-        for address in self._shared.peer_addresses():
-            listed = await self._read_peer(address)
-            if not isinstance(listed, Failure) and listed.version >= self.feed.version:
-                return listed
-        return STORE_UNAVAILABLE.with_reason("neither the store nor a peer answers")
+    async def _read_peers(self) -> ObjectListing | Failure:
+        """Return the newest objects that a peer has; some peers may be out of date."""
+        answers = await asyncio.gather(
+            *(self._read_peer(address) for address in self._shared.peer_addresses())
+        )
+        listings = [item for item in answers if not isinstance(item, Failure)]
+        newest = max(listings, key=lambda item: item.version, default=None)
+        if newest is None or newest.version < self.feed.version:
+            return STORE_UNAVAILABLE.with_reason("neither the store nor a peer answers")
+        return newest
 
     async def _read_peer(self, address: str) -> ObjectListing | Failure:
         answer = await self._feed_client.snapshot(
@@ -152,6 +172,8 @@
             if leader is not None:
                 batch = await self._watch_leader(leader, after_version, left_ms)
             elif self._shared.is_store_answering:
+                if not self._are_peers_known():
+                    left_ms = min(left_ms, FIRST_WATCH_TIMEOUT_MS)
                 batch = await self._watch_store(after_version, left_ms)
                 self._n_leader_failures = 0
             else:
--- a/chestnuthall/services/tests/test_sparse_store.py
+++ b/chestnuthall/services/tests/test_sparse_store.py
@@ -223,12 +223,24 @@
     assert elapsed_ms <= RECOVERY_MS
 
 
+def test_start_costs_few_calls():
+    """Each call is priced: a list, and a watch until the leader is known."""
+
+    async def scenario():
+        fleet = Fleet(6)
+        await asyncio.sleep(10.0)
+        return fleet.store.n_calls_by_kind[SPARSE]
+
+    # The leader goes on watching.
+    assert run_virtual(scenario()) <= 2 * 6 + 1
+
+
 @pytest.mark.parametrize(
     ("n_instances", "n_calls_max"),
     [
-        # The list and a watch each 15 s of every instance.
-        pytest.param(3, 3 * 6, id="without leaders"),
-        pytest.param(6, 6, id="with a leader"),
+        # A watch each 15 s of every instance.
+        pytest.param(3, 3 * 4, id="without leaders"),
+        pytest.param(6, 4, id="with a leader"),
     ],
 )
 def test_calm_minute_costs_few_calls(n_instances, n_calls_max):
@@ -236,25 +248,68 @@
 
     async def scenario():
         fleet = Fleet(n_instances)
+        await asyncio.sleep(12.0)
+        n_before = fleet.store.n_calls_by_kind[SPARSE]
         await asyncio.sleep(60.0)
-        return fleet.store.n_calls_by_kind[SPARSE]
+        return fleet.store.n_calls_by_kind[SPARSE] - n_before
 
     assert run_virtual(scenario()) <= n_calls_max
 
 
-def test_outage_costs_few_calls():
+@pytest.mark.parametrize("offset_s", [0.0, 3.7, 9.1])
+def test_outage_costs_few_calls(offset_s):
     """Refused calls are priced as well, and the other kinds are retried anyway."""
 
     async def scenario():
         fleet = Fleet(6)
-        await asyncio.sleep(12.0)
+        await asyncio.sleep(12.0 + offset_s)
         n_before = fleet.store.n_calls_by_kind[SPARSE]
-        await refusing_outage(fleet)
+        loop = asyncio.get_running_loop()
+        outage = loop.create_task(refusing_outage(fleet))
+        await asyncio.sleep(19.9)
+        n_at_end = fleet.store.n_calls_by_kind[SPARSE]
+        await outage
         await asyncio.sleep(5.0)
-        return fleet.store.n_calls_by_kind[SPARSE] - n_before
+        return n_at_end - n_before, fleet.store.n_calls_by_kind[SPARSE] - n_at_end
 
+    n_during, n_after = run_virtual(scenario())
+    # An instance whose leader has lost the store finds out for itself.
+    assert n_during <= 6
     # Once it is over, each instance lists the objects and starts a watch.
-    assert run_virtual(scenario()) <= 2 * 6
+    assert n_after <= 2 * 6
+
+
+def test_first_listing_does_not_wait_for_the_peers():
+    """An instance must not serve for seconds without knowledge of the quarantines."""
+
+    async def scenario():
+        fleet = Fleet(6)
+        await asyncio.sleep(12.0)
+        fleet.store.put("q", "1", SPARSE)
+        await asyncio.sleep(1.0)
+        fleet.feeds.unreachable.update(fleet.names[:3])
+        fleet.restart(fleet.names[-1])
+        return await fleet.time_until_seen(fleet.names[-1:], "q", 5.0)
+
+    assert run_virtual(scenario()) <= 100.0
+
+
+def test_start_without_the_store_takes_the_newest_objects_of_the_peers():
+    """A peer that has been out of touch answers first, with what it knew then."""
+
+    async def scenario():
+        fleet = Fleet(6)
+        await asyncio.sleep(12.0)
+        stale, starting = fleet.all_names[0], fleet.all_names[-1]
+        for task in fleet.instances[stale].tasks:
+            task.cancel()
+        fleet.store.put("q", "1", SPARSE)
+        await asyncio.sleep(1.0)
+        fleet.store.refused.update(fleet.names)
+        fleet.restart(starting)
+        return await fleet.time_until_seen([starting], "q", 0.2)
+
+    assert run_virtual(scenario()) is not None
 
 
 def test_start_without_the_store_reads_the_objects_of_a_peer():
