--- a/chestnuthall/core/quarantine/__init__.py
+++ b/chestnuthall/core/quarantine/__init__.py
@@ -1,15 +1,7 @@
 """Detection and quarantine of requests that crash upstreams."""
 
 from chestnuthall.core.quarantine._record import QuarantineRecord
-from chestnuthall.core.quarantine._registry import (
-    INCARNATION_MARK,
-    RETENTION_MS,
-    QuarantineRegistry,
-    QuarantineSettings,
-    Suspicion,
-    SuspicionState,
-    loss_name,
-)
+from chestnuthall.core.quarantine._registry import QuarantineRegistry
 from chestnuthall.core.quarantine._sharing import (
     CreateRecord,
     DeleteRecord,
@@ -17,6 +9,14 @@
     UpdateRecord,
     next_write,
 )
+from chestnuthall.core.quarantine._suspicion import (
+    INCARNATION_MARK,
+    RETENTION_MS,
+    QuarantineSettings,
+    Suspicion,
+    SuspicionState,
+    loss_name,
+)
 
 __all__ = [
     "CreateRecord",
