Attribute silent crashes of some shards to the search that caused them

Callers saw: 200 with partial coverage, each time they sent a search that crashed the replicas of one shard as a loss of power would. Replicas saw the search run again for as long as it came.

Cause: one answer counted as proof for the whole request. A check of silent replicas began only while no shard had answered, an answer of any shard ended it, and the answered probe of a shard without losses cleared the request.

Change: silence, its checks and the clearing of a suspicion go by shard. Shards whose replicas have answered a suspected request are called and hedged as usual, only the shard in question waits for its probe; a probe of another shard clears nothing, and a retest calls no other shard. One check serves all calls to a replica, costs no connection if the replica answers any call before it is due, and suspects the two calls that it left unanswered first. The limit of suspicions is divided over the fleet, since each one is written to the store.

A suspected query whose hedge was due set its timer again for the next 0.05 ms until its probe ended; hedges that are not allowed are no longer due.

--- a/chestnuthall/adapters/upstreams/_caller.py
+++ b/chestnuthall/adapters/upstreams/_caller.py
@@ -391,11 +391,14 @@
         started_ms = self._clock.now_ms()
         connection = await connect(replica.address, timeout_ms)
         if isinstance(connection, Failure):
-            answered_ms = self._answered_ms_by_address.get(replica.address, 0.0)
-            return answered_ms > started_ms
+            return self.last_answer_ms(replica) > started_ms
         connection.close()
         return True
 
+    def last_answer_ms(self, replica: Replica) -> float:
+        """Return when the replica last answered any call; minus infinity for never."""
+        return self._answered_ms_by_address.get(replica.address, float("-inf"))
+
     async def send_request(
         self, replica: Replica, group: str, request: HttpRequest, timeout_ms: float
     ) -> HttpResponse | Failure:
--- a/chestnuthall/core/fanout/_handlers.py
+++ b/chestnuthall/core/fanout/_handlers.py
@@ -82,7 +82,10 @@
         failure = CALL_MISMATCH.with_reason("the answer has the ids of another call")
         return _handle_failure(state, progress, running, failure, event.now_ms)
     if not progress.shard.shards:
-        state.context.quarantine.on_answered(state.request.fingerprint, event.now_ms)
+        progress.has_replied = True
+        state.context.quarantine.on_answered(
+            state.request.fingerprint, answer.shard_id, event.now_ms
+        )
     if answer.is_error:
         failure = UPSTREAM_ERROR.with_reason("the replica answered with an error")
         state.error_reply = answer.reply
@@ -107,7 +110,7 @@
     actions = state.cancel_running(progress, event.now_ms)
     if running.is_probe or progress.has_lost_replica:
         # Another replica of the shard ran the request and survived.
-        actions += probes.on_probe_answered(state, event.now_ms)
+        actions += probes.on_probe_answered(state, answer.shard_id, event.now_ms)
     return actions
 
 
@@ -174,7 +177,7 @@
         return _request_replan(state, progress, now_ms)
     if running.is_probe and state.is_suspected(now_ms):
         return probes.retry_probe(state, progress, now_ms)
-    if state.is_suspected(now_ms):
+    if state.must_defer(progress, now_ms):
         return probes.defer(state, progress, now_ms)
     return _retry(state, progress, failure, now_ms)
 
@@ -206,6 +209,7 @@
             now_ms,
             running.started_ms,
             is_probe=running.is_probe,
+            answered_shard_ids=state.replied_shard_ids(),
         )
     context.router.on_failed(
         running.call.replica,
@@ -340,7 +344,7 @@
 def _retry_now(
     state: FanOutState, progress: ShardProgress, now_ms: float
 ) -> list[Action]:
-    if state.is_suspected(now_ms):
+    if state.must_defer(progress, now_ms):
         progress.retry_at_ms = None
         return probes.defer(state, progress, now_ms)
     return state.try_dispatch(progress, now_ms)
--- a/chestnuthall/core/fanout/_hedges.py
+++ b/chestnuthall/core/fanout/_hedges.py
@@ -65,11 +65,15 @@
     return HedgeTiming(delay_ms, min_age_ms, latest_ms, min_age_ms)
 
 
-def hedge_due_ms(progress: ShardProgress, timing: HedgeTiming) -> float | None:
+def hedge_due_ms(
+    state: FanOutState, progress: ShardProgress, timing: HedgeTiming, now_ms: float
+) -> float | None:
     """Return when to consider a hedge of the shard, or None for never."""
     oldest = progress.oldest_call
     if oldest is None or not _may_hedge(progress):
         return None
+    if state.must_defer(progress, now_ms):
+        return None
     due_ms = timing.due_ms(oldest.started_ms, oldest.is_trial)
     return max(due_ms, progress.hedge_not_before_ms)
 
@@ -86,14 +90,14 @@
 def hedge_due_shards(state: FanOutState, now_ms: float) -> list[Action]:
     """Start the hedges that are due, oldest calls first.
 
-    A suspected request is not hedged, as it may run on only one replica at a time.
+    A suspected request is hedged only at shards whose replicas survive it.
     """
-    if state.is_suspected(now_ms) or not is_idempotent(state.request):
+    if not is_idempotent(state.request):
         return []
     timing = hedge_timing(state)
     due = []
     for progress in state.shards.values():
-        due_ms = hedge_due_ms(progress, timing)
+        due_ms = hedge_due_ms(state, progress, timing, now_ms)
         oldest = progress.oldest_call
         if oldest is not None and due_ms is not None and due_ms <= now_ms:
             due.append((oldest, progress))
--- a/chestnuthall/core/fanout/_machine.py
+++ b/chestnuthall/core/fanout/_machine.py
@@ -67,6 +67,7 @@
                 progress.has_lost_replica for progress in self.shards.values()
             ),
             is_answered=self.n_answered > 0,
+            has_unanswered_calls=bool(self.unanswered),
             has_unanswered_probe=any(item.is_probe for item in self.unanswered),
         )
         return actions
@@ -124,7 +125,9 @@
         for progress in self.shards.values():
             if progress.retry_at_ms is not None:
                 due_ms = min(due_ms, progress.retry_at_ms)
-            hedge_ms = hedge_due_ms(progress, timing) if may_hedge else None
+            hedge_ms = (
+                hedge_due_ms(self, progress, timing, now_ms) if may_hedge else None
+            )
             if hedge_ms is not None:
                 due_ms = min(due_ms, hedge_ms)
         return due_ms
--- a/chestnuthall/core/fanout/_probes.py
+++ b/chestnuthall/core/fanout/_probes.py
@@ -14,10 +14,19 @@
 
 
 def defer_all(state: FanOutState, now_ms: float) -> list[Action]:
-    """Defer every shard of a request that became suspected in an earlier run."""
-    for progress in state.shards.values():
-        progress.is_deferred = True
-    return reserve_probe(state, now_ms)
+    """Defer the shards of a request that became suspected in an earlier run.
+
+    Shards whose replicas are known to survive it are called at once.
+    """
+    actions: list[Action] = []
+    for progress in tuple(state.shards.values()):
+        if state.must_defer(progress, now_ms):
+            progress.is_deferred = True
+        else:
+            actions += state.try_dispatch(progress, now_ms)
+    if not deferred_shards(state):
+        return actions
+    return actions + reserve_probe(state, now_ms)
 
 
 def defer(state: FanOutState, progress: ShardProgress, now_ms: float) -> list[Action]:
@@ -55,14 +64,17 @@
 
 
 def start_probe(state: FanOutState, now_ms: float) -> list[Action]:
-    """Call one deferred shard as the probe; fail all of them if none can be called."""
-    # Only shards that lost replicas can tell whether the request still crashes them.
-    suspect_ids = state.context.quarantine.shards_with_losses(
-        state.request.fingerprint, now_ms
-    )
+    """Call one deferred shard as the probe; fail all of them if none can be called.
+
+    Only shards that lost replicas can tell whether the request still crashes them. The
+    probe of another one tells whether the remaining shards can be called.
+    """
+    suspect_ids = _suspect_ids(state, now_ms)
     candidates = sorted(
         deferred_shards(state), key=lambda item: item.shard.shard_id not in suspect_ids
     )
+    if suspect_ids and state.is_retest:
+        candidates = [x for x in candidates if x.shard.shard_id in suspect_ids]
     for progress in candidates:
         replica = _choose_probe_replica(state, progress, now_ms)
         if replica is None or progress.n_attempts >= N_ATTEMPTS_MAX:
@@ -77,6 +89,12 @@
     return []
 
 
+def _suspect_ids(state: FanOutState, now_ms: float) -> frozenset[str]:
+    return state.context.quarantine.shards_with_losses(
+        state.request.fingerprint, now_ms
+    )
+
+
 def _choose_probe_replica(
     state: FanOutState, progress: ShardProgress, now_ms: float
 ) -> Replica | None:
@@ -118,11 +136,34 @@
     state.fail_shard(progress, "no verdict on a suspected request", now_ms)
 
 
-def on_probe_answered(state: FanOutState, now_ms: float) -> list[Action]:
-    """Clear the request of suspicion and continue with the deferred shards."""
+def on_probe_answered(state: FanOutState, shard_id: str, now_ms: float) -> list[Action]:
+    """Continue with the deferred shards after the answer of one of them.
+
+    It clears the request if the shard had lost a replica. Otherwise the shards that
+    have lost none are called, and the others wait for a probe of their own.
+    """
     state.probe_step = ProbeStep.NONE
-    state.context.quarantine.clear(state.request.fingerprint, now_ms)
-    return resolve_deferred(state, now_ms)
+    fingerprint = state.request.fingerprint
+    state.context.quarantine.on_probe_answered(fingerprint, shard_id, now_ms)
+    actions: list[Action] = []
+    if state.is_suspected(now_ms) and not state.is_quarantined(now_ms):
+        suspect_ids = _suspect_ids(state, now_ms)
+        for progress in deferred_shards(state):
+            if progress.shard.shard_id not in suspect_ids:
+                actions += _continue(state, progress, now_ms)
+    return actions + resolve_deferred(state, now_ms)
+
+
+def _continue(
+    state: FanOutState, progress: ShardProgress, now_ms: float
+) -> list[Action]:
+    """Call a deferred shard as far as attempts and credit allow."""
+    may_call = progress.n_attempts < N_ATTEMPTS_MAX
+    if not may_call or not _acquire_retry_credit(state, progress, now_ms):
+        _fail_deferred(state, progress, now_ms)
+        return []
+    progress.is_deferred = False
+    return state.try_dispatch(progress, now_ms)
 
 
 def retry_probe(
@@ -134,21 +175,17 @@
 
 
 def resolve_deferred(state: FanOutState, now_ms: float) -> list[Action]:
-    """Continue with the deferred shards, or fail them.
+    """Continue with the deferred shards, or fail those of a quarantined request.
 
-    Shards of a cleared request are called as far as attempts and credit allow;
-    shards of a quarantined request fail. If the request is still suspected, the
-    next probe is reserved instead.
+    If the request is still suspected, the next probe is reserved instead.
     """
     if state.is_suspected(now_ms) and not state.is_quarantined(now_ms):
         return reserve_probe(state, now_ms)
     is_quarantined = state.is_quarantined(now_ms)
     actions: list[Action] = []
     for progress in deferred_shards(state):
-        may_continue = not is_quarantined and progress.n_attempts < N_ATTEMPTS_MAX
-        if not may_continue or not _acquire_retry_credit(state, progress, now_ms):
+        if is_quarantined:
             _fail_deferred(state, progress, now_ms)
-            continue
-        progress.is_deferred = False
-        actions += state.try_dispatch(progress, now_ms)
+        else:
+            actions += _continue(state, progress, now_ms)
     return actions
--- a/chestnuthall/core/fanout/_progress.py
+++ b/chestnuthall/core/fanout/_progress.py
@@ -39,8 +39,9 @@
     ``has_failed`` means that no further attempt will be made, and
     ``is_deferred`` that the shard waits for the verdict on a suspected request.
     ``has_lost_replica`` means that a replica of the shard was lost while it ran
-    the request. The next attempt skips the replicas in ``tried_names``;
-    ``contacted_names`` are all replicas to which a call may have been written.
+    the request, and ``has_replied`` that one answered it, perhaps with an error.
+    The next attempt skips the replicas in ``tried_names``; ``contacted_names`` are
+    all replicas to which a call may have been written.
     """
 
     shard: Shard
@@ -54,6 +55,7 @@
     has_failed: bool = False
     is_deferred: bool = False
     has_lost_replica: bool = False
+    has_replied: bool = False
     hedge_not_before_ms: float = float("-inf")
     retry_at_ms: float | None = None
 
--- a/chestnuthall/core/fanout/_state.py
+++ b/chestnuthall/core/fanout/_state.py
@@ -340,19 +340,29 @@
     def unanswered_calls(self) -> tuple[RunningCall, ...]:
         """Return the calls that replicas have received and not answered, oldest first.
 
-        The result is empty once any replica has answered the query.
+        Calls of shards of which another replica has answered are left out.
         """
-        if self.n_answered or self.error_reply is not None:
-            return ()
         running = [
             call
             for progress in self.shards.values()
             if not progress.shard.shards
             for call in progress.running.values()
         ]
-        received = [x for x in self.timed_out + running if x.call.trace.is_written]
+        received = [
+            item
+            for item in self.timed_out + running
+            if item.call.trace.is_written and not self._has_replied(item.call.shard_id)
+        ]
         return tuple(sorted(received, key=lambda item: item.started_ms))
 
+    def _has_replied(self, shard_id: str) -> bool:
+        progress = self.shards.get(shard_id)
+        return progress is None or progress.has_replied
+
+    def replied_shard_ids(self) -> list[str]:
+        """Return the shards of which a replica has answered the query."""
+        return [key for key, progress in self.shards.items() if progress.has_replied]
+
     def may_replan(self) -> bool:
         """Return whether the query may start over on another snapshot."""
         return len(self.unavailable_snapshot_ids) < N_REPLANS_MAX
@@ -361,6 +371,18 @@
         """Return whether the request lost a replica and has not been cleared since."""
         return self.context.quarantine.is_suspected(self.request.fingerprint, now_ms)
 
+    def must_defer(self, progress: ShardProgress, now_ms: float) -> bool:
+        """Return whether a shard must wait for the verdict on a suspected request.
+
+        A shard whose replicas are known to survive the request need not.
+        """
+        if not self.is_suspected(now_ms):
+            return False
+        proven_ids = self.context.quarantine.proven_shards(
+            self.request.fingerprint, now_ms
+        )
+        return progress.shard.shard_id not in proven_ids
+
     def is_quarantined(self, now_ms: float) -> bool:
         """Return whether the request is quarantined and must not run."""
         request = self.request
--- a/chestnuthall/core/quarantine/_record.py
+++ b/chestnuthall/core/quarantine/_record.py
@@ -8,8 +8,9 @@
     """State of one suspected or quarantined request, shared by all instances.
 
     ``replica_names`` are the losses that count as evidence, ``lost_names`` all of
-    them, and ``zones`` and ``shard_ids`` say where they occurred. ``n_retests`` is the
-    number of retests that were started since the request was quarantined.
+    them, and ``zones`` and ``shard_ids`` say where they occurred. Replicas of the
+    shards ``answered_shard_ids`` have run the request and survived. ``n_retests`` is
+    the number of retests that were started since the request was quarantined.
     """
 
     fingerprint: str
@@ -17,6 +18,7 @@
     lost_names: frozenset[str] = frozenset()
     zones: frozenset[str] = frozenset()
     shard_ids: frozenset[str] = frozenset()
+    answered_shard_ids: frozenset[str] = frozenset()
     is_quarantined: bool = False
     n_retests: int = 0
 
@@ -28,6 +30,7 @@
             lost_names=self.lost_names | other.lost_names,
             zones=self.zones | other.zones,
             shard_ids=self.shard_ids | other.shard_ids,
+            answered_shard_ids=self.answered_shard_ids | other.answered_shard_ids,
             is_quarantined=self.is_quarantined or other.is_quarantined,
             n_retests=max(self.n_retests, other.n_retests),
         )
--- a/chestnuthall/core/quarantine/_registry.py
+++ b/chestnuthall/core/quarantine/_registry.py
@@ -9,10 +9,15 @@
 a hedge acts as a probe.
 
 A replica that loses power closes no connection. Its loss is inferred from silence: no
-replica has answered the request, and this one accepts no connection. A partition or
-the failure of many replicas looks the same, so silence alone never quarantines a
-request. It makes the request suspected, and any answer of a replica clears it; only a
-probe, whose replica accepted a connection just before, is evidence.
+replica of its shard has answered the request, and this one accepts no connection. A
+partition or the failure of many replicas looks the same, so silence alone never
+quarantines a request. It makes the request suspected at that shard, and an answer of a
+replica of the shard clears it; only a probe, whose replica accepted a connection just
+before, is evidence.
+
+An answer proves that a request leaves the replicas of its shard alive, and nothing
+about other shards, whose replicas may have other data. Shards that have answered run a
+suspected request as usual, and the probe goes to a shard that has not.
 
 Neither a suspicion nor a quarantine ends by time: a request that crashes replicas
 would crash more of them at each end. After some time a quarantined request is due
@@ -21,12 +26,12 @@
 an operator.
 """
 
-from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from chestnuthall.core.model import Replica
 from chestnuthall.core.quarantine._record import QuarantineRecord
+from chestnuthall.core.quarantine._silence import SilenceTracker
 from chestnuthall.core.quarantine._suspicion import (
     INCARNATION_MARK,
     RETENTION_MS,
@@ -45,10 +50,6 @@
 # Answered runs after which earlier clearances no longer count. A popular request is in
 # flight whenever replicas are lost, whatever their reason.
 N_ANSWERED_TRUSTED = 20
-# Suspicions inferred from silence within the window. Each one is shared, and the next
-# run of a suspected request is a single call.
-N_SILENT_SUSPICIONS_MAX = 8
-SILENT_SUSPICIONS_WINDOW_MS = 10_000.0
 # How long the next probe waits for the check of the replica of the last one.
 SILENCE_CHECK_MAX_MS = 1_500.0
 
@@ -72,17 +73,20 @@
 
 
 class QuarantineRegistry:
-    """Registry of suspected, cleared and quarantined requests."""
+    """Registry of suspected, cleared and quarantined requests.
+
+    ``n_instances`` returns the number of instances of the fleet.
+    """
 
-    def __init__(self, settings: QuarantineSettings) -> None:
+    def __init__(
+        self,
+        settings: QuarantineSettings,
+        n_instances: Callable[[], int] = lambda: 1,
+    ) -> None:
         self._settings = settings
         self._suspicions: dict[str, Suspicion] = {}
         self._cleared: dict[str, _Clearance] = {}
-        # Number of checks of silent replicas by request. A request that a replica
-        # answers meanwhile is removed.
-        self._n_silence_checks: dict[str, int] = {}
-        # Start times of the latest suspicions that were inferred from silence.
-        self._silences_ms: deque[float] = deque(maxlen=N_SILENT_SUSPICIONS_MAX)
+        self._silences = SilenceTracker(n_instances)
         self._listeners: list[Listener] = []
 
     def add_listener(self, listener: Listener) -> None:
@@ -106,11 +110,13 @@
         started_ms: float,
         is_probe: bool = False,
         is_silent: bool = False,
+        answered_shard_ids: Iterable[str] = (),
     ) -> None:
         """Record a replica that was lost while it ran a request.
 
         ``is_probe`` says that the call started while the request was suspected, and
         ``is_silent`` that the loss was inferred from the silence of the replica.
+        Replicas of the shards ``answered_shard_ids`` have answered the same run.
         The loss of a call that started before the request was cleared is ignored,
         because it belongs to the wave that the clearance covers.
         """
@@ -123,6 +129,7 @@
                 fingerprint, loss_name(replica), now_ms, is_local=True
             )
             self._record_location(suspicion, replica, shard_id)
+            suspicion.answered_shard_ids.update(answered_shard_ids)
             if self._n_cleared(fingerprint, now_ms) >= N_CLEARED_MAX:
                 suspicion.replica_names.add("")
                 self._quarantine(suspicion, now_ms, is_local=True)
@@ -133,6 +140,7 @@
         first_loss_zone = suspicion.loss_zone_by_shard.get(shard_id)
         is_evidence = is_probe or first_loss_zone not in (None, replica.zone)
         self._record_location(suspicion, replica, shard_id)
+        suspicion.answered_shard_ids.update(answered_shard_ids)
         suspicion.is_local = True
         if is_probe and suspicion.retest_owner:
             self._end_retest(suspicion)
@@ -149,20 +157,41 @@
         if len(suspicion.replica_names) >= self._settings.n_replicas_lost_max:
             self._quarantine(suspicion, now_ms, is_local=True)
 
-    def begin_silence_check(self, fingerprint: str) -> None:
-        """Note that replicas which have not answered a request are being checked."""
-        self._n_silence_checks[fingerprint] = (
-            self._n_silence_checks.get(fingerprint, 0) + 1
-        )
+    def begin_silence_check(self, fingerprint: str, shard_id: str) -> None:
+        """Note that a replica which has not answered a request is being checked."""
+        self._silences.begin_check(fingerprint, shard_id)
+
+    def end_silence_check(self, fingerprint: str, shard_id: str) -> None:
+        """Note that a check has ended."""
+        self._silences.end_check(fingerprint, shard_id)
 
-    def on_answered(self, fingerprint: str, now_ms: float) -> None:
-        """Record that a replica has run a request and survived.
+    def on_answered(self, fingerprint: str, shard_id: str, now_ms: float) -> None:
+        """Record that a replica of a shard has run a request and survived.
 
-        A request that crashes replicas crashes each one that runs it.
+        A request that crashes replicas crashes each one of the shard that runs it.
         """
-        self._n_silence_checks.pop(fingerprint, None)
-        suspicion = self._suspicions.get(fingerprint)
-        if suspicion is not None and suspicion.is_silent:
+        self._silences.on_answered(fingerprint, shard_id)
+        suspicion = self._find_unexpired(fingerprint, now_ms)
+        if suspicion is None or suspicion.is_quarantined:
+            return
+        suspicion.answered_shard_ids.add(shard_id)
+        if not suspicion.is_silent:
+            return
+        suspicion.shards_with_losses.discard(shard_id)
+        if not suspicion.shards_with_losses:
+            self.clear(fingerprint, now_ms)
+
+    def on_probe_answered(self, fingerprint: str, shard_id: str, now_ms: float) -> None:
+        """Record that the replica of a probe, or of the retry of a loss, survived.
+
+        The request is cleared if a replica of the shard had been lost. Where losses
+        occurred is unknown if a peer observed them.
+        """
+        suspicion = self._find_unexpired(fingerprint, now_ms)
+        if suspicion is None:
+            return
+        shard_ids = suspicion.shards_with_losses
+        if not shard_ids or shard_id in shard_ids:
             self.clear(fingerprint, now_ms)
 
     def record_silence(
@@ -173,14 +202,14 @@
         now_ms: float,
         started_ms: float,
         is_probe: bool = False,
+        answered_shard_ids: Iterable[str] = (),
     ) -> None:
         """Record that a replica answers neither a request nor a new connection.
 
-        Ignored if a replica has answered the request since the check began. The end
-        of many replicas at once leaves many requests unanswered, so only a few of them
-        become suspected; one that crashes replicas comes again.
+        Ignored if a replica of the shard has answered the request since the check
+        began.
         """
-        if fingerprint not in self._n_silence_checks:
+        if not self._silences.is_checked(fingerprint, shard_id):
             return
         suspicion = self._find_unexpired(fingerprint, now_ms)
         if is_probe and suspicion is not None:
@@ -194,26 +223,20 @@
                 is_silent=True,
             )
             return
-        if suspicion is not None or not self._may_suspect_silence(now_ms):
+        if suspicion is not None:
+            if suspicion.is_silent:
+                suspicion.shards_with_losses.add(shard_id)
+            return
+        if not self._silences.try_suspect(now_ms):
             return
-        self._silences_ms.append(now_ms)
         suspicion = self._add_suspicion(
             fingerprint, loss_name(replica), now_ms, is_local=True
         )
         suspicion.is_silent = True
+        suspicion.shards_with_losses.add(shard_id)
+        suspicion.answered_shard_ids.update(answered_shard_ids)
         self._notify(fingerprint, SuspicionState.UNRESOLVED, True)
 
-    def _may_suspect_silence(self, now_ms: float) -> bool:
-        silences_ms = self._silences_ms
-        is_full = len(silences_ms) == N_SILENT_SUSPICIONS_MAX
-        return not is_full or now_ms - silences_ms[0] > SILENT_SUSPICIONS_WINDOW_MS
-
-    def end_silence_check(self, fingerprint: str) -> None:
-        """Note that a check has ended."""
-        n_checks = self._n_silence_checks.pop(fingerprint, 1)
-        if n_checks > 1:
-            self._n_silence_checks[fingerprint] = n_checks - 1
-
     def release_probe(self, fingerprint: str, request_id: str, now_ms: float) -> None:
         """Let another query run the next probe, if this request holds the last one."""
         suspicion = self._find_unexpired(fingerprint, now_ms)
@@ -314,6 +337,7 @@
             lost_names=frozenset(suspicion.lost_names),
             zones=frozenset(suspicion.zones_with_losses),
             shard_ids=frozenset(suspicion.shards_with_losses),
+            answered_shard_ids=frozenset(suspicion.answered_shard_ids),
             is_quarantined=suspicion.is_quarantined,
             n_retests=suspicion.n_retests,
         )
@@ -338,6 +362,7 @@
         suspicion.lost_names |= record.lost_names
         suspicion.zones_with_losses |= record.zones
         suspicion.shards_with_losses |= record.shard_ids
+        suspicion.answered_shard_ids |= record.answered_shard_ids
         if record.n_retests > suspicion.n_retests:
             suspicion.n_retests = record.n_retests
             delay_ms = self._settings.retest_delay_ms(record.n_retests)
@@ -419,6 +444,16 @@
             return frozenset()
         return frozenset(suspicion.shards_with_losses)
 
+    def proven_shards(self, fingerprint: str, now_ms: float) -> frozenset[str]:
+        """Return the shards whose replicas run a suspected request and survive.
+
+        There are none for a quarantined request: its retest is a single call.
+        """
+        suspicion = self._find_unexpired(fingerprint, now_ms)
+        if suspicion is None or suspicion.is_quarantined:
+            return frozenset()
+        return frozenset(suspicion.answered_shard_ids - suspicion.shards_with_losses)
+
     def is_retest(self, fingerprint: str, request_id: str) -> bool:
         """Return whether a request runs as the retest of its quarantine."""
         suspicion = self._suspicions.get(fingerprint)
@@ -454,6 +489,7 @@
         *,
         has_lost_replica: bool = False,
         is_answered: bool = False,
+        has_unanswered_calls: bool = False,
         has_unanswered_probe: bool = False,
     ) -> None:
         """Record the end of a request that may have held the probe or the retest.
@@ -464,7 +500,8 @@
         replica answered it.
         """
         cleared = self._cleared.get(fingerprint)
-        if cleared is not None and is_answered and not has_lost_replica:
+        is_survived = is_answered and not has_lost_replica and not has_unanswered_calls
+        if cleared is not None and is_survived:
             cleared.n_answered += 1
         suspicion = self._find_unexpired(fingerprint, now_ms)
         if suspicion is None:
--- a/chestnuthall/core/quarantine/_suspicion.py
+++ b/chestnuthall/core/quarantine/_suspicion.py
@@ -72,6 +72,8 @@
     lost_names: set[str] = field(default_factory=set)
     zones_with_losses: set[str] = field(default_factory=set)
     shards_with_losses: set[str] = field(default_factory=set)
+    # Shards of which a replica has answered the request.
+    answered_shard_ids: set[str] = field(default_factory=set)
     loss_zone_by_shard: dict[str, str] = field(default_factory=dict)
     is_quarantined: bool = False
     # Whether the suspicion is inferred from silence only.
--- a/chestnuthall/daemon/_instance.py
+++ b/chestnuthall/daemon/_instance.py
@@ -145,7 +145,9 @@
             self.membership.disseminate_now,
             settings.name,
         )
-        quarantine_registry = QuarantineRegistry(QuarantineSettings())
+        quarantine_registry = QuarantineRegistry(
+            QuarantineSettings(), lambda: self.membership.n_instances
+        )
         QuarantineLog(quarantine_registry, clock, metrics)
         self.quarantine_exchange = QuarantineExchange(
             quarantine_registry,
--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -253,7 +253,10 @@
         peer_shard_sets = PeerShardSets(
             settings.name, settings.zone, lambda: self.presence.peers
         )
-        quarantine = QuarantineRegistry(QuarantineSettings(quarantine_ms=QUARANTINE_MS))
+        quarantine = QuarantineRegistry(
+            QuarantineSettings(quarantine_ms=QUARANTINE_MS),
+            lambda: self.presence.n_instances or 1,
+        )
         sparse = SparseObjectStore(
             QUARANTINE_KIND,
             store,
--- a/chestnuthall/platform/_quarantines.py
+++ b/chestnuthall/platform/_quarantines.py
@@ -16,6 +16,8 @@
     lost: frozenset[str] = Field(strict=False)
     zones: frozenset[str] = Field(strict=False)
     shards: frozenset[str] = Field(strict=False)
+    # Absent in records of earlier versions.
+    answered: frozenset[str] = Field(default=frozenset(), strict=False)
     is_quarantined: bool
     n_retests: int = Field(ge=0)
 
@@ -32,6 +34,7 @@
         lost_names=record.lost,
         zones=record.zones,
         shard_ids=record.shards,
+        answered_shard_ids=record.answered,
         is_quarantined=record.is_quarantined,
         n_retests=record.n_retests,
     )
@@ -45,6 +48,7 @@
             "lost": sorted(record.lost_names),
             "zones": sorted(record.zones),
             "shards": sorted(record.shard_ids),
+            "answered": sorted(record.answered_shard_ids),
             "is_quarantined": record.is_quarantined,
             "n_retests": record.n_retests,
         }
--- a/chestnuthall/ports/_shards.py
+++ b/chestnuthall/ports/_shards.py
@@ -77,6 +77,10 @@
         """
         ...
 
+    def last_answer_ms(self, replica: Replica) -> float:
+        """Return when the replica last answered any call; minus infinity for never."""
+        ...
+
 
 class ReplicaHealth(Protocol):
     """Health checks of replicas; only a hint, because health reports lag."""
--- a/chestnuthall/services/_silence_checks.py
+++ b/chestnuthall/services/_silence_checks.py
@@ -3,9 +3,10 @@
 import asyncio
 import logging
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 from chestnuthall.core.fanout import FanOut, RunningCall
-from chestnuthall.core.model import Request
+from chestnuthall.core.model import Replica
 from chestnuthall.core.quarantine import QuarantineRegistry, loss_name
 from chestnuthall.ports import Clock, Metrics, ReplicaReachability
 
@@ -18,18 +19,32 @@
 # second, so a single attempt proves nothing.
 CONNECT_TIMEOUT_MS = 400.0
 N_CONNECT_ATTEMPTS = 2
-# Replicas that are checked for one request. One is sufficient for a suspicion.
+# Replicas that are checked for one request, and for one that other shards answered.
 N_REPLICAS_CHECKED_MAX = 4
+N_REPLICAS_CHECKED_PARTLY_MAX = 2
 # Concurrent checks. The end of many replicas leaves more requests unanswered.
 N_CHECKS_MAX = 32
+# Requests that may have ended a silent replica, the first ones that it left unanswered.
+# Those that it was sent later found it silent.
+N_SUSPECTS_PER_REPLICA = 2
+
+
+@dataclass(frozen=True, slots=True)
+class _UnansweredCall:
+    """A call of a query that has to be explained."""
+
+    fan_out: FanOut
+    running: RunningCall
 
 
 class SilenceChecks:
-    """Checks the replicas of requests that no replica has answered.
+    """Checks the replicas of shards that leave a request without an answer.
 
     The end of a replica that loses power shows neither in its connections nor, for
     some seconds, in its registration. A replica that accepts no connection is reported
-    to the quarantine registry, which decides what that means for the request.
+    to the quarantine registry, which decides what that means for the requests that it
+    left unanswered first. One check serves all calls to the replica, and costs no
+    connection if the replica answers any call before it is due.
     """
 
     def __init__(
@@ -44,8 +59,8 @@
         self._metrics = metrics
         self._reachability = reachability
         self._tasks: set[asyncio.Task[None]] = set()
-        # Calls whose replicas are being checked.
-        self._call_ids: set[str] = set()
+        # Calls whose replicas are being checked, by the name of the incarnation.
+        self._calls: dict[str, list[_UnansweredCall]] = {}
 
     def start(self, fan_out: FanOut) -> None:
         """Check the replicas of the unanswered calls of a query in the background.
@@ -54,53 +69,104 @@
         """
         has_ended = fan_out.is_complete
         calls = fan_out.unanswered if has_ended else fan_out.unanswered_calls()
-        # A probe follows the calls before it.
-        calls = calls[::-1][:N_REPLICAS_CHECKED_MAX]
-        unchecked = [x for x in calls if x.call.call_id not in self._call_ids]
-        if not unchecked or len(self._tasks) >= N_CHECKS_MAX:
+        for running in self._select(calls, bool(fan_out.replied_shard_ids())):
+            self._add(_UnansweredCall(fan_out, running))
+
+    def _select(
+        self, calls: Sequence[RunningCall], is_partly_answered: bool
+    ) -> list[RunningCall]:
+        """Return the calls to check: the probe, then those silent for longest.
+
+        Of a request that other shards answered, one call of each shard is sufficient.
+        """
+        ordered = sorted(
+            calls,
+            key=lambda item: (
+                not item.is_probe,
+                self._reachability.last_answer_ms(item.call.replica),
+            ),
+        )
+        if not is_partly_answered:
+            return ordered[:N_REPLICAS_CHECKED_MAX]
+        by_shard: dict[str, RunningCall] = {}
+        for item in ordered:
+            by_shard.setdefault(item.call.shard_id, item)
+        return list(by_shard.values())[:N_REPLICAS_CHECKED_PARTLY_MAX]
+
+    def _add(self, call: _UnansweredCall) -> None:
+        """Add a call to the check of its replica, which is started if there is none."""
+        replica = call.running.call.replica
+        name = loss_name(replica)
+        calls = self._calls.get(name)
+        if calls is None:
+            if len(self._calls) >= N_CHECKS_MAX:
+                return
+            calls = self._calls[name] = []
+            task = asyncio.get_running_loop().create_task(
+                self._check(replica, call.running.started_ms + CHECK_DELAY_MS)
+            )
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        elif any(item.running.call is call.running.call for item in calls):
             return
-        self._call_ids.update(item.call.call_id for item in unchecked)
-        task = asyncio.get_running_loop().create_task(
-            self._check_all(fan_out, unchecked)
+        calls.append(call)
+        self._registry.begin_silence_check(
+            call.fan_out.request.fingerprint, call.running.call.shard_id
         )
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
 
-    async def _check_all(self, fan_out: FanOut, calls: Sequence[RunningCall]) -> None:
-        request = fan_out.request
-        self._registry.begin_silence_check(request.fingerprint)
+    async def _check(self, replica: Replica, due_ms: float) -> None:
+        name = loss_name(replica)
         try:
-            await asyncio.gather(*(self._check(request, item) for item in calls))
+            if not await self._is_alive(replica, due_ms):
+                self._record_silence(replica, self._calls[name])
         finally:
-            self._call_ids.difference_update(item.call.call_id for item in calls)
-            self._registry.end_silence_check(request.fingerprint)
-            if fan_out.is_complete:
-                self._registry.release_probe(
-                    request.fingerprint, request.request_id, self._clock.now_ms()
-                )
-
-    async def _check(self, request: Request, running: RunningCall) -> None:
-        replica = running.call.replica
+            for item in self._calls.pop(name):
+                self._end(item)
+
+    async def _is_alive(self, replica: Replica, due_ms: float) -> bool:
+        started_ms = self._clock.now_ms()
+        await self._clock.sleep_ms(max(0.0, due_ms - started_ms))
+        if self._reachability.last_answer_ms(replica) > started_ms:
+            return True
         for _ in range(N_CONNECT_ATTEMPTS):
             if await self._reachability.accepts_connections(
                 replica, CONNECT_TIMEOUT_MS
             ):
-                return
+                return True
+        return False
+
+    def _record_silence(self, replica: Replica, calls: list[_UnansweredCall]) -> None:
+        """Report the probe, and the calls that the replica left unanswered first."""
         self._metrics.count("silent_replicas")
-        _log.info(
-            "replica is silent",
-            extra={
-                "replica": loss_name(replica),
-                "fingerprint": request.fingerprint,
-                "request_id": request.request_id,
-                "is_probe": running.is_probe,
-            },
-        )
-        self._registry.record_silence(
-            request.fingerprint,
-            replica,
-            running.call.shard_id,
-            self._clock.now_ms(),
-            running.started_ms,
-            is_probe=running.is_probe,
-        )
+        now_ms = self._clock.now_ms()
+        by_start = sorted(calls, key=lambda item: item.running.started_ms)
+        probes = [item for item in by_start if item.running.is_probe]
+        others = [item for item in by_start if not item.running.is_probe]
+        for item in [*probes, *others[:N_SUSPECTS_PER_REPLICA]]:
+            request, running = item.fan_out.request, item.running
+            _log.info(
+                "replica is silent",
+                extra={
+                    "replica": loss_name(replica),
+                    "fingerprint": request.fingerprint,
+                    "request_id": request.request_id,
+                    "is_probe": running.is_probe,
+                },
+            )
+            self._registry.record_silence(
+                request.fingerprint,
+                replica,
+                running.call.shard_id,
+                now_ms,
+                running.started_ms,
+                is_probe=running.is_probe,
+                answered_shard_ids=item.fan_out.replied_shard_ids(),
+            )
+
+    def _end(self, call: _UnansweredCall) -> None:
+        request, running = call.fan_out.request, call.running
+        fingerprint = request.fingerprint
+        self._registry.end_silence_check(fingerprint, running.call.shard_id)
+        if running.is_probe and call.fan_out.is_complete:
+            now_ms = self._clock.now_ms()
+            self._registry.release_probe(fingerprint, request.request_id, now_ms)
--- a/chestnuthall/services/tests/_harness.py
+++ b/chestnuthall/services/tests/_harness.py
@@ -123,6 +123,7 @@
     runs: list = field(default_factory=list)
     running: dict = field(default_factory=dict)
     last_answer: ShardAnswer | None = None
+    answered_ms: dict = field(default_factory=dict)
     on_event: object = lambda name: None
     on_crash: object = lambda replica_name: None
 
@@ -192,6 +193,7 @@
             held_snapshots=tuple(self.snapshots),
         )
         previous, self.last_answer = self.last_answer, answer
+        self.answered_ms[call.replica.name] = self.clock.now_ms()
         self.on_event("answered")
         if fault == "duplicate" and previous is not None:
             return previous
@@ -206,6 +208,9 @@
         await asyncio.sleep(0.001)
         return True
 
+    def last_answer_ms(self, replica):
+        return self.answered_ms.get(replica.name, float("-inf"))
+
     async def fetch_partition_map(self, replica, timeout_ms):
         await asyncio.sleep(0.001)
         return self.newest
--- a/chestnuthall/services/tests/test_quarantine_over_time.py
+++ b/chestnuthall/services/tests/test_quarantine_over_time.py
@@ -28,6 +28,7 @@
 N_INSTANCES = 8
 DURATION_S = 1_800.0
 SILENT_DURATION_S = 120.0
+PARTIAL_DURATION_S = 400.0
 SEND_INTERVAL_S = 0.7
 WATCH_TIMEOUT_MS = 4_000.0
 N_CRASHES = 3
@@ -290,6 +291,29 @@
     assert not any(isinstance(item, Answer) for item in outcomes)
 
 
+@pytest.mark.parametrize("is_silent", [False, True], ids=["closes", "silent"])
+@pytest.mark.parametrize("n_at_once", [1, 4], ids=["single", "repeated at once"])
+@pytest.mark.parametrize("disturb", DISTURBANCES, ids=lambda item: item.__name__)
+def test_search_that_crashes_one_shard_is_not_sent_again_and_again(
+    disturb, n_at_once, is_silent
+):
+    """Answers of the other shards must not be taken as proof that it is harmless."""
+
+    async def scenario():
+        fleet = Fleet(1)
+        fleet.upstreams.is_crash_silent = is_silent
+        fleet.upstreams.crash_shards = {"s1"}
+        await send_again_and_again(
+            fleet, "search", disturb, n_at_once, PARTIAL_DURATION_S
+        )
+        return fleet
+
+    fleet = run_virtual(scenario())
+    print(f"{fleet.n_late_calls} late calls, {len(fleet.crashes_s)} crashes")
+    assert len(fleet.crashes_s) >= 2
+    assert fleet.n_late_calls <= N_LATE_CALLS_MAX
+
+
 @pytest.mark.parametrize("kind", KINDS)
 def test_request_that_crashes_replicas_silently_is_not_sent_again_and_again(kind):
     """Their connections stay open, as those of a replica that loses power do."""
--- a/chestnuthall/services/tests/test_silent_replicas.py
+++ b/chestnuthall/services/tests/test_silent_replicas.py
@@ -63,6 +63,9 @@
             return False
         return await self._upstreams.accepts_connections(replica, timeout_ms)
 
+    def last_answer_ms(self, replica):
+        return self._upstreams.last_answer_ms(replica)
+
 
 class DarkFleet(Fleet):
     """A fleet whose instances are connected to the replicas by separate networks."""
