Product: hear of the quarantines before serving, and where losses occurred

Callers would see a quarantined request run again at an instance that has just started, and a request that crashes one shard cleared by an instance that probed another.

Cause: readiness did not ask for notices, an old notice comes with one digest in turn, and notices name replicas, while the peer did not look up their shards.

Evidence: in virtual time a restarted instance that serves with the first digest knew one of six quarantines; without the shards a suspicion that a peer had shared was lifted everywhere by the answer of another shard.

Change: an instance that starts asks peers at once, and serves when it has heard from one, has none, or 1.5 s have passed. The first digest of an incarnation is answered with the notices that it lacks. Suspicions of peers name the shards.

--- a/chestnuthall/core/quarantine/_registry.py
+++ b/chestnuthall/core/quarantine/_registry.py
@@ -284,8 +284,9 @@
         replica_names: Iterable[str],
         expires_ms: float,
         now_ms: float,
+        shard_ids: Iterable[str] = (),
     ) -> None:
-        """Merge a notice received from a peer.
+        """Merge a notice received from a peer, with the shards of the replicas.
 
         Two or more replica names mean that the request is quarantined, and one
         means that it is suspected and the peer runs the probe. An expiry in the
@@ -306,12 +307,14 @@
                 # Only a retest can have lost another replica.
                 self.count_retest(fingerprint, now_ms)
             suspicion.replica_names.update(names)
+            suspicion.shards_with_losses.update(shard_ids)
             suspicion.expires_ms = max(suspicion.expires_ms, expires_ms)
             self._quarantine(suspicion, now_ms, is_local=False)
         elif suspicion is None and not self._n_cleared(fingerprint, now_ms):
             suspicion = self._add_suspicion(
                 fingerprint, next(iter(names), ""), now_ms, is_local=False
             )
+            suspicion.shards_with_losses.update(shard_ids)
             suspicion.expires_ms = expires_ms
             suspicion.probe_owner = "peer"
             suspicion.probe_reserved_until_ms = (
--- a/chestnuthall/daemon/_instance.py
+++ b/chestnuthall/daemon/_instance.py
@@ -154,6 +154,8 @@
             clock,
             self.membership.disseminate_now,
             self.directory.zone_of,
+            self.directory.shard_of,
+            self._has_peers,
         )
         self.membership.add_section(self.drain_exchange)
         self.membership.add_section(self.quarantine_exchange)
@@ -209,6 +211,7 @@
                 N_PEERS_PER_LOSS_NOTICE
             ),
             n_instances=lambda: self.membership.n_instances,
+            knows_quarantines=self.quarantine_exchange.may_serve,
         )
         self.connections = ConnectionBudgets(
             self.caller,
@@ -263,9 +266,22 @@
         names = [member.name for member in members if member.zone == zone]
         return is_watcher(self.settings.name, names)
 
+    def _has_peers(self) -> bool | None:
+        """Return whether the fleet has other instances; None if that is unknown."""
+        if not self.instances.entries():
+            return None
+        return self.membership.n_instances > 1
+
     def is_ready(self) -> bool:
-        """Return whether a configuration and all partition maps are known."""
-        return self.configuration.is_ready and self.directory.has_maps()
+        """Return whether a configuration, all partition maps and quarantines are known.
+
+        The quarantines are those of the peers that can be reached.
+        """
+        return (
+            self.configuration.is_ready
+            and self.directory.has_maps()
+            and self.quarantine_exchange.may_serve()
+        )
 
     def read_status(self) -> dict[str, object]:
         """Return the response body of ``GET /v1/admin/status``."""
--- a/chestnuthall/daemon/tests/test_notices.py
+++ b/chestnuthall/daemon/tests/test_notices.py
@@ -63,7 +63,10 @@
         drains = DrainExchange(directory, clock, listed, membership.disseminate_now)
         quarantine_registry = QuarantineRegistry(QuarantineSettings())
         quarantines = QuarantineExchange(
-            quarantine_registry, clock, membership.disseminate_now
+            quarantine_registry,
+            clock,
+            membership.disseminate_now,
+            shard_of=directory.shard_of,
         )
         health = HealthChecks(upstream, directory, drains, membership, clock, random)
         membership.add_section(drains)
@@ -134,11 +137,11 @@
 }
 
 
-def record_replica_loss(quarantine_registry, index, now_ms):
-    """Record a replica lost to request "f"; all but the first are losses of a probe."""
+def record_replica_loss(quarantine_registry, index, now_ms, fingerprint="f"):
+    """Record a replica lost to a request; all but the first are losses of a probe."""
     replica = Replica(f"r{index}", "", f"z{index}")
     quarantine_registry.record_loss(
-        "f", replica, "s0", now_ms, now_ms, is_probe=index > 0
+        fingerprint, replica, "s0", now_ms, now_ms, is_probe=index > 0
     )
 
 
@@ -307,6 +310,75 @@
     assert run_virtual(scenario()) == (0 if is_lifted else N_INSTANCES)
 
 
+@pytest.mark.parametrize("n_quarantined", [1, 6])
+def test_instance_that_starts_knows_the_quarantines_before_it_serves(n_quarantined):
+    """It must not run each quarantined request until some peer has told it."""
+
+    async def scenario():
+        fleet = make_fleet(Upstream())
+        await fleet.wait_until_converged()
+        for number in range(n_quarantined):
+            services = fleet.instances[f"entry-{number}"].services
+            registry, now_ms = (
+                services["quarantine_registry"],
+                services["clock"].now_ms(),
+            )
+            for index in range(2):
+                record_replica_loss(registry, index, now_ms, f"f{number}")
+        await asyncio.sleep(120.0)
+        fleet.kill("entry-8")
+        await asyncio.sleep(60.0)
+        fleet.start("entry-8")
+        quarantines = fleet.instances["entry-8"].services["quarantines"]
+        was_serving = quarantines.may_serve()
+        elapsed_ms = 0
+        while not quarantines.may_serve() and elapsed_ms < 2_000:
+            await asyncio.sleep(0.01)
+            elapsed_ms += 10
+        known = [quarantines.is_quarantined(f"f{x}") for x in range(n_quarantined)]
+        return was_serving, elapsed_ms, known
+
+    was_serving, elapsed_ms, known = run_virtual(scenario())
+    assert not was_serving
+    assert elapsed_ms < 1_000
+    assert all(known)
+
+
+def test_instance_without_peers_serves_in_time():
+    async def scenario():
+        fleet = make_fleet(Upstream(), n_instances=1)
+        quarantines = fleet.instances["entry-0"].services["quarantines"]
+        await asyncio.sleep(1.6)
+        return quarantines.may_serve()
+
+    assert run_virtual(scenario())
+
+
+def test_answer_of_another_shard_does_not_lift_a_suspicion_of_a_peer():
+    """A request that crashes one shard would be called harmless by each instance."""
+
+    async def scenario():
+        fleet = make_fleet(Upstream())
+        await fleet.wait_until_converged()
+        services = fleet.instances["entry-1"].services
+        record_replica_loss(
+            services["quarantine_registry"], 0, services["clock"].now_ms()
+        )
+        await asyncio.sleep(PROPAGATION_LIMIT_S)
+        peer = fleet.instances["entry-2"].services
+        now_ms = peer["clock"].now_ms()
+        peer["quarantine_registry"].on_probe_answered("f", "other", now_ms)
+        await asyncio.sleep(PROPAGATION_LIMIT_S)
+        return [
+            item.services["quarantine_registry"].is_suspected(
+                "f", item.services["clock"].now_ms()
+            )
+            for item in fleet.instances.values()
+        ]
+
+    assert all(run_virtual(scenario()))
+
+
 def test_only_one_instance_runs_the_retest_of_a_request():
     """Nine retests at once would crash nine replicas."""
 
--- a/chestnuthall/services/_directory.py
+++ b/chestnuthall/services/_directory.py
@@ -70,6 +70,15 @@
                 return replica.zone
         return replica_name
 
+    def shard_of(self, replica_name: str) -> str | None:
+        """Return the shard of a replica in the newest maps, or None if unknown."""
+        for catalog in self._catalogs.values():
+            for partition_map in catalog.maps()[:1]:
+                for shard in partition_map.shards:
+                    if any(item.name == replica_name for item in shard.replicas):
+                        return shard.shard_id
+        return None
+
     def knows_replica(self, replica_name: str) -> bool:
         """Return whether a known map of any group contains the replica."""
         return any(
--- a/chestnuthall/services/_quarantine_exchange.py
+++ b/chestnuthall/services/_quarantine_exchange.py
@@ -23,6 +23,8 @@
 REMAINING_MIN_MS = 1_000.0
 # Interval at which the registry is polled for losses that this instance observed.
 POLL_INTERVAL_MS = 100.0
+# Time in which an instance that starts hears from a peer, if it can reach any.
+FIRST_DIGEST_TIMEOUT_MS = 1_500.0
 # An instance that was out of touch may return with a quarantine that was lifted
 # meanwhile, so a lift is kept for as long as a quarantine.
 LIFT_RETENTION_MS = RETENTION_MS
@@ -41,9 +43,11 @@
 class QuarantineExchange:
     """Exchanges notices of replica losses and of lifted quarantines with peers.
 
-    ``zone_of`` returns the availability zone of a replica by its name. A notice
-    that is already known changes nothing. Otherwise a notice that returns from a
-    peer could extend a quarantine or restore a lifted one.
+    ``zone_of`` and ``shard_of`` return the availability zone and the shard of a
+    replica by its name, and ``has_peers`` whether the fleet has other instances, or
+    None while that is unknown. A notice that is already known changes nothing.
+    Otherwise a notice that returns from a peer could extend a quarantine or restore a
+    lifted one.
     """
 
     def __init__(
@@ -52,8 +56,15 @@
         clock: Clock,
         disseminate: Callable[[int], Awaitable[None]],
         zone_of: Callable[[str], str] = lambda replica_name: replica_name,
+        shard_of: Callable[[str], str | None] = lambda replica_name: None,
+        has_peers: Callable[[], bool | None] = lambda: None,
     ) -> None:
         self._zone_of = zone_of
+        self._shard_of = shard_of
+        self._has_peers = has_peers
+        self._serves_at_ms = clock.now_ms() + FIRST_DIGEST_TIMEOUT_MS
+        # Incarnations of the peers that have sent a digest.
+        self._incarnations: dict[str, int] = {}
         self._registry = registry
         self._clock = clock
         self._disseminate = disseminate
@@ -79,10 +90,23 @@
         """Send new notices to peers until cancelled."""
         while True:
             await self._clock.sleep_ms(POLL_INTERVAL_MS)
-            if self._record_own_losses() or self._has_unsent_notices:
+            is_urgent = self._record_own_losses() or self._has_unsent_notices
+            if is_urgent or not self.may_serve():
                 self._has_unsent_notices = False
                 await self._disseminate(N_URGENT_NOTICE_PEERS)
 
+    def may_serve(self) -> bool:
+        """Return whether requests may be served with the notices received so far.
+
+        An instance that starts would run quarantined requests before a peer has told
+        it of them. If it hears from none, it serves after some time nevertheless.
+        """
+        return (
+            bool(self._incarnations)
+            or self._has_peers() is False
+            or self._clock.now_ms() >= self._serves_at_ms
+        )
+
     def suspicions(self) -> tuple[Suspicion, ...]:
         """Return the suspicions of requests during which replicas were lost."""
         return self._registry.suspicions(self._clock.now_ms())
@@ -128,6 +152,11 @@
     def receive(self, digest: PeerDigest) -> None:
         """Apply the quarantine notices of a peer."""
         self._record_own_losses()
+        if digest.incarnation > self._incarnations.get(digest.sender, -1):
+            # The sender has just started, and the answer to it has what it lacks.
+            self._incarnations[digest.sender] = digest.incarnation
+            for entry in self._notices.values():
+                entry.n_sent = 0
         for notice in digest.quarantines:
             self._apply_notice(notice)
 
@@ -151,12 +180,11 @@
         all_names = names | known_names
         # Losses in different zones, observed by two instances, are not caused by the
         # outage of a zone, so together they are sufficient evidence.
-        zones = {
-            self._zone_of(name.partition(INCARNATION_MARK)[0]) for name in all_names
-        }
-        is_evidence = len(zones) > 1
+        replica_names = {name.partition(INCARNATION_MARK)[0] for name in all_names}
+        is_evidence = len({self._zone_of(name) for name in replica_names}) > 1
         offered = all_names if is_evidence else names
-        self._registry.merge(notice.fingerprint, offered, expires_ms, now_ms)
+        shard_ids = filter(None, map(self._shard_of, replica_names))
+        self._registry.merge(notice.fingerprint, offered, expires_ms, now_ms, shard_ids)
         self._record_received(notice, all_names, now_ms)
 
     def _record_received(
