--- a/chestnuthall/platform/tests/soak/__main__.py
+++ b/chestnuthall/platform/tests/soak/__main__.py
@@ -56,6 +56,7 @@
     """An instance in its own process, connected to the store by its own proxy."""
 
     def __init__(self, number, zone, folder, store_port):
+        self.number = number
         self.name = f"entry-{number}"
         self.zone = zone
         self.log = folder / f"{self.name}.log"
@@ -118,6 +119,12 @@
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(command, stdout=log, stderr=log)
 
+    def rename(self, name):
+        """Give the next process another name."""
+        values = json.loads(self.settings.read_text())
+        self.name = name
+        self.settings.write_text(json.dumps(values | {"name": name}))
+
     def send_signal(self, signal_number):
         if self.process.poll() is None:
             os.kill(self.process.pid, signal_number)
@@ -148,6 +155,7 @@
         self.instances = []
         self.n_requests = 0
         self.n_replicas = 0
+        self.n_replaced = 0
         self.version = 1
         self.crashing = CrashingRequests(self)
 
@@ -290,10 +298,19 @@
             await asyncio.sleep(self.random.uniform(0.2, 1.5))
             instance = self.random.choice(self.instances)
             fault = self.random.choice(
-                ("pause", "kill", "stop", "silent", "one_way", "reset", "delay")
+                (
+                    "pause",
+                    "kill",
+                    "stop",
+                    "replace",
+                    "silent",
+                    "one_way",
+                    "reset",
+                    "delay",
+                )
             )
             with (
-                self.crashing.evidence.disturbance(instance.name),
+                self.crashing.evidence.disturbance(instance.number),
                 instance.fault(fault),
             ):
                 await getattr(self, f"_{fault}")(instance)
@@ -308,6 +325,14 @@
         await instance.wait_for_exit()
         instance.start()
 
+    async def _replace(self, instance):
+        """End an instance without notice and start one under another name."""
+        instance.send_signal(signal.SIGKILL)
+        await instance.wait_for_exit()
+        self.n_replaced += 1
+        instance.rename(f"entry-{self.n_instances + self.n_replaced}")
+        instance.start()
+
     async def _stop(self, instance):
         instance.send_signal(signal.SIGTERM)
         if self.random.random() < 0.5:
--- a/chestnuthall/platform/tests/soak/crashes.py
+++ b/chestnuthall/platform/tests/soak/crashes.py
@@ -11,8 +11,11 @@
 
 from chestnuthall.adapters.http import ConnectionPool, PoolSettings
 
-CRASHING_KINDS = ("fetch", "hold", "sweep")
+CRASHING_KINDS = ("fetch", "hold", "sweep", "sweep")
 MARKER = "crashing"
+# In the targets of searches that crash the replicas of one shard only.
+PARTLY_MARKER = "crashing-partly"
+PARTLY_CRASHED_SERVICE = "s1"
 N_CRASHES = 3
 N_SENDS_MAX = 3
 # Crashes that close no connection.
@@ -96,6 +99,9 @@
     def _crash(self, replica, request):
         if MARKER not in request.target:
             return False
+        is_partial = PARTLY_MARKER in request.target
+        if is_partial and replica.service != PARTLY_CRASHED_SERVICE:
+            return False
         request_id = request.headers[b"x-request-id"].decode()
         now_s = asyncio.get_running_loop().time()
         senders = self._possible_senders(self._entry_of[request_id], request.target)
@@ -107,13 +113,13 @@
         return True
 
     def _possible_senders(self, entry, target):
-        """Return the names of the instances that may have sent a call.
+        """Return the numbers of the instances that may have sent a call.
 
         An instance outside the replicas' zone sends its searches to peers.
         """
         if entry.zone == "a" or not target.startswith("/sweep/"):
-            return [entry.name]
-        return [item.name for item in self.soak.instances]
+            return [entry.number]
+        return [item.number for item in self.soak.instances]
 
     async def _restart(self, replica):
         random = self.soak.random
@@ -140,16 +146,17 @@
             await asyncio.sleep(random.uniform(0.1, 0.8))
             kind = random.choice(CRASHING_KINDS)
             instance = random.choice(self.soak.instances)
-            await self._send(instance, kind)
+            is_partial = kind == "sweep" and random.random() < 0.5
+            await self._send(instance, kind, PARTLY_MARKER if is_partial else MARKER)
         for task in tuple(self._tasks):
             await task
 
-    async def _send(self, instance, kind):
+    async def _send(self, instance, kind, target_name):
         self._n_sent += 1
         request_id = f"c{self._n_sent}"
         self._entry_of[request_id] = instance
         pool = ConnectionPool(instance.addresses["caller"], PoolSettings())
-        response = await self.soak.send(pool, kind, request_id, target_name=MARKER)
+        response = await self.soak.send(pool, kind, request_id, target_name=target_name)
         pool.close()
         status = getattr(response, "status", None)
-        self.soak.evidence.results[(f"{MARKER} {kind}", status)] += 1
+        self.soak.evidence.results[(f"{target_name} {kind}", status)] += 1
