Check a replica once more after a search has ended without its shard

Callers saw 200 with partial coverage for a search that crashes the replicas of one shard 0.7 s after it reaches them, when the search has been answered.

Cause: the check 500 ms after the start of the call found the replica alive.

--- a/chestnuthall/platform/tests/crash_runs.py
+++ b/chestnuthall/platform/tests/crash_runs.py
@@ -25,9 +25,7 @@
 
 ZONES = ("a", "b", "c", "d")
 SHARDS = tuple(f"s{number}" for number in range(10))
-SEND_INTERVAL_S = 0.4
 RESTART_S = 3.0
-CRASH_S = 0.05
 N_CRASHES = 3
 STABLE_S = 4.0
 CRASHING_PATH = "/sweep/crash-"
@@ -45,11 +43,14 @@
 
     n_shards_crashed: int = len(SHARDS)
     silent_ratio: float = 0.0
+    # Time from the start of a run at a replica to its crash.
+    crash_delay_s: float = 0.0
     change: str = ""
     change_s: float = 12.0
     # Time from the readiness of a new instance to its first request.
     callers_wait_s: float = 0.0
     harmless_interval_s: float | None = None
+    send_interval_s: float = 0.4
     # Different crashing requests, and how many of each are sent at once.
     n_contents: int = 1
     n_at_once: int = 1
@@ -64,6 +65,21 @@
     "one_shard_silently": Run(n_shards_crashed=1, silent_ratio=1.0),
     "one_shard_mixed": Run(n_shards_crashed=1, silent_ratio=0.5),
     "three_shards_silently": Run(n_shards_crashed=3, silent_ratio=1.0),
+    "one_shard_late": Run(n_shards_crashed=1, crash_delay_s=0.7, duration_s=50.0),
+    "one_shard_late_silently": Run(
+        n_shards_crashed=1, crash_delay_s=0.7, silent_ratio=1.0, duration_s=50.0
+    ),
+    "one_shard_late_and_rarely": Run(
+        n_shards_crashed=1, crash_delay_s=0.7, send_interval_s=4.0, duration_s=50.0
+    ),
+    "one_shard_late_silently_and_rarely": Run(
+        n_shards_crashed=1,
+        crash_delay_s=0.7,
+        silent_ratio=1.0,
+        send_interval_s=4.0,
+        duration_s=50.0,
+    ),
+    "all_shards_late_silently": Run(crash_delay_s=0.6, silent_ratio=1.0),
     "replaced": Run(change="replace"),
     "replaced_and_reached_late": Run(change="replace", callers_wait_s=3.0),
     "replaced_and_reached_later": Run(change="replace", callers_wait_s=10.0),
@@ -81,6 +97,10 @@
         n_shards_crashed=1, silent_ratio=1.0, harmless_interval_s=0.03
     ),
     "beside_traffic": Run(harmless_interval_s=0.03),
+    # No search crashes replicas; some are lost for other reasons.
+    "replicas_lost": Run(
+        n_contents=0, change="lose_replicas", change_s=5.0, harmless_interval_s=0.03
+    ),
     "many_requests": Run(n_contents=6, silent_ratio=0.5),
     "many_requests_for_one_shard": Run(
         n_contents=6, n_shards_crashed=1, silent_ratio=1.0
@@ -101,6 +121,8 @@
     crashing: Counter = field(default_factory=Counter)
     harmless: Counter = field(default_factory=Counter)
     harmless_at_end: Counter = field(default_factory=Counter)
+    # Durations of harmless searches that were answered with success.
+    harmless_ms: list = field(default_factory=list)
 
 
 class Player:
@@ -116,6 +138,8 @@
         self._n_sent = 0
         self._n_replicas = 0
         self._tasks = set()
+        # Replicas that have run a crashing request and may not have crashed yet.
+        self._crashing_names = set()
 
     async def play(self):
         """Play the run to its end; return the report."""
@@ -163,13 +187,17 @@
         now_s = round(self._now_s(), 2)
         if len(crashes) >= N_CRASHES and now_s > crashes[N_CRASHES - 1] + STABLE_S:
             self.report.late_calls_s[request.target].append(now_s)
-        crashes.append(now_s)
+        crashes.append(round(now_s + self.run.crash_delay_s, 2))
+        if replica.name in self._crashing_names:
+            return True
+        self._crashing_names.add(replica.name)
+        replica.crash_delay_s = self.run.crash_delay_s
         replica.is_crash_silent = self.random.random() < self.run.silent_ratio
         self._spawn(self._restart(replica, zone))
         return True
 
     async def _restart(self, replica, zone):
-        await asyncio.sleep(RESTART_S)
+        await asyncio.sleep(RESTART_S + self.run.crash_delay_s)
         deployment = self._deployment
         self._n_replicas += 1
         name = f"{replica.service}r{self._n_replicas}"
@@ -218,6 +246,20 @@
         await asyncio.sleep(duration_s)
         self._deployment.store.is_unavailable = False
 
+    async def _lose_replicas(self):
+        """Lose a third of the replicas silently, again and again."""
+        while self._now_s() < self.run.duration_s - 14.0:
+            replicas = list(self._deployment.replicas.values())
+            for replica in self.random.sample(replicas, len(replicas) // 3):
+                self._spawn(self._lose(replica))
+            await asyncio.sleep(RESTART_S + 1.0)
+
+    async def _lose(self, replica):
+        zone = self._deployment.store.objects["servers"][replica.name]["spec"]["Zone"]
+        replica.is_silent = True
+        replica.server._server.close()
+        await self._restart(replica, zone)
+
     async def _replace_in_store_outage(self):
         self._spawn(self._store_out_for(8.0))
         await asyncio.sleep(1.0)
@@ -236,7 +278,7 @@
                 path = f"{CRASHING_PATH}{number}"
                 for _ in range(self.run.n_at_once):
                     self._spawn(self._send(path, self.report.crashing))
-            await asyncio.sleep(SEND_INTERVAL_S)
+            await asyncio.sleep(self.run.send_interval_s)
 
     async def _send_harmless(self):
         number = 0
@@ -268,6 +310,8 @@
             b"host": b"h.example",
             b"x-request-id": f"q{self._n_sent}".encode(),
         }
+        loop = asyncio.get_running_loop()
+        sent_s = loop.time()
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
                 response = await connection.request(HttpRequest("GET", path, headers))
@@ -278,6 +322,8 @@
             connection.close()
             pool.close()
         counts[_label(response)] += 1
+        if counts is not self.report.crashing and _label(response) == "200":
+            self.report.harmless_ms.append(round(1000.0 * (loop.time() - sent_s), 1))
 
 
 def _label(response):
--- a/chestnuthall/platform/tests/standins.py
+++ b/chestnuthall/platform/tests/standins.py
@@ -144,6 +144,8 @@
         self.respond = None
         # Returns whether a request crashes this replica as soon as it runs.
         self.is_crashed_by = None
+        # Time from the start of a run to its crash, also if the caller has left.
+        self.crash_delay_s = 0.0
         # Whether a crash leaves the connections open, as a loss of power does.
         self.is_crash_silent = False
         self.is_silent = False
@@ -179,7 +181,7 @@
             return HttpResponse(421, headers)
         self.received.append(request)
         if self.is_crashed_by is not None and self.is_crashed_by(request):
-            await self._crash()
+            await asyncio.shield(asyncio.ensure_future(self._crash()))
         try:
             await asyncio.sleep(self.delay_s)
         except asyncio.CancelledError:
@@ -195,6 +197,7 @@
         return self.signed_response(request)
 
     async def _crash(self):
+        await asyncio.sleep(self.crash_delay_s)
         if not self.is_crash_silent:
             await self.server.close()
             raise DropConnection
--- a/chestnuthall/platform/tests/test_crash_runs.py
+++ b/chestnuthall/platform/tests/test_crash_runs.py
@@ -47,7 +47,7 @@
 
 
 @pytest.mark.processes
-@pytest.mark.parametrize("name", RUNS)
+@pytest.mark.parametrize("name", [name for name, run in RUNS.items() if run.n_contents])
 def test_search_that_crashes_replicas_is_not_sent_again_and_again(reports, name):
     """At most three calls may follow later than four seconds after the third crash."""
     report = reports[name]
--- a/chestnuthall/services/_silence_checks.py
+++ b/chestnuthall/services/_silence_checks.py
@@ -15,6 +15,9 @@
 # Age of a call at which its replica is checked. Requests that take longer at a healthy
 # replica cost a connection.
 CHECK_DELAY_MS = 500.0
+# Time after which a replica that was alive is checked once more, if the query has ended
+# without the shard: its run may have gone on.
+SECOND_CHECK_DELAY_MS = 1_000.0
 # Far longer than a replica takes to accept a connection. A lost packet delays one by a
 # second, so a single attempt proves nothing.
 CONNECT_TIMEOUT_MS = 400.0
@@ -116,9 +119,14 @@
 
     async def _check(self, replica: Replica, due_ms: float) -> None:
         name = loss_name(replica)
+        calls = self._calls[name]
         try:
-            if not await self._is_alive(replica, due_ms):
-                self._record_silence(replica, self._calls[name])
+            is_alive = await self._is_alive(replica, due_ms)
+            if is_alive and any(item.fan_out.is_complete for item in calls):
+                due_ms = self._clock.now_ms() + SECOND_CHECK_DELAY_MS
+                is_alive = await self._is_alive(replica, due_ms)
+            if not is_alive:
+                self._record_silence(replica, calls)
         finally:
             for item in self._calls.pop(name):
                 self._end(item)
