--- a/chestnuthall/core/fanout/_machine.py
+++ b/chestnuthall/core/fanout/_machine.py
@@ -62,6 +62,7 @@
         self.context.quarantine.end_run(
             request.fingerprint,
             request.request_id,
+            self.run_id,
             now_ms,
             has_lost_replica=any(
                 progress.has_lost_replica for progress in self.shards.values()
--- a/chestnuthall/core/fanout/_probes.py
+++ b/chestnuthall/core/fanout/_probes.py
@@ -46,13 +46,13 @@
     """Reserve the probe and notify the peers, unless another query has reserved it."""
     if state.probe_step is not ProbeStep.NONE:
         return []
-    request = state.request
+    fingerprint = state.request.fingerprint
     if not state.context.quarantine.try_reserve_probe(
-        request.fingerprint, request.request_id, now_ms
+        fingerprint, state.request.request_id, state.run_id, now_ms
     ):
         return []
     state.probe_step = ProbeStep.NOTIFYING_PEERS
-    return [NotifyPeers(request.fingerprint)]
+    return [NotifyPeers(fingerprint)]
 
 
 def on_peers_notified(state: FanOutState, now_ms: float) -> list[Action]:
--- a/chestnuthall/core/fanout/_state.py
+++ b/chestnuthall/core/fanout/_state.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from itertools import count
 
 from chestnuthall.core.fanout._events import Action, Cancel, Dispatch
 from chestnuthall.core.fanout._merge import coverage_of
@@ -64,6 +65,8 @@
 # Interval at which requests that can't be hedged try a persistently slow replica. The
 # request that does so waits for it.
 SLOW_RETRY_MS = 8_000.0
+# Numbers of the runs of this process; ids of requests are chosen by callers.
+_run_numbers = count(1)
 # Failures before anything was written to the replica.
 NOT_SENT_KINDS: frozenset[FailureKind] = frozenset(
     {NO_REPLICA, CONNECTION_REFUSED, DEADLINE_PASSED}
@@ -92,6 +95,8 @@
         self, request: Request, partition_map: PartitionMap, context: FanOutContext
     ) -> None:
         self.request = request
+        # Differs between requests that are sent with the same id.
+        self.run_id = f"{request.request_id}#{next(_run_numbers)}"
         self.context = context
         self.partition_map = partition_map
         self.shards: dict[str, ShardProgress] = {}
--- a/chestnuthall/core/quarantine/_registry.py
+++ b/chestnuthall/core/quarantine/_registry.py
@@ -237,10 +237,10 @@
         suspicion.answered_shard_ids.update(answered_shard_ids)
         self._notify(fingerprint, SuspicionState.UNRESOLVED, True)
 
-    def release_probe(self, fingerprint: str, request_id: str, now_ms: float) -> None:
-        """Let another query run the next probe, if this request holds the last one."""
+    def release_probe(self, fingerprint: str, run_id: str, now_ms: float) -> None:
+        """Let another query run the next probe, if this run holds the last one."""
         suspicion = self._find_unexpired(fingerprint, now_ms)
-        if suspicion is not None and suspicion.probe_owner == request_id:
+        if suspicion is not None and suspicion.probe_owner == run_id:
             suspicion.probe_reserved_until_ms = now_ms
 
     def _end_retest(self, suspicion: Suspicion) -> None:
@@ -463,18 +463,21 @@
         return suspicion is not None and suspicion.retest_owner == request_id
 
     def try_reserve_probe(
-        self, fingerprint: str, probe_owner: str, now_ms: float
+        self, fingerprint: str, request_id: str, run_id: str, now_ms: float
     ) -> bool:
-        """Reserve the probe of a suspected request; return whether that succeeded."""
+        """Reserve the probe of a suspected request; return whether that succeeded.
+
+        It is reserved for one run: several may have the same request id.
+        """
         suspicion = self._find_unexpired(fingerprint, now_ms)
-        if suspicion is None or self.is_quarantined(fingerprint, now_ms, probe_owner):
+        if suspicion is None or self.is_quarantined(fingerprint, now_ms, request_id):
             return False
         if (
-            suspicion.probe_owner != probe_owner
+            suspicion.probe_owner != run_id
             and suspicion.probe_reserved_until_ms > now_ms
         ):
             return False
-        suspicion.probe_owner = probe_owner
+        suspicion.probe_owner = run_id
         suspicion.is_local = True
         suspicion.probe_reserved_until_ms = now_ms + self._settings.probe_reservation_ms
         return True
@@ -488,6 +491,7 @@
         self,
         fingerprint: str,
         request_id: str,
+        run_id: str,
         now_ms: float,
         *,
         has_lost_replica: bool = False,
@@ -495,7 +499,9 @@
         has_unanswered_calls: bool = False,
         has_unanswered_probe: bool = False,
     ) -> None:
-        """Record the end of a request that may have held the probe or the retest.
+        """Record the end of a run that may have held the probe or the retest.
+
+        The retest is held by the id of a request, the probe by that of a run.
 
         Another query can then run the probe, unless its replica has not answered and
         remains to be checked. Without a verdict, a request that lost
@@ -509,7 +515,7 @@
         suspicion = self._find_unexpired(fingerprint, now_ms)
         if suspicion is None:
             return
-        if suspicion.probe_owner == request_id:
+        if suspicion.probe_owner == run_id:
             check_ms = SILENCE_CHECK_MAX_MS if has_unanswered_probe else 0.0
             suspicion.probe_reserved_until_ms = now_ms + check_ms
         if suspicion.retest_owner == request_id:
--- a/chestnuthall/core/quarantine/tests/test_registry.py
+++ b/chestnuthall/core/quarantine/tests/test_registry.py
@@ -56,7 +56,7 @@
     registry.merge("f", names, expires_ms, 10.0)
     assert registry.is_suspected("f", 11.0) == is_suspected
     assert registry.is_quarantined("f", 11.0) == is_quarantined
-    assert not registry.try_reserve_probe("f", "other", 11.0)
+    assert not registry.try_reserve_probe("f", "other", "other", 11.0)
 
 
 def quarantined_registry():
@@ -93,12 +93,12 @@
     assert not registry.is_quarantined("f", 122.0, "q1")
     assert registry.is_quarantined("f", 122.0, "q2")
     assert not registry.begin_retest("f", "q2", 122.0)
-    assert registry.try_reserve_probe("f", "q1", 122.0)
+    assert registry.try_reserve_probe("f", "q1", "q1", 122.0)
     if is_answered:
         registry.clear("f", 123.0)
     elif is_answered is False:
         lose_replica(registry, 2, 122.0, 123.0, is_probe=True)
-    registry.end_run("f", "q1", 124.0)
+    registry.end_run("f", "q1", "q1", 124.0)
     assert registry.is_quarantined("f", 125.0, "q1") == is_quarantined
     assert not registry.is_retest_due("f", 1_120.0)
     assert registry.is_retest_due("f", 1_122.0) == is_quarantined
@@ -111,7 +111,7 @@
         assert registry.is_retest_due("f", 1e5)
         registry.count_retest("f", 0.0)
         assert registry.begin_retest("f", f"q{number}", 1e5)
-        registry.end_run("f", f"q{number}", 1e5)
+        registry.end_run("f", f"q{number}", f"q{number}", 1e5)
     assert not registry.is_retest_due("f", 8e7)
 
 
@@ -142,7 +142,9 @@
     registry.add_listener(lambda fingerprint, state, is_local: seen.append(state.value))
     for number in range(n_lost):
         lose_replica(registry, number, 0.0, 10.0)
-    registry.end_run("f", "q", 20.0, has_lost_replica=True, is_answered=is_answered)
+    registry.end_run(
+        "f", "q", "q", 20.0, has_lost_replica=True, is_answered=is_answered
+    )
     assert registry.is_suspected("f", 1e7)
     assert registry.is_quarantined("f", 21.0) == is_quarantined
     assert seen == states
@@ -200,7 +202,7 @@
     registry = QuarantineRegistry(QuarantineSettings())
     for number in range(9):
         fall_silent(registry, 10.0 * number, number=number)
-        registry.end_run("f", "q", 10.0 * number + 1.0, has_lost_replica=True)
+        registry.end_run("f", "q", "q", 10.0 * number + 1.0, has_lost_replica=True)
     assert registry.is_suspected("f", 100.0)
     assert not registry.is_quarantined("f", 100.0)
 
@@ -208,7 +210,7 @@
 def test_silent_probe_quarantines_a_request():
     registry = QuarantineRegistry(QuarantineSettings())
     fall_silent(registry, 10.0)
-    assert registry.try_reserve_probe("f", "q", 20.0)
+    assert registry.try_reserve_probe("f", "q", "q", 20.0)
     fall_silent(registry, 30.0, number=1, is_probe=True)
     assert registry.is_quarantined("f", 31.0)
 
@@ -247,11 +249,11 @@
     """Otherwise it could crash another replica before the result is known."""
     registry = QuarantineRegistry(QuarantineSettings())
     fall_silent(registry, 10.0)
-    assert registry.try_reserve_probe("f", "q1", 20.0)
-    registry.end_run("f", "q1", 500.0, has_unanswered_probe=True)
-    assert not registry.try_reserve_probe("f", "q2", 1_000.0)
+    assert registry.try_reserve_probe("f", "q1", "q1", 20.0)
+    registry.end_run("f", "q1", "q1", 500.0, has_unanswered_probe=True)
+    assert not registry.try_reserve_probe("f", "q2", "q2", 1_000.0)
     registry.release_probe("f", "q1", 1_300.0)
-    assert registry.try_reserve_probe("f", "q2", 1_301.0)
+    assert registry.try_reserve_probe("f", "q2", "q2", 1_301.0)
 
 
 def test_suspicion_inferred_from_silence_is_shared_as_such():
@@ -305,10 +307,12 @@
     for number in range(4):
         now_ms = 5_000.0 * number
         lose_replica(registry, number, now_ms, now_ms + 1.0)
-        registry.end_run("f", "q", now_ms + 2.0, has_lost_replica=True)
+        registry.end_run("f", "q", "q", now_ms + 2.0, has_lost_replica=True)
         registry.clear("f", now_ms + 50.0)
         for index in range(n_answered):
-            registry.end_run("f", f"q{index}", now_ms + 60.0, is_answered=True)
+            registry.end_run(
+                "f", f"q{index}", f"q{index}", now_ms + 60.0, is_answered=True
+            )
     assert registry.is_quarantined("f", 15_001.5) == is_quarantined
 
 
@@ -389,3 +393,12 @@
     for number in range(20):
         fall_silent(registry, float(number), fingerprint=f"f{number}")
     assert len(registry.suspicions(30.0)) == n_suspected
+
+
+def test_probe_is_reserved_for_one_run_of_several_with_the_same_id():
+    """Callers choose the ids; requests sent at once with one crashed a replica each."""
+    registry = QuarantineRegistry(QuarantineSettings())
+    suspect_silently(registry, 10.0)
+    assert registry.try_reserve_probe("f", "q", "q#1", 20.0)
+    assert registry.try_reserve_probe("f", "q", "q#1", 21.0)
+    assert not registry.try_reserve_probe("f", "q", "q#2", 22.0)
--- a/chestnuthall/platform/tests/crash_runs.py
+++ b/chestnuthall/platform/tests/crash_runs.py
@@ -54,6 +54,8 @@
     # Different crashing requests, and how many of each are sent at once.
     n_contents: int = 1
     n_at_once: int = 1
+    # Whether all crashing requests are sent with the same id.
+    has_one_id: bool = False
     duration_s: float = 30.0
 
 
@@ -106,6 +108,7 @@
         n_contents=6, n_shards_crashed=1, silent_ratio=1.0
     ),
     "sent_at_once": Run(n_at_once=8, silent_ratio=0.5),
+    "sent_at_once_under_one_id": Run(n_at_once=8, silent_ratio=0.5, has_one_id=True),
     "sent_at_once_for_one_shard": Run(
         n_at_once=8, n_shards_crashed=1, silent_ratio=1.0
     ),
@@ -300,6 +303,8 @@
             counts["no instance"] += 1
             return
         self._n_sent += 1
+        has_one_id = self.run.has_one_id and path.startswith(CRASHING_PATH)
+        request_id = "one" if has_one_id else f"q{self._n_sent}"
         instance = self.random.choice(list(self.instances.values()))
         pool = ConnectionPool(instance.settings.caller_address, PoolSettings())
         connection = await pool.acquire(500.0)
@@ -308,7 +313,7 @@
             return
         headers = {
             b"host": b"h.example",
-            b"x-request-id": f"q{self._n_sent}".encode(),
+            b"x-request-id": request_id.encode(),
         }
         loop = asyncio.get_running_loop()
         sent_s = loop.time()
--- a/chestnuthall/services/_silence_checks.py
+++ b/chestnuthall/services/_silence_checks.py
@@ -172,9 +172,9 @@
             )
 
     def _end(self, call: _UnansweredCall) -> None:
-        request, running = call.fan_out.request, call.running
-        fingerprint = request.fingerprint
+        fan_out, running = call.fan_out, call.running
+        fingerprint = fan_out.request.fingerprint
         self._registry.end_silence_check(fingerprint, running.call.shard_id)
-        if running.is_probe and call.fan_out.is_complete:
+        if running.is_probe and fan_out.is_complete:
             now_ms = self._clock.now_ms()
-            self._registry.release_probe(fingerprint, request.request_id, now_ms)
+            self._registry.release_probe(fingerprint, fan_out.run_id, now_ms)
--- a/chestnuthall/services/tests/test_quarantine_records.py
+++ b/chestnuthall/services/tests/test_quarantine_records.py
@@ -20,7 +20,7 @@
     now_ms = LoopTimeClock().now_ms()
     replica = Replica(f"r{number}", f"r{number}", "z")
     registry.record_loss("f", replica, "s", now_ms, now_ms, is_probe=number > 0)
-    registry.end_run("f", f"q{number}", now_ms, has_lost_replica=True)
+    registry.end_run("f", f"q{number}", f"q{number}", now_ms, has_lost_replica=True)
 
 
 # (case, seconds from the suspicion to the quarantine); a write takes 4 ms
