Let one instance probe a shared suspicion at a time

Replicas saw as many calls at once as there are instances that get a suspected request in the same moment, when its replicas were back after four seconds.

Cause: a probe was reserved at one instance. Records spread the suspicion, but nothing told which instance probes it.

Change: before the probe of a suspicion that is in the store, its record is updated on condition of its version. The instance whose write succeeds probes; the others wait 1.5 s for its verdict and call the proven shards meanwhile. An own loss that is not shared yet needs no claim, and without the store there is none. The replica of a probe is checked after 250 ms in place of 500, and a connection attempt of a check takes 300 ms at most, not 400, as others wait.

In virtual time eight instances that get the request at once stay within the limit, and the tests of harmless requests pass.

--- a/chestnuthall/core/fanout/_events.py
+++ b/chestnuthall/core/fanout/_events.py
@@ -57,7 +57,12 @@
 
 @dataclass(frozen=True, slots=True)
 class PeersNotified(Event):
-    """Result of ``NotifyPeers``: all reachable peers were notified."""
+    """Result of ``NotifyPeers``: all reachable peers were notified.
+
+    Without ``is_probe_granted`` another instance runs the probe.
+    """
+
+    is_probe_granted: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnuthall/core/fanout/_handlers.py
+++ b/chestnuthall/core/fanout/_handlers.py
@@ -352,7 +352,7 @@
 
 @apply_event.register
 def _(event: PeersNotified, state: FanOutState) -> list[Action]:
-    return probes.on_peers_notified(state, event.now_ms)
+    return probes.on_peers_notified(state, event.is_probe_granted, event.now_ms)
 
 
 @apply_event.register
--- a/chestnuthall/core/fanout/_probes.py
+++ b/chestnuthall/core/fanout/_probes.py
@@ -55,11 +55,20 @@
     return [NotifyPeers(fingerprint)]
 
 
-def on_peers_notified(state: FanOutState, now_ms: float) -> list[Action]:
-    """Start the probe once the peers were notified of the suspicion."""
+def on_peers_notified(
+    state: FanOutState, is_probe_granted: bool, now_ms: float
+) -> list[Action]:
+    """Start the probe once the peers were notified of the suspicion.
+
+    If another instance runs it, the deferred shards wait for its verdict.
+    """
     state.probe_step = ProbeStep.NONE
     if state.is_quarantined(now_ms) or not state.is_suspected(now_ms):
         return resolve_deferred(state, now_ms)
+    if not is_probe_granted:
+        fingerprint = state.request.fingerprint
+        state.context.quarantine.reserve_probe_of_peer(fingerprint, now_ms)
+        return []
     return start_probe(state, now_ms)
 
 
--- a/chestnuthall/core/fanout/tests/test_probes.py
+++ b/chestnuthall/core/fanout/tests/test_probes.py
@@ -13,6 +13,7 @@
     QueryStarted,
     SetTimer,
     TimerFired,
+    VerdictReached,
 )
 from chestnuthall.core.fanout.tests.test_machine import (
     answer_to,
@@ -125,3 +126,15 @@
     fan_out.handle(TimerFired(100.0))
     assert fan_out.is_complete
     assert {item.call.shard_id for item in fan_out.unanswered} == {"s2"}
+
+
+def test_search_waits_for_the_probe_of_another_instance():
+    fan_out = make_suspected()
+    first = calls_of(fan_out.handle(QueryStarted(1.0)))
+    assert not calls_of(fan_out.handle(PeersNotified(2.0, is_probe_granted=False)))
+    for call in first:
+        fan_out.handle(CallAnswered(5.0, call.call_id, answer_to(call)))
+    assert not calls_of(fan_out.handle(TimerFired(100.0)))
+    fan_out.context.quarantine.lift("f")
+    (call,) = calls_of(fan_out.handle(VerdictReached(101.0)))
+    assert call.shard_id == "s1"
--- a/chestnuthall/core/quarantine/_record.py
+++ b/chestnuthall/core/quarantine/_record.py
@@ -10,7 +10,8 @@
     ``replica_names`` are the losses that count as evidence, ``lost_names`` all of
     them, and ``zones`` and ``shard_ids`` say where they occurred. Replicas of the
     shards ``answered_shard_ids`` have run the request and survived. ``n_retests`` is
-    the number of retests that were started since the request was quarantined.
+    the number of retests that were started since the request was quarantined, and
+    ``n_probes`` that of the probes that were claimed before.
     """
 
     fingerprint: str
@@ -21,6 +22,7 @@
     answered_shard_ids: frozenset[str] = frozenset()
     is_quarantined: bool = False
     n_retests: int = 0
+    n_probes: int = 0
 
     def merged_with(self, other: "QuarantineRecord") -> "QuarantineRecord":
         """Return the record with what either of two instances knows."""
@@ -33,4 +35,5 @@
             answered_shard_ids=self.answered_shard_ids | other.answered_shard_ids,
             is_quarantined=self.is_quarantined or other.is_quarantined,
             n_retests=max(self.n_retests, other.n_retests),
+            n_probes=max(self.n_probes, other.n_probes),
         )
--- a/chestnuthall/core/quarantine/_registry.py
+++ b/chestnuthall/core/quarantine/_registry.py
@@ -343,6 +343,7 @@
             answered_shard_ids=frozenset(suspicion.answered_shard_ids),
             is_quarantined=suspicion.is_quarantined,
             n_retests=suspicion.n_retests,
+            n_probes=suspicion.n_probes,
         )
 
     def adopt(self, record: QuarantineRecord, now_ms: float) -> None:
@@ -366,6 +367,10 @@
         suspicion.zones_with_losses |= record.zones
         suspicion.shards_with_losses |= record.shard_ids
         suspicion.answered_shard_ids |= record.answered_shard_ids
+        if record.n_probes > suspicion.n_probes:
+            suspicion.n_probes = record.n_probes
+            if not record.is_quarantined:
+                self.reserve_probe_of_peer(record.fingerprint, now_ms)
         if record.n_retests > suspicion.n_retests:
             suspicion.n_retests = record.n_retests
             delay_ms = self._settings.retest_delay_ms(record.n_retests)
@@ -482,6 +487,13 @@
         suspicion.probe_reserved_until_ms = now_ms + self._settings.probe_reservation_ms
         return True
 
+    def reserve_probe_of_peer(self, fingerprint: str, now_ms: float) -> None:
+        """Let queries wait for the probe that another instance has claimed."""
+        suspicion = self._find_unexpired(fingerprint, now_ms)
+        if suspicion is not None:
+            suspicion.probe_owner = "peer"
+            suspicion.probe_reserved_until_ms = now_ms + SILENCE_CHECK_MAX_MS
+
     def probe_reserved_until_ms(self, fingerprint: str) -> float:
         """Return the time at which the reservation of a probe expires."""
         suspicion = self._suspicions.get(fingerprint)
--- a/chestnuthall/core/quarantine/_suspicion.py
+++ b/chestnuthall/core/quarantine/_suspicion.py
@@ -82,6 +82,8 @@
     probe_owner: str = ""
     probe_reserved_until_ms: float = float("-inf")
     n_retests: int = 0
+    # Probes that instances of the fleet have claimed.
+    n_probes: int = 0
     retest_due_ms: float = float("inf")
     retest_owner: str = ""
 
--- a/chestnuthall/core/quarantine/tests/test_registry.py
+++ b/chestnuthall/core/quarantine/tests/test_registry.py
@@ -4,6 +4,8 @@
 and against a crashing request that keeps running.
 """
 
+from dataclasses import replace
+
 import pytest
 
 from chestnuthall.core.model import Replica
@@ -402,3 +404,13 @@
     assert registry.try_reserve_probe("f", "q", "q#1", 20.0)
     assert registry.try_reserve_probe("f", "q", "q#1", 21.0)
     assert not registry.try_reserve_probe("f", "q", "q#2", 22.0)
+
+
+def test_claimed_probe_of_a_peer_is_awaited():
+    """Instances that get a suspected request at once would crash a replica each."""
+    registry = QuarantineRegistry(QuarantineSettings())
+    suspect_silently(registry, 10.0)
+    record = registry.record("f", 11.0)
+    registry.adopt(replace(record, n_probes=1), 20.0)
+    assert not registry.try_reserve_probe("f", "q", "q#1", 1_000.0)
+    assert registry.try_reserve_probe("f", "q", "q#1", 1_600.0)
--- a/chestnuthall/platform/_quarantines.py
+++ b/chestnuthall/platform/_quarantines.py
@@ -20,6 +20,8 @@
     answered: frozenset[str] = Field(default=frozenset(), strict=False)
     is_quarantined: bool
     n_retests: int = Field(ge=0)
+    # Absent in records of earlier versions.
+    n_probes: int = Field(default=0, ge=0)
 
 
 def read_quarantine(stored: StoredObject) -> QuarantineRecord | Failure:
@@ -37,6 +39,7 @@
         answered_shard_ids=record.answered,
         is_quarantined=record.is_quarantined,
         n_retests=record.n_retests,
+        n_probes=record.n_probes,
     )
 
 
@@ -51,5 +54,6 @@
             "answered": sorted(record.answered_shard_ids),
             "is_quarantined": record.is_quarantined,
             "n_retests": record.n_retests,
+            "n_probes": record.n_probes,
         }
     )
--- a/chestnuthall/services/_fan_out_run.py
+++ b/chestnuthall/services/_fan_out_run.py
@@ -1,7 +1,7 @@
 """Runs the actions of one fan-out on the event loop."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import partial, singledispatchmethod
 from typing import Protocol, TypeAlias
 
@@ -27,9 +27,14 @@
 from chestnuthall.core.model import PartitionMap, ShardAnswer, ShardCall
 from chestnuthall.core.results import Failure
 from chestnuthall.ports import Clock, DirectShardCaller, ShardCaller
-from chestnuthall.services._silence_checks import CHECK_DELAY_MS, SilenceChecks
+from chestnuthall.services._silence_checks import (
+    CHECK_DELAY_MS,
+    PROBE_CHECK_DELAY_MS,
+    SilenceChecks,
+)
 from chestnuthall.services._suspicion_notifier import SuspicionNotifier
 
+ProbeClaim: TypeAlias = Callable[[str], Awaitable[bool]]
 CallObserver: TypeAlias = Callable[[ShardCall, ShardAnswer | Failure, float], None]
 
 
@@ -62,6 +67,11 @@
     """Do nothing; the instance that admitted the query observes its calls."""
 
 
+async def _grant_probe(fingerprint: str) -> bool:
+    """Grant every probe, for an instance without peers."""
+    return True
+
+
 class FanOutRun:
     """Runs one fan-out: its calls, its timer and its background tasks."""
 
@@ -74,9 +84,11 @@
         suspicion_notifier: SuspicionNotifier,
         on_call_result: CallObserver = _ignore_result,
         silence_checks: SilenceChecks | None = None,
+        claim_probe: ProbeClaim = _grant_probe,
     ) -> None:
+        self._claim_probe = claim_probe
         self._silence_checks = silence_checks
-        self._silence_timer: asyncio.TimerHandle | None = None
+        self._silence_timers: list[asyncio.TimerHandle] = []
         self._on_call_result = on_call_result
         self._fan_out = fan_out
         self._clock = clock
@@ -99,10 +111,7 @@
         self._suspicion_notifier.add_waiter(fingerprint, self._on_verdict)
         try:
             self._handle(QueryStarted(self._clock.now_ms()))
-            if self._silence_checks is not None:
-                self._silence_timer = self._loop.call_later(
-                    CHECK_DELAY_MS / 1000.0, self._check_silence
-                )
+            self._check_silence_after(CHECK_DELAY_MS)
             return await self._done
         finally:
             self._suspicion_notifier.remove_waiter(fingerprint, self._on_verdict)
@@ -111,8 +120,8 @@
     def _stop(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        if self._silence_timer is not None:
-            self._silence_timer.cancel()
+        for silence_timer in self._silence_timers:
+            silence_timer.cancel()
         for task in self._tasks:
             task.cancel()
         if not self._fan_out.is_complete:
@@ -121,6 +130,11 @@
             cancel()
         self._check_silence()
 
+    def _check_silence_after(self, delay_ms: float) -> None:
+        if self._silence_checks is not None:
+            timer = self._loop.call_later(delay_ms / 1000.0, self._check_silence)
+            self._silence_timers.append(timer)
+
     def _check_silence(self) -> None:
         """Check the replicas of a query that none of them has answered."""
         if self._silence_checks is not None:
@@ -146,6 +160,8 @@
         if cancel is None:
             cancel = self._loop.create_task(self._call(call)).cancel
         self._cancel_by_call_id[call.call_id] = cancel
+        if call.is_probe:
+            self._check_silence_after(PROBE_CHECK_DELAY_MS)
 
     def _start_directly(self, call: ShardCall) -> Callable[[], object] | None:
         """Start a call without a task and return the function that cancels it.
@@ -193,7 +209,8 @@
 
     async def _notify_peers(self) -> None:
         await self._suspicion_notifier.notify_peers()
-        self._handle(PeersNotified(self._clock.now_ms()))
+        is_granted = await self._claim_probe(self._fan_out.request.fingerprint)
+        self._handle(PeersNotified(self._clock.now_ms(), is_granted))
 
     async def _call(self, call: ShardCall) -> None:
         started_ms = self._clock.now_ms()
--- a/chestnuthall/services/_quarantine_records.py
+++ b/chestnuthall/services/_quarantine_records.py
@@ -17,7 +17,12 @@
     UpdateRecord,
     next_write,
 )
-from chestnuthall.core.results import NOT_READY, OBJECT_NOT_FOUND, Failure
+from chestnuthall.core.results import (
+    NOT_READY,
+    OBJECT_CONFLICT,
+    OBJECT_NOT_FOUND,
+    Failure,
+)
 from chestnuthall.ports import Clock, ObjectListing, ObjectStore, StoredObject
 from chestnuthall.services._kind_follower import KindFollower
 
@@ -214,6 +219,23 @@
         elif stored.kind is OBJECT_NOT_FOUND:
             self._shared.pop(fingerprint, None)
 
+    async def claim_probe(self, fingerprint: str) -> bool:
+        """Return whether this instance may probe a suspected request now.
+
+        Instances that get the request at the same moment would crash a replica each.
+        A suspicion that is not shared yet needs no claim, and without the store there
+        is none.
+        """
+        shared = self._shared.get(fingerprint)
+        if shared is None:
+            return True
+        record = replace(shared.record, n_probes=shared.record.n_probes + 1)
+        failure = await self._update(record, CLAIM_TIMEOUT_MS)
+        if failure is None or failure.kind not in (OBJECT_CONFLICT, OBJECT_NOT_FOUND):
+            return True
+        await self._refresh(fingerprint)
+        return False
+
     async def claim(self, fingerprint: str) -> bool:
         """Count a retest in the record; return whether this instance may run it."""
         shared = self._shared.get(fingerprint)
--- a/chestnuthall/services/_query.py
+++ b/chestnuthall/services/_query.py
@@ -417,6 +417,7 @@
             self._suspicion_notifier,
             on_call_result,
             self._silence_checks,
+            self._retests.claim_probe,
         )
         return await run.complete()
 
@@ -435,6 +436,7 @@
             NoReplacementMap(),
             self._suspicion_notifier,
             silence_checks=self._silence_checks,
+            claim_probe=self._retests.claim_probe,
         )
         return await run.complete()
 
--- a/chestnuthall/services/_retests.py
+++ b/chestnuthall/services/_retests.py
@@ -1,4 +1,4 @@
-"""Grants the retests of quarantined requests."""
+"""Grants the probes of suspected requests and the retests of quarantined ones."""
 
 from collections.abc import Callable, Iterable
 from typing import Protocol
@@ -9,7 +9,11 @@
 
 
 class RetestClaims(Protocol):
-    """Claims a retest on behalf of the fleet."""
+    """Claims a probe or a retest on behalf of the fleet."""
+
+    async def claim_probe(self, fingerprint: str) -> bool:
+        """Return whether this instance may probe a suspected request now."""
+        ...
 
     async def claim(self, fingerprint: str) -> bool:
         """Count a retest and return whether this instance may run it now."""
@@ -23,6 +27,10 @@
         self._registry = registry
         self._clock = clock
 
+    async def claim_probe(self, fingerprint: str) -> bool:
+        """Grant each probe; peers are notified of it before it starts."""
+        return True
+
     async def claim(self, fingerprint: str) -> bool:
         """Count a retest that is due."""
         now_ms = self._clock.now_ms()
--- a/chestnuthall/services/_silence_checks.py
+++ b/chestnuthall/services/_silence_checks.py
@@ -15,12 +15,14 @@
 # Age of a call at which its replica is checked. Requests that take longer at a healthy
 # replica cost a connection.
 CHECK_DELAY_MS = 500.0
+# The same for a probe, for whose verdict other runs of the request wait.
+PROBE_CHECK_DELAY_MS = 250.0
 # Time after which a replica that was alive is checked once more, if the query has ended
 # without the shard: its run may have gone on.
 SECOND_CHECK_DELAY_MS = 1_000.0
 # Far longer than a replica takes to accept a connection. A lost packet delays one by a
 # second, so a single attempt proves nothing.
-CONNECT_TIMEOUT_MS = 400.0
+CONNECT_TIMEOUT_MS = 300.0
 N_CONNECT_ATTEMPTS = 2
 # Replicas that are checked for one request, and for one that other shards answered.
 N_REPLICAS_CHECKED_MAX = 4
@@ -105,8 +107,10 @@
             if len(self._calls) >= N_CHECKS_MAX:
                 return
             calls = self._calls[name] = []
+            is_probe = call.running.is_probe
+            delay_ms = PROBE_CHECK_DELAY_MS if is_probe else CHECK_DELAY_MS
             task = asyncio.get_running_loop().create_task(
-                self._check(replica, call.running.started_ms + CHECK_DELAY_MS)
+                self._check(replica, call.running.started_ms + delay_ms)
             )
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
--- a/chestnuthall/services/tests/test_quarantine_over_time.py
+++ b/chestnuthall/services/tests/test_quarantine_over_time.py
@@ -314,6 +314,28 @@
     assert fleet.n_late_calls <= N_LATE_CALLS_MAX
 
 
+@pytest.mark.parametrize("kind", KINDS)
+def test_instances_that_get_a_request_at_once_do_not_all_probe_it(kind):
+    """Its replicas come back after the time in which crashes are excused."""
+
+    async def scenario():
+        fleet = Fleet(1)
+        fleet.upstreams.is_crash_silent = True
+        fleet.upstreams.restart_s = 8.0
+        fleet.upstreams.crashing.add(FINGERPRINT)
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(STABLE_S + 1.0)
+        while loop.time() < SILENT_DURATION_S:
+            await asyncio.gather(*(fleet.send(kind, node=x) for x in fleet.nodes))
+            await asyncio.sleep(0.3)
+        await fleet.close()
+        return fleet
+
+    fleet = run_virtual(scenario())
+    print(f"{fleet.n_late_calls} late calls, {len(fleet.crashes_s)} crashes")
+    assert fleet.n_late_calls <= N_LATE_CALLS_MAX
+
+
 @pytest.mark.parametrize("kind", KINDS)
 def test_request_that_crashes_replicas_silently_is_not_sent_again_and_again(kind):
     """Their connections stay open, as those of a replica that loses power do."""
