--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -228,6 +228,8 @@
     def __init__(self, port):
         super().__init__()
         self._to_port = port
+        # When the replicas were last read through this proxy.
+        self.read_replicas_s = float("-inf")
         self._passes = asyncio.Event()
         self._passes.set()
 
@@ -252,6 +254,8 @@
 
     async def _pump(self, reader, writer):
         while data := await reader.read(65_536):
+            if data.startswith(b"GET /v1/objects/servers"):
+                self.read_replicas_s = time.monotonic()
             await self._passes.wait()
             writer.write(data)
             await writer.drain()
@@ -304,12 +308,19 @@
         self.register()
         self.world.note("replica leaves", replica=self.name)
 
+    def leave_silently(self):
+        """Remove the entry without a report; answers say so from now on."""
+        self.is_leaving = True
+        self.world.store.remove("servers", self.name)
+        self.world.note("replica leaves without a report", replica=self.name)
+
     def exit(self):
         """End, as the page says: some time after ``DrainMs``."""
         self.has_ended = True
         self.world.note("replica exits", replica=self.name, n_held=self.n_held)
         self.end()
-        self.world.store.remove("servers", self.name)
+        if self.name in self.world.store.objects["servers"]:
+            self.world.store.remove("servers", self.name)
 
     def leaving_headers(self):
         return {"Server-Leaving": "1"} if self.is_leaving else {}
