--- a/review/7/case.py
+++ b/review/7/case.py
@@ -13,12 +13,12 @@
 SERVICE = "ledger"
 N_INSTANCES = 6
 # Clients of each instance, by what they send.
-METHODS = 4 * ("POST",) + 2 * ("GET",)
-BOOK_S, READ_S = 0.4, 0.02
+METHODS = 12 * ("POST",) + 2 * ("GET",)
+BOOK_S, READ_S = 0.8, 0.02
 # By then the instances know one another, and no start was in the last 4 s.
 CALM_S = 8.0
 # The replacement starts first, then the old replica leaves.
-NEW_ONE_FIRST_S = 0.4
+NEW_ONE_FIRST_S = 0.15
 FROZEN_S = 5.0
 LEAVES_AFTER_S = 0.1
 # The replica serves for ``DrainMs`` after its entry was removed and so much longer.
@@ -28,8 +28,8 @@
 async def play(world, has_trouble):
     """Return what was broken."""
     world.work_s = lambda _, request: BOOK_S if is_booking(request.start) else READ_S
-    for number in range(4):
-        await world.add_replica(f"i-{number}", SERVICE, n_slots=16)
+    for number in range(3):
+        await world.add_replica(f"i-{number}", SERVICE, n_slots=32)
     routes = [
         route("book", "/book/", SERVICE),
         route("read", "/read/", SERVICE, kind="idempotent", target_ms=200),
@@ -42,7 +42,7 @@
         for method in METHODS
     ]
     await asyncio.sleep(CALM_S)
-    await world.add_replica("i-4", SERVICE, n_slots=16, warm_up_ms=3000)
+    await world.add_replica("i-3", SERVICE, n_slots=32, warm_up_ms=3000)
     await asyncio.sleep(NEW_ONE_FIRST_S)
     reader = max(world.instances, key=lambda item: item.store_proxy.read_replicas_s)
     if has_trouble:
