Serve the metrics page where OpenSSL is not imported

What operators saw: each scrape of an instance on the platform was answered with 500. Cause: the program blocks the import of ssl to save 7 MB, and prometheus_client, which is imported at the first scrape, imports it. Change: the first scrape lifts the block. A process that is never scraped keeps its memory.

--- a/chestnuthall/adapters/metrics/_exposition.py
+++ b/chestnuthall/adapters/metrics/_exposition.py
@@ -1,5 +1,6 @@
 """Metrics port in the Prometheus text exposition format."""
 
+import sys
 from bisect import bisect_left
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
@@ -93,6 +94,10 @@
 
     def render(self) -> bytes:
         """Return all metrics in the text exposition format."""
+        # The library imports ssl, which a program may have blocked to start with less
+        # memory.
+        if sys.modules.get("ssl", sys) is None:
+            del sys.modules["ssl"]
         from prometheus_client import CollectorRegistry
         from prometheus_client.exposition import generate_latest
 
