Bound what all clients together make an instance hold

What callers saw: clients that send many requests ahead and read no answers ended a process, which ran out of memory, and with it all requests in flight there. Causes, on each of the four listeners: reading paused by a count that each response set to zero, so the buffer grew by up to 256 KB for each small request served; limits for one connection (heads, bodies, unread responses, running requests) added up over 1,024 connections; chunks were kept one by one, at some 40 bytes for two; the kernel held up to 6 MB unread for each connection. Change: core/intake decides. One sum for all listeners counts heads, bodies, running requests, requests sent ahead and unread responses; beyond it the largest message is refused or its connection closed. Requests that run hold half of it at most, others are refused as not run. The next request is served once the last response was taken; long bodies are written in pieces; requests that came ahead take turns of 5 ms; the kernel's buffers are small. The limits follow from the machine (memory_mb, n_descriptors).

--- a/chestnuthall/adapters/callers/_frontend.py
+++ b/chestnuthall/adapters/callers/_frontend.py
@@ -10,6 +10,7 @@
     BODY_TOO_LARGE,
     INTERNAL_ERROR,
     NOT_FOUND,
+    RATE_LIMITED,
     Failure,
 )
 from chestnuthall.ports import (
@@ -105,6 +106,8 @@
     """Return the response to a request that the HTTP server failed to serve."""
     if status == 413:
         return encode_outcome(BODY_TOO_LARGE.with_reason(reason))
+    if status == 503:
+        return encode_outcome(RATE_LIMITED.with_reason(reason))
     if status >= 500:
         return encode_outcome(INTERNAL_ERROR.with_reason(reason))
     return encode_outcome(BAD_HTTP.with_reason(reason))
--- a/chestnuthall/adapters/http/__init__.py
+++ b/chestnuthall/adapters/http/__init__.py
@@ -12,19 +12,23 @@
     HttpResponse,
 )
 from chestnuthall.adapters.http._pool import ConnectionPool, PoolSettings
+from chestnuthall.adapters.http._reception import RESPONSES, ReceptionBudget
 from chestnuthall.adapters.http._responses import ResponseTest
-from chestnuthall.adapters.http._server import HttpServer, ServerLimits
+from chestnuthall.adapters.http._server import Handler, HttpServer, ServerLimits
 
 __all__ = [
     "ClientConnection",
     "ConnectionPool",
     "DropConnection",
+    "Handler",
     "HeaderPairs",
     "HttpRequest",
     "HttpResponse",
     "HttpServer",
     "TcpKeepAlive",
     "PoolSettings",
+    "RESPONSES",
+    "ReceptionBudget",
     "ResponseTest",
     "ServerLimits",
     "connect",
--- a/chestnuthall/adapters/http/_client.py
+++ b/chestnuthall/adapters/http/_client.py
@@ -11,8 +11,9 @@
     ResponseError,
     ResponseParser,
     ResponseTest,
-    encode_request,
+    encode_head,
 )
+from chestnuthall.adapters.http._writing import BodyWriter
 from chestnuthall.core.results import (
     ANSWER_CUT,
     CONNECTION_LOST,
@@ -70,6 +71,7 @@
         self._reception = reception
         self._parser: ResponseParser | None = None
         self._transport: asyncio.Transport | None = None
+        self._writer: BodyWriter | None = None
         self._on_response: ResponseCallback | None = None
         self._host = b""
         self._on_free: Callable[[], None] | None = None
@@ -81,6 +83,7 @@
         """Store the transport; called by the event loop."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._writer = BodyWriter(transport)
         peer = transport.get_extra_info("peername")
         self._host = f"{peer[0]}:{peer[1]}".encode()
         self.is_open = True
@@ -91,6 +94,16 @@
         self._discard_parser()
         self._complete_request(CONNECTION_LOST.with_reason("the connection was closed"))
 
+    def pause_writing(self) -> None:
+        """Delay the rest of a long request; called by the event loop."""
+        assert self._writer is not None
+        self._writer.pause()
+
+    def resume_writing(self) -> None:
+        """Send the rest of a long request; called by the event loop."""
+        assert self._writer is not None
+        self._writer.resume()
+
     def eof_received(self) -> bool:
         """Complete a response delimited by EOF; called by the event loop."""
         if self._parser is not None:
@@ -134,7 +147,9 @@
     def _finish_response(self, response: HttpResponse) -> None:
         assert self._parser is not None
         self._update_keep_alive(response.headers.get(b"keep-alive"))
-        is_reusable = self._parser.is_reusable
+        assert self._writer is not None
+        # A request that has not been sent to its end cannot be followed by another.
+        is_reusable = self._parser.is_reusable and not self._writer.has_unwritten
         self._discard_parser()
         if not is_reusable:
             self.close()
@@ -212,11 +227,11 @@
         The callback runs inside ``data_received``, which saves an iteration of the
         event loop for each response of a search over many shards.
         """
-        assert self._transport is not None
-        data = encode_request(request, self._host)
+        assert self._writer is not None
+        head = encode_head(request, self._host)
         self._parser = ResponseParser(request.method, is_foreign)
         self._on_response = on_response
-        self._transport.write(data)
+        self._writer.write(head, request.body)
 
     async def request(self, request: HttpRequest) -> HttpResponse | Failure:
         """Send a request and wait for its complete response."""
@@ -226,7 +241,8 @@
         """Close the connection; a pending request fails."""
         self.is_open = False
         self._discard_parser()
-        if self._transport is not None:
+        if self._transport is not None and self._writer is not None:
+            self._writer.discard()
             self._transport.close()
 
 
--- a/chestnuthall/adapters/http/_reception.py
+++ b/chestnuthall/adapters/http/_reception.py
@@ -1,16 +1,18 @@
-"""Bound on the memory of messages that are being received."""
+"""Bound on the memory that connections hold together."""
 
 from typing import Protocol
 
+from chestnuthall.core.intake import ConnectionState, MemoryLedger
+
 # Responses from replicas, peers and the store that have not arrived completely. Each
 # one is bounded, too, but a faulty replica may send many of them at once.
 N_RESPONSE_BYTES_MAX = 32 * 1024 * 1024
-# The same for requests from callers and peers.
+# Requests from callers and peers, and the responses that they have not read.
 N_REQUEST_BYTES_MAX = 64 * 1024 * 1024
 
 
 class Receiver(Protocol):
-    """A connection that holds a part of a message."""
+    """A connection that holds messages or parts of them."""
 
     def drop_message(self, reason: str) -> None:
         """Give up the message and free its memory."""
@@ -18,10 +20,11 @@
 
 
 class ReceptionBudget:
-    """Bytes that all connections together may hold of incomplete messages.
+    """Bytes that all connections together may hold.
 
-    When they are exceeded, the largest message is dropped. A message without an end
-    becomes the largest one in time, and ordinary ones are far smaller.
+    When they are exceeded, the largest message that belongs to no running request is
+    dropped. A message without an end becomes the largest one in time, and ordinary
+    ones are far smaller.
 
     Examples
     --------
@@ -38,23 +41,35 @@
     """
 
     def __init__(self, n_bytes_max: int) -> None:
-        self._n_bytes_max = n_bytes_max
-        self._n_bytes_by_receiver: dict[Receiver, int] = {}
-        self.n_bytes = 0
+        self._ledger: MemoryLedger[Receiver] = MemoryLedger(n_bytes_max)
+
+    @property
+    def n_bytes(self) -> int:
+        """Bytes that are held now."""
+        return self._ledger.n_bytes
+
+    def set_limit(self, n_bytes_max: int) -> None:
+        """Change the limit; it applies from the next message on."""
+        self._ledger.n_bytes_max = n_bytes_max
 
-    def hold(self, receiver: Receiver, n_bytes: int) -> None:
-        """Set how many bytes of an incomplete message a connection holds.
+    def may_run(self, receiver: Receiver, n_bytes: int) -> bool:
+        """Return whether the request of a connection may run and hold ``n_bytes``."""
+        return self._ledger.may_run(receiver, n_bytes)
+
+    def hold(
+        self,
+        receiver: Receiver,
+        n_bytes: int,
+        state: ConnectionState = ConnectionState.RECEIVING,
+    ) -> None:
+        """Set how many bytes a connection holds.
 
         This may drop the message of any connection, including this one.
         """
-        self.n_bytes += n_bytes - self._n_bytes_by_receiver.get(receiver, 0)
-        self._n_bytes_by_receiver[receiver] = n_bytes
-        while self.n_bytes > self._n_bytes_max:
-            n_total = self.n_bytes
-            largest = max(
-                self._n_bytes_by_receiver, key=self._n_bytes_by_receiver.__getitem__
-            )
-            n_dropped = self.release(largest)
+        self._ledger.set(receiver, state, n_bytes)
+        while (largest := self._ledger.excess()) is not None:
+            n_total = self._ledger.n_bytes
+            n_dropped = self._ledger.remove(largest)
             largest.drop_message(
                 f"the message of {n_dropped} bytes is the largest of {n_total} bytes "
                 "in reception"
@@ -62,9 +77,7 @@
 
     def release(self, receiver: Receiver) -> int:
         """Note that a message is complete or was dropped; return its bytes."""
-        n_bytes = self._n_bytes_by_receiver.pop(receiver, 0)
-        self.n_bytes -= n_bytes
-        return n_bytes
+        return self._ledger.remove(receiver)
 
 
 RESPONSES = ReceptionBudget(N_RESPONSE_BYTES_MAX)
--- a/chestnuthall/adapters/http/_responses.py
+++ b/chestnuthall/adapters/http/_responses.py
@@ -34,8 +34,8 @@
     """Raised for bytes that are not a valid response to the request."""
 
 
-def encode_request(request: HttpRequest, host: bytes) -> bytes:
-    """Return the bytes of a request.
+def encode_head(request: HttpRequest, host: bytes) -> bytes:
+    """Return the request line and the headers of a request.
 
     ``host`` is used if the request has no ``host`` header. Raises ``ValueError`` if
     the request line or a header contains a line break or a NUL byte.
@@ -54,7 +54,7 @@
         or b"\0" in head
     ):
         raise ValueError("line break or NUL byte in the head of a request")
-    return b"%s\r\n\r\n%s" % (head, request.body)
+    return head + b"\r\n\r\n"
 
 
 ResponseTest = Callable[[HttpResponse], bool]
--- a/chestnuthall/adapters/http/_server.py
+++ b/chestnuthall/adapters/http/_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -13,9 +14,30 @@
     HttpResponse,
 )
 from chestnuthall.adapters.http._reception import REQUESTS, ReceptionBudget
+from chestnuthall.adapters.http._turns import Turns
+from chestnuthall.adapters.http._writing import BodyWriter
+from chestnuthall.core.intake import ConnectionState
 
 _log = logging.getLogger(__name__)
 
+# Buffers of the kernel for a connection. What has been received and not been read
+# counts as memory of the process, and a client may fill the buffer while its last
+# request runs.
+RECEIVE_BUFFER_BYTES = 16 * 1024
+SEND_BUFFER_BYTES = 64 * 1024
+# Requests sent ahead of a response are read up to this size; then reading pauses.
+N_AHEAD_BYTES_MAX = 16 * 1024
+# Memory of a connection, of one whose kernel buffer may be full, of a running request
+# and of each of its headers.
+CONNECTION_BYTES = 8 * 1024
+FULL_CONNECTION_BYTES = 48 * 1024
+REQUEST_BYTES = 16 * 1024
+HEADER_BYTES = 256
+# Events of one connection that are handled before others have their turn.
+N_EVENTS_PER_TURN = 16
+N_BACKLOG_MAX = 1_024
+_REFUSED_STATUS = 503
+
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 ErrorResponder = Callable[[int, str], HttpResponse]
 OutputFilter = Callable[[HttpResponse, bytes], tuple[bytes, bool]]
@@ -30,6 +52,11 @@
     is the cost of a new connection in emulators. With ``cancels_at_eof``, the end
     of a client's stream cancels its running request; otherwise the request is
     still answered.
+
+    ``limits_kernel_buffers`` bounds what the kernel holds for each connection. Once
+    there are ``n_connections_max``, a new connection replaces the one whose last
+    request ended the longest time ago. One that runs a request is replaced only if its
+    client has sent the next one already.
     """
 
     n_header_bytes_max: int = 16 * 1024
@@ -39,6 +66,7 @@
     accept_delay_ms: float = 0.0
     header_timeout_ms: float | None = None
     cancels_at_eof: bool = False
+    limits_kernel_buffers: bool = False
 
 
 def _plain_error(status: int, reason: str) -> HttpResponse:
@@ -71,7 +99,11 @@
         # While this is set, each connection is closed after its next response.
         self.closes_connections = False
         self.n_connections_peak = 0
-        self._connections: set[_ServerConnection] = set()
+        self.turns = Turns()
+        self.n_connections_replaced = 0
+        self.n_requests_refused = 0
+        # Ordered by the end of the last request, the earliest first.
+        self._connections: dict[_ServerConnection, None] = {}
         self._server: asyncio.Server | None = None
         self._activity_ended = asyncio.Event()
 
@@ -80,8 +112,18 @@
         loop = asyncio.get_running_loop()
         self.is_closing = self._has_stopped = False
         self._server = await loop.create_server(
-            lambda: _ServerConnection(self), host, port, backlog=1024
+            lambda: _ServerConnection(self),
+            host,
+            port,
+            # The event loop accepts as many connections as the backlog at once.
+            backlog=min(N_BACKLOG_MAX, self.limits.n_connections_max),
+            start_serving=False,
         )
+        if self.limits.limits_kernel_buffers:
+            for listener in self._server.sockets:
+                # Connections inherit the sizes, which have to be set before they open.
+                _set_buffer_sizes(listener)
+        await self._server.start_serving()
         port_bound: int = self._server.sockets[0].getsockname()[1]
         return port_bound
 
@@ -105,15 +147,21 @@
             return False
         if len(self._connections) >= self.limits.n_connections_max:
             return False
-        self._connections.add(connection)
+        self._connections[connection] = None
         self.n_connections_peak = max(self.n_connections_peak, self.n_connections)
         return True
 
     def discard(self, connection: "_ServerConnection") -> None:
         """Unregister a closed connection."""
-        self._connections.discard(connection)
+        self._connections.pop(connection, None)
         self._activity_ended.set()
 
+    def on_request_ended(self, connection: "_ServerConnection") -> None:
+        """Note the end of the last request of a connection."""
+        if connection in self._connections:
+            del self._connections[connection]
+            self._connections[connection] = None
+
     def on_request_completed(self) -> None:
         """Wake ``wait_closed`` after a request has completed."""
         self._activity_ended.set()
@@ -140,7 +188,9 @@
         """
         while self._connections:
             self._activity_ended.clear()
-            is_serving = any(item.is_serving for item in self._connections)
+            is_serving = any(
+                item.state is ConnectionState.RUNNING for item in self._connections
+            )
             timeout_s = None if is_serving else linger_ms / 1000.0
             try:
                 async with asyncio.timeout(timeout_s):
@@ -156,7 +206,11 @@
 
 
 class _ServerConnection(asyncio.Protocol):
-    """One connection; responses are sent in the order of the requests."""
+    """One connection; responses are sent in the order of the requests.
+
+    The next request is read only once the client has taken the last response, and
+    reading pauses while a client sends requests ahead.
+    """
 
     def __init__(self, server: HttpServer) -> None:
         self._server = server
@@ -165,50 +219,82 @@
         )
         self._transport: asyncio.Transport | None = None
         self._head: h11.Request | None = None
-        self._body: list[bytes] = []
-        self._n_body_bytes = 0
-        self._n_pipelined_bytes = 0
+        self._has_head_method = False
+        self._body = bytearray()
+        self._n_ahead_bytes = 0
+        self._n_running_bytes = 0
         self._task: asyncio.Task[None] | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
         self._is_head_timer_running = False
-        self._can_write = asyncio.Event()
-        self._can_write.set()
+        self._writer: BodyWriter | None = None
+        self._must_close = False
+        self._awaits_turn = False
+        self._is_reading_paused = False
+
+    @property
+    def state(self) -> ConnectionState:
+        """What the connection is doing."""
+        if self._task is not None:
+            return ConnectionState.RUNNING
+        if self._writer is not None and self._writer.is_paused:
+            return ConnectionState.SENDING
+        return ConnectionState.RECEIVING
+
+    @property
+    def has_requests_ahead(self) -> bool:
+        """Whether the client sent more while its request was running."""
+        return len(self._h11.trailing_data[0]) > 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection; called by the event loop."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._writer = BodyWriter(transport)
         if not self._server.add(self):
             transport.abort()
             return
+        # Any response that the kernel does not take at once counts as unread.
+        transport.set_write_buffer_limits(high=0)
+        self._hold(CONNECTION_BYTES)
         self._start_idle_timer()
         delay_ms = self._server.limits.accept_delay_ms
         if delay_ms > 0.0:
-            transport.pause_reading()
+            self._pause_reading()
             loop = asyncio.get_running_loop()
             loop.call_later(delay_ms / 1000.0, self._resume_reading)
 
+    def _pause_reading(self) -> None:
+        assert self._transport is not None
+        self._is_reading_paused = True
+        self._transport.pause_reading()
+
     def _resume_reading(self) -> None:
         transport = self._transport
-        if transport is not None and not transport.is_closing():
-            transport.resume_reading()
+        if not self._is_reading_paused or transport is None or transport.is_closing():
+            return
+        self._is_reading_paused = False
+        transport.resume_reading()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the running request; called by the event loop."""
         self._server.discard(self)
         self._server.reception.release(self)
         self._stop_idle_timer()
-        self._can_write.set()
         if self._task is not None:
             self._task.cancel()
 
     def pause_writing(self) -> None:
-        """Delay responses while the write buffer is full; called by the event loop."""
-        self._can_write.clear()
+        """Note that the client has not taken all bytes; called by the event loop."""
+        assert self._writer is not None
+        self._writer.pause()
 
     def resume_writing(self) -> None:
-        """Send delayed responses; called by the event loop."""
-        self._can_write.set()
+        """Continue once the client has taken all bytes; called by the event loop."""
+        assert self._writer is not None
+        self._writer.resume()
+        if self._task is None:
+            self._stop_idle_timer()
+            self._continue()
 
     def _start_idle_timer(self, timeout_ms: float | None = None) -> None:
         self._stop_idle_timer()
@@ -222,22 +308,55 @@
             self._idle_timer.cancel()
             self._idle_timer = None
 
+    def _limit_sending_time(self) -> None:
+        """Abort the connection once its client takes nothing for the idle timeout."""
+        assert self._writer is not None
+        self._stop_idle_timer()
+        self._idle_timer = asyncio.get_running_loop().call_later(
+            self._server.limits.idle_timeout_ms / 1000.0,
+            self._check_sending,
+            self._writer.n_unsent_bytes,
+        )
+
+    def _check_sending(self, n_unsent_bytes: int) -> None:
+        assert self._transport is not None
+        assert self._writer is not None
+        if self._writer.n_unsent_bytes >= n_unsent_bytes:
+            self._transport.abort()
+        else:
+            self._limit_sending_time()
+
     def data_received(self, data: bytes) -> None:
         """Feed bytes to h11; called by the event loop."""
-        if self._task is not None:
-            self._limit_pipelining(len(data))
         try:
             self._h11.receive_data(data)
-            self._read_events()
+            if self.state is ConnectionState.RECEIVING and not self._awaits_turn:
+                self._read_events()
+            else:
+                self._limit_requests_ahead(len(data))
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint, str(error))
 
-    def _limit_pipelining(self, n_bytes: int) -> None:
-        """Pause reading if a client sends too much while its request is running."""
-        self._n_pipelined_bytes += n_bytes
-        if self._n_pipelined_bytes > self._server.limits.n_body_bytes_max:
-            assert self._transport is not None
-            self._transport.pause_reading()
+    def _limit_requests_ahead(self, n_bytes: int) -> None:
+        """Pause reading if a client sends much ahead of its response.
+
+        It resumes when all that was read has been served.
+        """
+        self._n_ahead_bytes += n_bytes
+        if self._n_ahead_bytes > N_AHEAD_BYTES_MAX and not self._is_reading_paused:
+            self._pause_reading()
+            self._hold(self._n_bytes_held())
+
+    def _n_bytes_held(self) -> int:
+        """Return the memory of the connection while a request runs or is answered."""
+        n_bytes = FULL_CONNECTION_BYTES if self._is_reading_paused else CONNECTION_BYTES
+        if self._task is not None:
+            return n_bytes + self._n_running_bytes
+        assert self._writer is not None
+        return n_bytes + len(self._body) + self._writer.n_unsent_bytes
+
+    def _hold(self, n_bytes: int) -> None:
+        self._server.reception.hold(self, n_bytes, self.state)
 
     def eof_received(self) -> bool:
         """Close the connection if it is idle; called by the event loop.
@@ -245,27 +364,51 @@
         A running request still gets its response, unless ``cancels_at_eof`` is set.
         """
         self._h11.receive_data(b"")
-        if self._task is None or self._server.limits.cancels_at_eof:
+        has_request = self._task is not None or self._awaits_turn
+        if not has_request or self._server.limits.cancels_at_eof:
             self.close()
         return True
 
     def _read_events(self) -> None:
-        while self._task is None:
+        for _ in range(N_EVENTS_PER_TURN):
+            if self.state is not ConnectionState.RECEIVING:
+                return
             event = self._h11.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
-                self._limit_head_time()
-                if self._n_body_bytes:
-                    self._server.reception.hold(self, self._n_body_bytes)
+                self._wait_for_data()
                 return
             if isinstance(event, h11.ConnectionClosed):
                 self.close()
                 return
             self._read_event(event)
+        if self.state is ConnectionState.RECEIVING:
+            self._await_turn()
+
+    def _await_turn(self) -> None:
+        self._awaits_turn = True
+        self._server.turns.add(self._read_further)
+
+    def _read_further(self) -> None:
+        """Continue with what has been received."""
+        self._awaits_turn = False
+        if self._transport is None or self._transport.is_closing():
+            return
+        try:
+            self._read_events()
+        except h11.RemoteProtocolError as error:
+            self._reject(error.error_status_hint, str(error))
+
+    def _wait_for_data(self) -> None:
+        n_unread_bytes = len(self._h11.trailing_data[0])
+        self._n_ahead_bytes = 0
+        self._limit_head_time(n_unread_bytes)
+        self._resume_reading()
+        self._hold(CONNECTION_BYTES + len(self._body) + n_unread_bytes)
 
-    def _limit_head_time(self) -> None:
+    def _limit_head_time(self, n_unread_bytes: int) -> None:
         """Limit the time for the rest of a head that has partly arrived."""
         timeout_ms = self._server.limits.header_timeout_ms
-        is_partial = self._h11.their_state is h11.IDLE and self._h11.trailing_data[0]
+        is_partial = self._h11.their_state is h11.IDLE and n_unread_bytes > 0
         if timeout_ms is None or self._is_head_timer_running or not is_partial:
             return
         self._is_head_timer_running = True
@@ -280,21 +423,27 @@
                 # A success would turn the connection into a tunnel.
                 raise h11.RemoteProtocolError("CONNECT is not supported", 501)
             self._head = event
-            self._body = []
-            self._n_body_bytes = 0
+            self._has_head_method = event.method == b"HEAD"
+            self._body = bytearray()
             if self._h11.they_are_waiting_for_100_continue:
                 self._send_continue()
         elif isinstance(event, h11.Data):
-            self._body.append(bytes(event.data))
-            self._n_body_bytes += len(event.data)
-            if self._n_body_bytes > self._server.limits.n_body_bytes_max:
+            self._body += event.data
+            if len(self._body) > self._server.limits.n_body_bytes_max:
                 raise h11.RemoteProtocolError("the request body is too large", 413)
         elif isinstance(event, h11.EndOfMessage):
             self._dispatch_request()
 
     def drop_message(self, reason: str) -> None:
-        """Refuse a request of which the body has arrived in part."""
-        self._reject(503, reason)
+        """Refuse a request of which the body has arrived in part, or close."""
+        if (
+            self.state is ConnectionState.RECEIVING
+            and self._h11.their_state is h11.SEND_BODY
+        ):
+            self._server.n_requests_refused += 1
+            self._reject(_REFUSED_STATUS, reason)
+        else:
+            self.give_up()
 
     def _send_continue(self) -> None:
         assert self._transport is not None
@@ -303,21 +452,36 @@
 
     def _dispatch_request(self) -> None:
         assert self._head is not None
-        self._server.reception.release(self)
         self._stop_idle_timer()
         request = HttpRequest(
             self._head.method.decode("ascii"),
             self._head.target.decode("ascii", "replace"),
             dict(self._head.headers),
-            b"".join(self._body),
+            bytes(self._body),
             tuple(self._head.headers),
         )
-        self._body, self._n_body_bytes = [], 0
-        self._task = asyncio.get_running_loop().create_task(self._serve(request))
+        self._head = None
+        self._body = bytearray()
+        self._n_running_bytes = _n_bytes_of(request)
+        handler = self._server.handler
+        if not self._server.reception.may_run(self, self._n_running_bytes):
+            self._server.n_requests_refused += 1
+            self._n_running_bytes = 0
+            handler = self._refuse
+        self._task = asyncio.get_running_loop().create_task(
+            self._serve(handler, request)
+        )
+        self._hold(self._n_bytes_held())
+
+    async def _refuse(self, request: HttpRequest) -> HttpResponse:
+        """Answer a request that has not run, since others hold the memory for it."""
+        return self._server.error_responder(
+            _REFUSED_STATUS, "too many requests are running"
+        )
 
-    async def _serve(self, request: HttpRequest) -> None:
+    async def _serve(self, handler: Handler, request: HttpRequest) -> None:
         try:
-            response = await self._server.handler(request)
+            response = await handler(request)
         except DropConnection:
             self._task = None
             self.close()
@@ -325,11 +489,10 @@
         except Exception:
             _log.exception("request handler failed")
             response = self._server.error_responder(500, "internal error")
-        await self._can_write.wait()
         self._task = None
         try:
             self._send(response)
-            self._start_next_cycle()
+            self._continue()
         except Exception:
             # Open, the connection would leave the client waiting for a response.
             _log.exception("response cannot be sent")
@@ -337,6 +500,23 @@
         finally:
             self._server.on_request_completed()
 
+    def _continue(self) -> None:
+        """Go on after bytes were written, now or once the client has taken them."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if self.state is ConnectionState.SENDING:
+            self._limit_sending_time()
+            self._hold(self._n_bytes_held())
+        elif self._must_close:
+            self.close()
+        elif self._h11.our_state is h11.SEND_RESPONSE:
+            # An interim response was taken; the request has not arrived yet.
+            self._start_idle_timer()
+            self._read_further()
+        else:
+            self._start_next_cycle()
+
     def _send(self, response: HttpResponse) -> None:
         transport = self._transport
         if transport is None or transport.is_closing():
@@ -351,11 +531,14 @@
             response = self._server.error_responder(500, "the response is invalid")
             head = self._make_head(response)
         data = self._h11.send(head) or b""
-        is_head = self._head is not None and self._head.method == b"HEAD"
-        if response.body and not is_head:
-            data += self._h11.send(h11.Data(data=response.body)) or b""
-        data += self._h11.send(h11.EndOfMessage()) or b""
-        self._write(response, data)
+        if response.body and not self._has_head_method:
+            # The body has the announced length, so it is sent as it is.
+            self._h11.send_with_data_passthrough(h11.Data(data=response.body))
+            body = response.body
+        else:
+            body = b""
+        self._h11.send(h11.EndOfMessage())
+        self._write(response, data, body)
 
     def _make_head(self, response: HttpResponse) -> h11.Response:
         """Return the head of a response; raises if HTTP has none like it."""
@@ -367,12 +550,16 @@
             headers.append((b"connection", b"close"))
         return h11.Response(status_code=response.status, headers=headers)
 
-    def _write(self, response: HttpResponse, data: bytes) -> None:
+    def _write(self, response: HttpResponse, head: bytes, body: bytes) -> None:
+        """Write a response; a long body follows in pieces, as the client takes them."""
         assert self._transport is not None
+        assert self._writer is not None
         must_close = False
         if self._server.output_filter is not None:
-            data, must_close = self._server.output_filter(response, data)
-        self._transport.write(data)
+            data, must_close = self._server.output_filter(response, head + body)
+            self._transport.write(data)
+        else:
+            self._writer.write(head, body)
         if must_close:
             self._transport.close()
 
@@ -383,35 +570,62 @@
             self.close()
             return
         self._h11.start_next_cycle()
+        self._server.on_request_ended(self)
         self._start_idle_timer()
-        if self._n_pipelined_bytes:
-            self._n_pipelined_bytes = 0
-            self._resume_reading()
-        try:
-            self._read_events()
-        except h11.RemoteProtocolError as error:
-            self._reject(error.error_status_hint, str(error))
+        if self.has_requests_ahead:
+            self._await_turn()
+        else:
+            self._read_further()
 
     def _reject(self, status: int, reason: str) -> None:
         if self._task is not None:
             self._task.cancel()
             self._task = None
+        self._body = bytearray()
         if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self._send(self._server.error_responder(status, reason))
         self.close()
 
-    @property
-    def is_serving(self) -> bool:
-        """Whether a request is running or its response is waiting to be written."""
-        return self._task is not None
-
     def close_if_idle(self) -> None:
-        """Close the connection if it has no request in progress."""
-        if self._task is None and self._h11.their_state is h11.IDLE:
+        """Close the connection if it has no request in progress.
+
+        A response is sent to its end first.
+        """
+        if self.state is ConnectionState.SENDING or (
+            self._task is None and self._h11.their_state is h11.IDLE
+        ):
+            self.close()
+
+    def give_up(self) -> None:
+        """Close the connection without waiting for its client to read."""
+        is_sending = self.state is ConnectionState.SENDING
+        if is_sending and self._transport is not None:
+            self._transport.abort()
+        else:
             self.close()
 
     def close(self) -> None:
-        """Close the connection once the written data has been sent."""
+        """Close the connection once the client has taken its response."""
         self._stop_idle_timer()
-        if self._transport is not None:
-            self._transport.close()
+        transport = self._transport
+        if transport is None:
+            return
+        is_sending = self.state is ConnectionState.SENDING
+        if self._writer is not None and self._writer.has_unwritten:
+            self._must_close = True
+        else:
+            transport.close()
+        if is_sending:
+            self._limit_sending_time()
+
+
+def _n_bytes_of(request: HttpRequest) -> int:
+    """Estimate the memory of a request while it runs."""
+    pairs = request.all_headers
+    n_head_bytes = len(request.target) + sum(len(n) + len(v) for n, v in pairs)
+    return REQUEST_BYTES + n_head_bytes + HEADER_BYTES * len(pairs) + len(request.body)
+
+
+def _set_buffer_sizes(listener: asyncio.trsock.TransportSocket) -> None:
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
--- a/chestnuthall/adapters/http/tests/test_responses.py
+++ b/chestnuthall/adapters/http/tests/test_responses.py
@@ -12,7 +12,7 @@
 from chestnuthall.adapters.http._responses import (
     ResponseError,
     ResponseParser,
-    encode_request,
+    encode_head,
 )
 
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -233,7 +233,7 @@
 def test_request_keeps_header_order_and_duplicates():
     pairs = ((b"host", b"a"), (b"x", b"1"), (b"x", b"2"))
     request = HttpRequest("POST", "/p?q", dict(pairs), b"body", pairs)
-    assert encode_request(request, b"other") == (
+    assert encode_head(request, b"other") + request.body == (
         b"POST /p?q HTTP/1.1\r\nhost: a\r\nx: 1\r\nx: 2\r\n"
         b"content-length: 4\r\n\r\nbody"
     )
@@ -251,7 +251,7 @@
 def test_line_breaks_in_the_head_are_rejected(request_):
     """Header injection must not produce a second request at a replica."""
     with pytest.raises(ValueError, match="line break"):
-        encode_request(request_, b"a")
+        encode_head(request_, b"a")
 
 
 # (case, bytes before the endless ones, bytes that are repeated)
--- a/chestnuthall/adapters/http/tests/test_server.py
+++ b/chestnuthall/adapters/http/tests/test_server.py
@@ -42,6 +42,12 @@
 
     resume_reading = pause_reading
 
+    def set_write_buffer_limits(self, high=None, low=None):
+        pass
+
+    def get_write_buffer_size(self):
+        return 0
+
 
 async def echo(request: HttpRequest) -> HttpResponse:
     await asyncio.sleep(0)
--- a/chestnuthall/core/overload/__init__.py
+++ b/chestnuthall/core/overload/__init__.py
@@ -2,6 +2,7 @@
 
 from chestnuthall.core.overload._causes import (
     Leaving,
+    MemoryFull,
     ReplicasFull,
     ReplicasUnavailable,
     Starting,
@@ -17,6 +18,7 @@
     "AnswerOverrun",
     "LagSettings",
     "Leaving",
+    "MemoryFull",
     "OutageGate",
     "OverloadDetector",
     "Rejection",
--- a/chestnuthall/core/overload/_causes.py
+++ b/chestnuthall/core/overload/_causes.py
@@ -23,6 +23,14 @@
     """The instance is about to stop."""
 
 
+@dataclass(frozen=True, slots=True)
+class MemoryFull:
+    """The memory for requests is used up by those that run.
+
+    A caller reaches another instance when it returns, as from one that is leaving.
+    """
+
+
 @dataclass(frozen=True, slots=True)
 class ReplicasUnavailable:
     """Too few shards have had a replica that can be called for ``outage_ms``."""
@@ -72,6 +80,11 @@
     return OTHER_INSTANCE_MS
 
 
+@recovery_ms.register
+def _(cause: MemoryFull) -> float:
+    return OTHER_INSTANCE_MS
+
+
 @recovery_ms.register
 def _(cause: ReplicasUnavailable) -> float:
     return _outage_wait_ms(cause.outage_ms)
--- a/chestnuthall/platform/_frontend.py
+++ b/chestnuthall/platform/_frontend.py
@@ -7,8 +7,13 @@
 
 from chestnuthall.adapters.http import HttpRequest, HttpResponse
 from chestnuthall.core.model import Answer, Refusal, Reply
-from chestnuthall.core.overload import Starting, recovery_ms
-from chestnuthall.core.results import NOT_FOUND, NOT_READY, Failure, RunState
+from chestnuthall.core.overload import MemoryFull, Starting, recovery_ms
+from chestnuthall.core.results import (
+    NOT_FOUND,
+    NOT_READY,
+    Failure,
+    RunState,
+)
 from chestnuthall.platform._relayed_calls import (
     DEADLINE_MS,
     REQUEST_ID,
@@ -189,4 +194,6 @@
 def encode_http_error(status: int, reason: str) -> HttpResponse:
     """Return the response to a request that is invalid or cannot be served."""
     headers = {b"content-type": b"text/plain; charset=utf-8"}
+    if status == NOT_RUN_STATUS:
+        headers[b"retry-after"] = b"%.3f" % (recovery_ms(MemoryFull()) / 1000.0)
     return HttpResponse(status, headers, f"{reason}\n".encode())
--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -3,15 +3,19 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 
 from chestnuthall.adapters.clock import LoopClock
 from chestnuthall.adapters.feeds import FeedHandler, HttpFeedClient
 from chestnuthall.adapters.http import (
+    RESPONSES,
+    Handler,
     HttpRequest,
     HttpResponse,
     HttpServer,
     PoolSettings,
+    ReceptionBudget,
     ServerLimits,
     TcpKeepAlive,
 )
@@ -24,6 +28,7 @@
     LeaderSelector,
     safe_watch_timeout_ms,
 )
+from chestnuthall.core.intake import plan_intake
 from chestnuthall.core.model import Configuration
 from chestnuthall.core.overload import LagSettings, OverloadDetector
 from chestnuthall.core.quarantine import QuarantineRegistry, QuarantineSettings
@@ -123,6 +128,11 @@
 PEER_PROBES = TcpKeepAlive(idle_s=1, interval_s=1, n_probes=1)
 # Bytes by which a peer may extend the headers of the caller's request.
 N_PEER_HEADER_BYTES = 512
+# Checks of the balancer and scrapes of the metrics have no bodies.
+N_SERVICE_BODY_BYTES_MAX = 16 * 1024
+# Time for the head of a request until a configuration sets it for callers.
+HEADER_TIMEOUT_MS = 3_000.0
+BYTES_PER_MB = 1024 * 1024
 METRICS_PATH = "/metrics"
 LAG_INTERVAL_MS = 250.0
 
@@ -298,14 +308,26 @@
             knows_quarantines=self._quarantine_records.may_serve,
         )
         QuarantineLog(quarantine, clock, metrics)
+        plan = plan_intake(
+            int(settings.memory_mb * BYTES_PER_MB), settings.n_descriptors
+        )
         self._relay = RelayService(query, self.configuration, self.directory)
         frontend = RelayFrontend(self._relay, self.lifecycle, clock)
-        self.caller_server = HttpServer(
-            frontend.handle,
-            ServerLimits(cancels_at_eof=True),
-            encode_http_error,
+        RESPONSES.set_limit(plan.n_response_bytes_max)
+        self._client_memory = ReceptionBudget(plan.n_client_bytes_max)
+        limits = ServerLimits(
+            n_connections_max=plan.n_connections_max,
+            header_timeout_ms=HEADER_TIMEOUT_MS,
+            limits_kernel_buffers=True,
+        )
+        service_limits = replace(
+            limits,
+            n_connections_max=plan.n_service_connections_max,
+            n_body_bytes_max=N_SERVICE_BODY_BYTES_MAX,
         )
-        self.peer_server = HttpServer(
+        limits = replace(limits, cancels_at_eof=True)
+        self.caller_server = self._make_server(frontend.handle, limits)
+        self.peer_server = self._make_server(
             PeerFrontend(
                 frontend,
                 FeedHandler(
@@ -315,15 +337,21 @@
                 self.is_ready,
                 lambda: self.configuration.revision,
             ).handle,
-            ServerLimits(cancels_at_eof=True),
-            encode_http_error,
+            limits,
+        )
+        self.readiness_server = self._make_server(
+            ReadinessFrontend(self.is_ready).handle, service_limits
         )
-        self.readiness_server = HttpServer(ReadinessFrontend(self.is_ready).handle)
-        self.metrics_server = HttpServer(self._serve_metrics)
+        self.metrics_server = self._make_server(self._serve_metrics, service_limits)
         self.configuration.add_listener(self._apply_limits)
         self._overload = OverloadDetector(LagSettings())
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _make_server(self, handler: Handler, limits: ServerLimits) -> HttpServer:
+        return HttpServer(
+            handler, limits, encode_http_error, reception=self._client_memory
+        )
+
     def _make_peer_caller(self) -> HttpShardCaller:
         caller = HttpShardCaller(
             self._clock,
@@ -375,20 +403,33 @@
         metrics.gauge("instances", self.presence.n_instances or 0)
         metrics.gauge("requests_in_flight", self.lifecycle.n_in_flight)
         metrics.gauge("ready", float(self.is_ready()))
+        metrics.gauge("client_bytes", self._client_memory.n_bytes)
+        for name, server in self._servers().items():
+            metrics.gauge(f"connections.{name}", server.n_connections)
+            metrics.gauge(f"connections_replaced.{name}", server.n_connections_replaced)
+            metrics.gauge(f"requests_refused.{name}", server.n_requests_refused)
+
+    def _servers(self) -> dict[str, HttpServer]:
+        return {
+            "callers": self.caller_server,
+            "peers": self.peer_server,
+            "readiness": self.readiness_server,
+            "metrics": self.metrics_server,
+        }
 
     def _apply_limits(self, configuration: Configuration) -> None:
         limits = read_limits(configuration.text)
-        self.caller_server.limits = ServerLimits(
+        self.caller_server.limits = replace(
+            self.caller_server.limits,
             n_header_bytes_max=limits.n_header_bytes_max,
             n_body_bytes_max=limits.n_body_bytes_max,
             header_timeout_ms=limits.header_timeout_ms,
             idle_timeout_ms=limits.idle_timeout_ms,
-            cancels_at_eof=True,
         )
-        self.peer_server.limits = ServerLimits(
+        self.peer_server.limits = replace(
+            self.peer_server.limits,
             n_header_bytes_max=limits.n_header_bytes_max + N_PEER_HEADER_BYTES,
             n_body_bytes_max=limits.n_body_bytes_max,
-            cancels_at_eof=True,
         )
 
     async def start(self) -> None:
--- a/chestnuthall/platform/_settings.py
+++ b/chestnuthall/platform/_settings.py
@@ -47,6 +47,12 @@
     """Length of the window in which repeated calls are counted."""
     n_repeats_floor: NotNegative
     """Repeated calls allowed to a service per window in addition to the ratio."""
+    memory_mb: Positive = 300.0
+    """Memory of the machine. Half of what exceeds 64 MB is for what clients send or do
+    not read; beyond it, the largest messages are refused or connections closed."""
+    n_descriptors: Annotated[int, Field(gt=0)] = 4_100
+    """Descriptors of the process. They and the memory determine the number of open
+    connections, which is 1,024 each for callers and peers unless less is available."""
     log_level: Annotated[str, Field(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
     """Minimum severity of log lines."""
 
