Let a new connection replace the least recently used one

What callers saw: clients that only keep connections open took all of them, or all descriptors, and an instance reset every new connection, also of the balancer's check. Cause: a server at its limit closed the newcomer, and the four limits of 1,024 add up to more than the 3,900 sockets of a machine. Evidence: 420 silent connections to one listener, at 600 descriptors: 430 sockets of 400 on. With the limit lowered alone, /v1/ready was reset 304 times in 20 s. Change: the connection whose last request ended first makes room. One that runs a request is kept, unless its client has already sent the next one.

--- a/chestnuthall/adapters/http/_server.py
+++ b/chestnuthall/adapters/http/_server.py
@@ -16,7 +16,7 @@
 from chestnuthall.adapters.http._reception import REQUESTS, ReceptionBudget
 from chestnuthall.adapters.http._turns import Turns
 from chestnuthall.adapters.http._writing import BodyWriter
-from chestnuthall.core.intake import ConnectionState
+from chestnuthall.core.intake import ConnectionState, connection_to_replace
 
 _log = logging.getLogger(__name__)
 
@@ -146,7 +146,15 @@
         if self._has_stopped:
             return False
         if len(self._connections) >= self.limits.n_connections_max:
-            return False
+            replaced = connection_to_replace(
+                (item, item.state, item.has_requests_ahead)
+                for item in self._connections
+            )
+            if replaced is None:
+                return False
+            self.n_connections_replaced += 1
+            self.discard(replaced)
+            replaced.give_up()
         self._connections[connection] = None
         self.n_connections_peak = max(self.n_connections_peak, self.n_connections)
         return True
--- a/chestnuthall/adapters/http/tests/test_clients_that_do_not_read.py
+++ b/chestnuthall/adapters/http/tests/test_clients_that_do_not_read.py
@@ -180,6 +180,61 @@
     assert asyncio.run(scenario()).endswith(LARGE_BODY)
 
 
+# (case, state of the connections in the order in which they open, index of the one
+# that a new connection replaces, or None)
+REPLACED = [
+    ("earliest idle one", ["idle", "idle", "idle"], 0),
+    ("used idle one is kept", ["used", "idle", "idle"], 1),
+    ("running one is kept", ["running", "idle", "running"], 1),
+    ("running one with a request ahead", ["running", "ahead", "running"], 1),
+    ("unread response", ["running", "unread", "running"], 1),
+    ("all run", ["running", "running", "running"], None),
+]
+
+
+@pytest.mark.parametrize(
+    ("states", "replaced"), [x[1:] for x in REPLACED], ids=[x[0] for x in REPLACED]
+)
+def test_new_connection_replaces_the_least_recently_used(states, replaced):
+    """Clients that only keep connections open kept all others out."""
+
+    async def scenario():
+        handler = Handler()
+        limits = ServerLimits(n_connections_max=3, limits_kernel_buffers=True)
+        server = HttpServer(handler.handle, limits)
+        port = await server.start("127.0.0.1", 0)
+        loop = asyncio.get_running_loop()
+        clients = []
+        for index, _ in enumerate(states):
+            clients.append(await open_raw(port))
+            await wait_until(lambda n=index + 1: server.n_connections == n)
+        connections = list(server._connections)
+        sent = {
+            "idle": b"",
+            "used": GET % 0,
+            "running": b"GET /wait HTTP/1.1\r\nhost: a\r\n\r\n",
+            "ahead": b"GET /wait HTTP/1.1\r\nhost: a\r\n\r\n" + GET % 1,
+            "unread": GET % 0,
+        }
+        for client, state in zip(clients, states, strict=True):
+            handler.body = LARGE_BODY if state == "unread" else b"x"
+            await loop.sock_sendall(client, sent[state])
+            await asyncio.sleep(0.03)
+        newcomer = await open_raw(port)
+        await asyncio.sleep(0.05)
+        closed = [x for x in connections if x not in server._connections]
+        n_connections = server.n_connections
+        for client in (*clients, newcomer):
+            client.close()
+        handler.released.set()
+        await server.close()
+        return [connections.index(x) for x in closed], n_connections
+
+    closed, n_connections = asyncio.run(scenario())
+    assert closed == ([] if replaced is None else [replaced])
+    assert n_connections == 3
+
+
 def test_requests_beyond_the_memory_for_running_ones_are_refused():
     """A running request keeps its memory, so it must not start without room."""
 
--- a/chestnuthall/platform/tests/test_client_crowds.py
+++ b/chestnuthall/platform/tests/test_client_crowds.py
@@ -21,6 +21,7 @@
     USUAL_HEADERS,
     ahead,
     once,
+    silent,
     unfinished_body,
     unfinished_chunks,
     unfinished_head,
@@ -66,6 +67,10 @@
     ("unfinished heads", unfinished_head, N_MEDIUM_CROWD),
     ("unfinished bodies", unfinished_body, N_MEDIUM_CROWD),
     ("unfinished small chunks", unfinished_chunks, N_SMALL_CROWD),
+    ("unfinished heads, past the limit", unfinished_head, N_LARGE_CROWD),
+    ("unfinished bodies, past the limit", unfinished_body, N_LARGE_CROWD),
+    ("silent", lambda path: silent(), N_LARGE_CROWD),
+    ("ahead, past the limit", ahead, N_LARGE_CROWD),
 ]
 # (case, listener, what each member sends, number of members)
 OTHER_CROWDS = [
@@ -111,6 +116,12 @@
         once(b"/hold/1", headers=PEER_SEARCH, body=BODY),
         N_MEDIUM_CROWD,
     ),
+    (
+        "bodies of requests that run, past the limit",
+        "caller",
+        once(b"/slow/1", body=BODY),
+        N_LARGE_CROWD,
+    ),
 ]
 CROWDS = [
     (f"{listener}: {case}", listener, make_sending(path), n_members)
