Keep room for other groups beside requests that do not end

What callers saw: one route whose replicas do not answer took every connection, and requests on other routes got none until the route's timeout. Cause: the queue of a class is bounded, but not in relation to the connections. Evidence: 420 requests on a slow route, past the limit of 117 connections; an ordinary request on another route was reset or ended without an answer 344 times in 20 s. Change: a group of upstreams may have as many requests in flight as are still free, so one takes half at most. Others get 429 with Retry-After; they have not run. With 1,024 connections a group may have 512 requests, more than its queue admits.

--- a/chestnuthall/core/intake/__init__.py
+++ b/chestnuthall/core/intake/__init__.py
@@ -10,12 +10,14 @@
     IntakePlan,
     plan_intake,
 )
+from chestnuthall.core.intake._slots import RequestSlots
 
 __all__ = [
     "ConnectionState",
     "IntakePlan",
     "MemoryLedger",
     "N_CONNECTIONS_MAX",
+    "RequestSlots",
     "connection_to_replace",
     "plan_intake",
 ]
--- a/chestnuthall/platform/_frontend.py
+++ b/chestnuthall/platform/_frontend.py
@@ -11,6 +11,7 @@
 from chestnuthall.core.results import (
     NOT_FOUND,
     NOT_READY,
+    QUEUE_FULL,
     Failure,
     RunState,
 )
@@ -164,6 +165,9 @@
 def _(outcome: Failure) -> HttpResponse:
     if outcome.kind is NOT_FOUND:
         return _failure_response(outcome, 404, None)
+    if outcome.kind is QUEUE_FULL:
+        retry_after_ms = recovery_ms(MemoryFull())
+        return _failure_response(outcome, TOO_MANY_REQUESTS_STATUS, retry_after_ms)
     retry_after_ms = recovery_ms(Starting()) if outcome.kind is NOT_READY else None
     return _failure_response(outcome, NOT_RUN_STATUS, retry_after_ms)
 
--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -311,7 +311,9 @@
         plan = plan_intake(
             int(settings.memory_mb * BYTES_PER_MB), settings.n_descriptors
         )
-        self._relay = RelayService(query, self.configuration, self.directory)
+        self._relay = RelayService(
+            query, self.configuration, self.directory, plan.n_connections_max
+        )
         frontend = RelayFrontend(self._relay, self.lifecycle, clock)
         RESPONSES.set_limit(plan.n_response_bytes_max)
         self._client_memory = ReceptionBudget(plan.n_client_bytes_max)
--- a/chestnuthall/platform/tests/test_client_crowds.py
+++ b/chestnuthall/platform/tests/test_client_crowds.py
@@ -116,6 +116,12 @@
         once(b"/hold/1", headers=PEER_SEARCH, body=BODY),
         N_MEDIUM_CROWD,
     ),
+    (
+        "requests that run, past the limit",
+        "caller",
+        once(b"/slow/1"),
+        N_LARGE_CROWD,
+    ),
     (
         "bodies of requests that run, past the limit",
         "caller",
--- a/chestnuthall/services/_relay.py
+++ b/chestnuthall/services/_relay.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
+from chestnuthall.core.intake import N_CONNECTIONS_MAX, RequestSlots
 from chestnuthall.core.model import (
     Configuration,
     ForwardRequest,
@@ -12,7 +13,7 @@
     WeightedRoundRobin,
     reachable_ratio,
 )
-from chestnuthall.core.results import NOT_FOUND, NOT_READY, Failure
+from chestnuthall.core.results import NOT_FOUND, NOT_READY, QUEUE_FULL, Failure
 from chestnuthall.ports import RequestHandler
 from chestnuthall.services._configuration import ConfigurationManager
 from chestnuthall.services._group_directory import GroupDirectory
@@ -51,8 +52,10 @@
         query: RequestHandler,
         configuration: ConfigurationManager,
         directory: GroupDirectory,
+        n_requests_max: int = N_CONNECTIONS_MAX,
     ) -> None:
         self._query = query
+        self._slots = RequestSlots(n_requests_max)
         self._directory = directory
         self._configuration = configuration
         self._splits: dict[str, WeightedRoundRobin] = {}
@@ -97,14 +100,20 @@
         return True
 
     async def serve(self, call: RelayCall) -> Outcome | Failure:
-        """Serve a call; a ``Failure`` means that it has no route."""
+        """Serve a call; a ``Failure`` means that it has no route or has not run."""
         configuration = self._configuration.in_force
         if configuration is None:
             return NOT_READY.with_reason("no configuration is in force")
         route = configuration.document.routes.match(call.host, call.path)
         if route is None:
             return NOT_FOUND.with_reason(f"no route for {call.host}{call.path[:80]}")
-        return await self._query.serve(self._request(call, route))
+        request = self._request(call, route)
+        if not self._slots.try_start(request.group):
+            return QUEUE_FULL.with_reason(f"too many requests for {request.group}")
+        try:
+            return await self._query.serve(request)
+        finally:
+            self._slots.end(request.group)
 
     def _request(self, call: RelayCall, route: Route) -> RelayedRequest:
         wait_ms = route.timeout_ms
