Test that an answer with status 000 is no part of a search

Another operator saw callers get a replica's answer with the status 000 (MIXED). The shard is left out, its signature is not named, and a search below its floor fails. No code was changed.

--- a/chestnuthall/platform/tests/test_spoiled_answers.py
+++ b/chestnuthall/platform/tests/test_spoiled_answers.py
@@ -12,6 +12,7 @@
     RawReplica,
     forward_route,
     open_deployment,
+    scatter_route,
 )
 
 # Of the routes of ``forward_route``.
@@ -117,3 +118,36 @@
     assert result == status
     assert len(calls) <= n_calls_max
     assert duration_s < ROUTE_TIMEOUT_S
+
+
+# (case, lowest share of the shards, status of the caller, shards left out)
+SPOILED_SHARDS = [("enough others", 0.6, 200, b"1"), ("too few others", 0.9, 504, None)]
+
+
+@pytest.mark.parametrize(
+    ("floor", "status", "n_missing"),
+    [case[1:] for case in SPOILED_SHARDS],
+    ids=[case[0] for case in SPOILED_SHARDS],
+)
+def test_answer_with_status_000_is_no_part_of_a_search(floor, status, n_missing):
+    """It bears a signature and records, but the replica may have failed."""
+
+    async def serve(connection, request_id, target):
+        connection.write(signed(request_id, 200).replace(b"200 S", b"000 OK"))
+
+    async def scenario():
+        async with open_deployment() as deployment:
+            for service in ("s0", "s1"):
+                await deployment.add_replica(f"{service}r0", service, b"A" * 16)
+            await deployment.add_raw_replica(RawReplica("s2r0", "s2", serve))
+            route = scatter_route(("s0", "s1", "s2"), MinShardShare=floor)
+            deployment.configure(1, [route])
+            await deployment.start()
+            return await deployment.send("/sweep/x")
+
+    response = asyncio.run(scenario())
+    assert response.status == status
+    assert response.headers.get(b"x-missing-parts") == n_missing
+    signatures = response.headers.get(b"x-part-stamps", b"").split(b", ")
+    assert b"s" not in signatures
+    assert status != 200 or len(signatures) == 2
