--- a/chestnuthall/platform/tests/crowds.py
+++ b/chestnuthall/platform/tests/crowds.py
@@ -2,22 +2,15 @@
 
 import asyncio
 import json
-import os
 import re
 import resource
 import signal
-import socket
 import subprocess
 import sys
 from collections import Counter
 from pathlib import Path
 
 from chestnuthall.adapters.http import HttpResponse
-from chestnuthall.platform.tests.crowds.members import (
-    N_BODY_BYTES_MAX,
-    N_HEADER_BYTES_MAX,
-    USUAL_HEADERS,
-)
 from chestnuthall.platform.tests.standins import (
     LOOPBACK,
     Deployment,
@@ -26,18 +19,20 @@
     free_port,
     scatter_route,
 )
+from chestnuthall.standins.crowds import (
+    N_BODY_BYTES_MAX,
+    N_HEADER_BYTES_MAX,
+    USUAL_HEADERS,
+    ProcessWatch,
+)
 
-TEMPLATE = Path(__file__).parents[4] / "deploy" / "instance.jsonc"
+TEMPLATE = Path(__file__).parents[3] / "deploy" / "instance.jsonc"
 # The machine of the tests: less memory and fewer descriptors than any real one.
 MEMORY_MB = 128
 N_DESCRIPTORS = 600
 # Descriptors that are reserved for files.
 N_FILES = 200
-MB = 1024 * 1024
-SAMPLE_INTERVAL_S = 0.02
-# A crowd in which nothing was sent for this long has sent all that it can.
-QUIET_S = 0.7
-CROWD_TIMEOUT_S = 25.0
+N_SOCKETS_MAX = N_DESCRIPTORS - N_FILES
 ANSWER_TIMEOUT_S = 20.0
 ATTEMPT_TIMEOUT_S = 8.0
 LISTENERS = ("caller", "ready", "metrics", "peer")
@@ -72,9 +67,7 @@
         self.log = folder / "log"
         self.ports = {}
         self._process = None
-        self.n_bytes_peak = 0
-        self.n_unread_bytes_peak = 0
-        self.n_sockets_peak = 0
+        self.watch = None
 
     async def start(self, store_port):
         """Start the process with settings that the platform's template renders."""
@@ -113,56 +106,18 @@
         resource.prlimit(
             self._process.pid, resource.RLIMIT_NOFILE, (N_DESCRIPTORS, N_DESCRIPTORS)
         )
+        self.watch = ProcessWatch(
+            self._process.pid,
+            self.ports.values(),
+            lambda: self.is_alive,
+            MEMORY_MB,
+            N_SOCKETS_MAX,
+        )
 
     @property
     def is_alive(self):
         return self._process.poll() is None
 
-    def sample(self):
-        """Measure memory, with the bytes that the kernel holds unread, and sockets."""
-        if not self.is_alive:
-            return
-        n_unread_bytes = self._n_unread_bytes()
-        self.n_unread_bytes_peak = max(self.n_unread_bytes_peak, n_unread_bytes)
-        n_bytes = self._n_resident_bytes("VmRSS") + n_unread_bytes
-        n_peak = max(n_bytes, self._n_resident_bytes("VmHWM"))
-        self.n_bytes_peak = max(self.n_bytes_peak, n_peak)
-        self.n_sockets_peak = max(self.n_sockets_peak, self._count_sockets())
-
-    def _n_resident_bytes(self, field):
-        for line in Path(f"/proc/{self._process.pid}/status").read_text().splitlines():
-            if line.startswith(field + ":"):
-                return int(line.split()[1]) * 1024
-        return 0
-
-    def _count_sockets(self):
-        folder = f"/proc/{self._process.pid}/fd"
-        n_sockets = 0
-        for name in os.listdir(folder):
-            try:
-                n_sockets += os.readlink(f"{folder}/{name}").startswith("socket:")
-            except FileNotFoundError:
-                continue
-        return n_sockets
-
-    def _n_unread_bytes(self):
-        """Sum the receive queues of the listeners' connections, accepted or not."""
-        ports = set(self.ports.values())
-        n_bytes = 0
-        for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
-            _, local, _, state, queues, *_ = line.split()
-            if int(local.partition(":")[2], 16) in ports and state != "0A":
-                n_bytes += int(queues.partition(":")[2], 16)
-        return n_bytes
-
-    @property
-    def exceeds_its_machine(self):
-        return (
-            not self.is_alive
-            or self.n_bytes_peak > MEMORY_MB * MB
-            or self.n_sockets_peak > N_DESCRIPTORS - N_FILES
-        )
-
     async def stop(self):
         if self._process is None:
             return
@@ -171,121 +126,6 @@
         await asyncio.get_running_loop().run_in_executor(None, self._process.wait)
 
 
-class Member:
-    """One client of a crowd, which sends what it can and reads nothing."""
-
-    def __init__(self, sending):
-        self._sending = sending
-        self._socket = None
-        self.n_sent_bytes = 0
-        self.is_done = False
-
-    async def connect(self, port):
-        self._socket = socket.socket()
-        self._socket.setblocking(False)
-        try:
-            await asyncio.get_running_loop().sock_connect(
-                self._socket, (LOOPBACK, port)
-            )
-        except OSError:
-            self.is_done = True
-
-    async def send(self):
-        """Send as much as the process takes."""
-        loop = asyncio.get_running_loop()
-        try:
-            for piece in self._sending.pieces():
-                view = memoryview(piece)
-                while view and not self.is_done:
-                    n_sent = await self._send_some(loop, view)
-                    self.n_sent_bytes += n_sent
-                    view = view[n_sent:]
-        except OSError:
-            pass
-        self.is_done = True
-
-    async def _send_some(self, loop, view):
-        try:
-            return self._socket.send(view)
-        except BlockingIOError:
-            writable = loop.create_future()
-            loop.add_writer(self._socket, _set_done, writable)
-            try:
-                await writable
-            finally:
-                loop.remove_writer(self._socket)
-            return 0
-
-    def close(self):
-        if self._socket is not None:
-            self._socket.close()
-
-
-def _set_done(future):
-    if not future.done():
-        future.set_result(None)
-
-
-class Crowd:
-    """Members that all connect to one listener, and then all send at once."""
-
-    def __init__(self, process, listener, sending, n_members):
-        self._process = process
-        self._port = process.ports[listener]
-        self._members = [Member(sending) for _ in range(n_members)]
-        self._tasks = []
-
-    async def act(self):
-        """Connect and send until nothing more is taken; the connections stay open."""
-        # A process that accepts no more connections leaves members waiting.
-        connecting = [
-            asyncio.ensure_future(member.connect(self._port))
-            for member in self._members
-        ]
-        await self._watch(lambda: all(task.done() for task in connecting))
-        for task in connecting:
-            task.cancel()
-        await asyncio.gather(*connecting, return_exceptions=True)
-        self._tasks = [asyncio.ensure_future(x.send()) for x in self._members]
-        await self._watch(lambda: all(member.is_done for member in self._members))
-
-    async def _watch(self, has_ended):
-        """Sample the process until the crowd is quiet or the process has failed."""
-        loop = asyncio.get_running_loop()
-        ends_at_s = loop.time() + CROWD_TIMEOUT_S
-        changed_s, last = loop.time(), None
-        while loop.time() < ends_at_s and not self._process.exceeds_its_machine:
-            self._process.sample()
-            progress = (
-                sum(x.n_sent_bytes for x in self._members),
-                sum(x.is_done for x in self._members),
-                has_ended(),
-            )
-            if progress != last:
-                changed_s, last = loop.time(), progress
-            if loop.time() - changed_s > QUIET_S:
-                return
-            await asyncio.sleep(SAMPLE_INTERVAL_S)
-
-    def describe(self):
-        """Return what the crowd did and what it cost, for the report of a failure."""
-        process = self._process
-        return (
-            f"members done: {sum(x.is_done for x in self._members)}, "
-            f"MB sent: {sum(x.n_sent_bytes for x in self._members) / MB:.1f}, "
-            f"alive: {process.is_alive}, peak MB: {process.n_bytes_peak / MB:.1f}, "
-            f"of these unread: {process.n_unread_bytes_peak / MB:.1f}, "
-            f"sockets: {process.n_sockets_peak}"
-        )
-
-    async def leave(self):
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        for member in self._members:
-            member.close()
-
-
 class CrowdedDeployment(Deployment):
     """A process with its stand-ins, and an ordinary client of each listener."""
 
@@ -333,7 +173,7 @@
             if status in statuses:
                 return status
             seen[status] += 1
-            self.process.sample()
+            self.process.watch.sample()
             await asyncio.sleep(0.05)
         raise AssertionError(
             f"{listener}{path} was not answered with {statuses}: {dict(seen)}, "
--- a/chestnuthall/platform/tests/test_client_crowds.py
+++ b/chestnuthall/platform/tests/test_client_crowds.py
@@ -8,17 +8,16 @@
 
 import pytest
 
-from chestnuthall.platform.tests.crowds.deployment import (
-    MB,
+from chestnuthall.platform.tests.crowds import (
     MEMORY_MB,
-    N_DESCRIPTORS,
-    N_FILES,
-    Crowd,
+    N_SOCKETS_MAX,
     CrowdedDeployment,
 )
-from chestnuthall.platform.tests.crowds.members import (
+from chestnuthall.standins.crowds import (
+    MB,
     N_BODY_BYTES_MAX,
     USUAL_HEADERS,
+    Crowd,
     ahead,
     once,
     silent,
@@ -152,18 +151,19 @@
         crowd = None
         try:
             await deployment.start()
-            crowd = Crowd(deployment.process, listener, sending, n_members)
-            await crowd.act()
             process = deployment.process
+            watch = process.watch
+            crowd = Crowd(watch, process.ports[listener], sending, n_members)
+            await crowd.act()
             print(crowd.describe())
             assert process.is_alive, process.log.read_text()[-2_000:]
-            assert process.n_bytes_peak <= MEMORY_MB * MB
-            assert process.n_sockets_peak <= N_DESCRIPTORS - N_FILES
+            assert watch.n_bytes_peak <= MEMORY_MB * MB
+            assert watch.n_sockets_peak <= N_SOCKETS_MAX
             await deployment.check_ordinary_clients(may_be_unready=True)
             await crowd.leave()
             await deployment.check_ordinary_clients()
-            assert process.n_bytes_peak <= MEMORY_MB * MB
-            assert process.n_sockets_peak <= N_DESCRIPTORS - N_FILES
+            assert watch.n_bytes_peak <= MEMORY_MB * MB
+            assert watch.n_sockets_peak <= N_SOCKETS_MAX
         finally:
             if crowd is not None:
                 await crowd.leave()
--- a/chestnuthall/standins/crowds/members.py
+++ b/chestnuthall/standins/crowds/_members.py
@@ -1,9 +1,10 @@
 """What the members of a crowd send: endless requests, or one without an end."""
 
 import itertools
+from collections.abc import Iterator
 from dataclasses import dataclass
 
-# Limits of the configuration that the tests publish.
+# Limits of a message, as the platform sets them.
 N_HEADER_BYTES_MAX = 16_384
 N_BODY_BYTES_MAX = 262_144
 # A member that is never stopped sends this much.
@@ -20,7 +21,7 @@
     first: bytes = b""
     batch: bytes = b""
 
-    def pieces(self):
+    def pieces(self) -> Iterator[bytes]:
         """Yield what to send, up to the bound for one member."""
         yield self.first
         if not self.batch:
@@ -29,7 +30,7 @@
             yield self.batch
 
 
-def ahead(path, *, headers=b"", body=b""):
+def ahead(path: bytes, *, headers: bytes = b"", body: bytes = b"") -> Sending:
     """Return complete requests one after the other, whose answers are never read."""
     method = b"POST" if body else b"GET"
     length = b"content-length: %d\r\n" % len(body) if body else b""
@@ -39,13 +40,13 @@
     return Sending(batch=request * max(1, _N_BATCH_BYTES // len(request)))
 
 
-def once(path, *, headers=USUAL_HEADERS, body=b""):
+def once(path: bytes, *, headers: bytes = USUAL_HEADERS, body: bytes = b"") -> Sending:
     """Return one complete request, whose answer is never read."""
     length = b"content-length: %d\r\n" % len(body)
     return Sending(b"POST %s HTTP/1.1\r\n%s%s\r\n%s" % (path, headers, length, body))
 
 
-def unfinished_head(path):
+def unfinished_head(path: bytes) -> Sending:
     """Return a head of many small headers that lacks its last line."""
     head = b"GET %s HTTP/1.1\r\nhost: a\r\n" % path
     lines = (b"a%d:b\r\n" % index for index in itertools.count())
@@ -54,19 +55,19 @@
     return Sending(head)
 
 
-def unfinished_body(path, *, headers=USUAL_HEADERS):
+def unfinished_body(path: bytes, *, headers: bytes = USUAL_HEADERS) -> Sending:
     """Return a request whose body lacks its last byte."""
     length = b"content-length: %d\r\n\r\n" % N_BODY_BYTES_MAX
     body = b"x" * (N_BODY_BYTES_MAX - 1)
     return Sending(b"POST %s HTTP/1.1\r\n%s%s%s" % (path, headers, length, body))
 
 
-def unfinished_chunks(path, *, headers=USUAL_HEADERS):
+def unfinished_chunks(path: bytes, *, headers: bytes = USUAL_HEADERS) -> Sending:
     """Return a request whose body comes in chunks of two bytes and lacks the last."""
     head = b"POST %s HTTP/1.1\r\n%stransfer-encoding: chunked\r\n\r\n" % (path, headers)
     return Sending(head + b"2\r\nxy\r\n" * (N_BODY_BYTES_MAX // 2 - 1))
 
 
-def silent():
+def silent() -> Sending:
     """Return nothing: the member only connects."""
     return Sending()
