Pass the machine's memory and descriptors in variables

What was seen: review cases 1 to 5 ended before they began. Cause: names Limits.MemoryMb and Limits.MaxFds in the settings template, and the cases render it with fields that have no Limits. The log line of the start names both. Nothing else changes.

--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -455,7 +455,14 @@
                 ("loop_lag", self._measure_loop_lag),
             )
         ]
-        _log.info("instance started", extra={"zone": self.settings.zone})
+        _log.info(
+            "instance started",
+            extra={
+                "zone": self.settings.zone,
+                "memory_mb": self.settings.memory_mb,
+                "n_descriptors": self.settings.n_descriptors,
+            },
+        )
 
     async def _report_dropped_lines(self) -> None:
         while True:
--- a/chestnuthall/platform/_main.py
+++ b/chestnuthall/platform/_main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import os
 import signal
 import sys
 from pathlib import Path
@@ -25,7 +26,7 @@
         text = settings_file.read_text()
     except OSError as error:
         _exit_with_error(f"cannot read {settings_file}: {error.strerror}")
-    settings = read_settings(text, str(settings_file))
+    settings = read_settings(text, str(settings_file), os.environ)
     if isinstance(settings, Failure):
         _exit_with_error(settings.reason)
     log_limit = configure_logging(
--- a/chestnuthall/platform/_settings.py
+++ b/chestnuthall/platform/_settings.py
@@ -1,13 +1,19 @@
 """Settings of an instance on the platform, rendered by ``deploy/instance.jsonc``."""
 
+from collections.abc import Mapping
 from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from chestnuthall.adapters.commentedjson import check_text, describe_problems
 from chestnuthall.core.results import CONFIGURATION_REJECTED, Failure
 
 Address = Annotated[str, Field(pattern=r"^[0-9a-f.:\[\]]+:[0-9]{1,5}$")]
+# Fields that describe the machine; these variables go before the settings file.
+VARIABLES = {
+    "memory_mb": "CHESTNUTHALL_MEMORY_MB",
+    "n_descriptors": "CHESTNUTHALL_DESCRIPTORS",
+}
 Positive = Annotated[float, Field(gt=0.0)]
 NotNegative = Annotated[float, Field(ge=0.0)]
 
@@ -57,9 +63,20 @@
     """Minimum severity of log lines."""
 
 
-def read_settings(text: str, file_name: str = "settings") -> PlatformSettings | Failure:
-    """Validate the text of a settings file."""
+def read_settings(
+    text: str,
+    file_name: str = "settings",
+    environment: Mapping[str, str] | None = None,
+) -> PlatformSettings | Failure:
+    """Validate the text of a settings file, and the variables of the environment."""
     checked = check_text(text, PlatformSettings, file_name)
     if isinstance(checked, tuple):
         return CONFIGURATION_REJECTED.with_reason(describe_problems(checked))
-    return checked
+    variables = environment or {}
+    given = {field: variables[x] for field, x in VARIABLES.items() if variables.get(x)}
+    try:
+        return PlatformSettings.model_validate(checked.model_dump() | given)
+    except ValidationError as error:
+        first = error.errors()[0]
+        name = VARIABLES[str(first["loc"][0])]
+        return CONFIGURATION_REJECTED.with_reason(f"{name}: {first['msg']}")
--- a/chestnuthall/platform/tests/crowds.py
+++ b/chestnuthall/platform/tests/crowds.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import json
+import os
 import re
 import resource
 import signal
 import subprocess
 import sys
+import tomllib
 from collections import Counter
 from pathlib import Path
 
@@ -26,7 +28,9 @@
     ProcessWatch,
 )
 
-TEMPLATE = Path(__file__).parents[3] / "deploy" / "instance.jsonc"
+DEPLOY = Path(__file__).parents[3] / "deploy"
+SYSTEM = DEPLOY / "system.toml"
+TEMPLATE = DEPLOY / "instance.jsonc"
 # The machine of the tests: less memory and fewer descriptors than any real one.
 MEMORY_MB = 128
 N_DESCRIPTORS = 600
@@ -97,12 +101,16 @@
             },
         }
         self._settings.write_text(render(TEMPLATE.read_text(), fields))
-        self._start_process()
+        role = tomllib.loads(SYSTEM.read_text())["roles"]["entry"]
+        variables = {name: render(text, fields) for name, text in role["env"].items()}
+        self._start_process(os.environ | variables)
 
-    def _start_process(self):
+    def _start_process(self, environment):
         command = [sys.executable, "-m", "chestnuthall.platform", str(self._settings)]
         with self.log.open("wb") as log:
-            self._process = subprocess.Popen(command, stdout=log, stderr=log)
+            self._process = subprocess.Popen(
+                command, stdout=log, stderr=log, env=environment
+            )
         resource.prlimit(
             self._process.pid, resource.RLIMIT_NOFILE, (N_DESCRIPTORS, N_DESCRIPTORS)
         )
