Let drain notices with the same sequence number converge

Cause: one instance detects the end of a drain and another one renews it in the same millisecond. Both notices follow the same number, and a notice replaced a record only if its number was higher, so each instance kept its own. Change: notices are ordered by number, then a drain before its end, then by signal.

--- a/chestnuthall/core/drains/_registry.py
+++ b/chestnuthall/core/drains/_registry.py
@@ -229,12 +229,18 @@
 def _replaces(notice: Notice, record: _Record, now_ms: float) -> bool:
     """Return whether a notice of a peer is newer than the record.
 
-    Once the record has expired, only an echo of the same notice is rejected: a
-    peer whose clock is behind may have a new signal with a lower sequence.
+    Two instances may choose the same sequence for different notices. All of them then
+    keep the same one: a drain goes before its end. Once the record has expired, only
+    an echo of the same notice is rejected: a peer whose clock is behind may have a new
+    signal with a lower sequence.
     """
     if record.expires_ms <= now_ms:
         return notice.sequence != record.sequence
-    return notice.sequence > record.sequence
+    return _rank(notice) > _rank(record)
+
+
+def _rank(notice: Notice | _Record) -> tuple[int, bool, str]:
+    return (notice.sequence, not notice.is_over, notice.signal.value)
 
 
 def _is_ended_by(record: _Record, signal: DrainSignal) -> bool:
--- a/chestnuthall/core/drains/tests/test_registry.py
+++ b/chestnuthall/core/drains/tests/test_registry.py
@@ -180,6 +180,40 @@
             assert not any(registry.active_drains(now_ms) for registry in registries)
 
 
+# (case, signals of the instances by their position, in the same millisecond)
+TIES = [
+    ("end and renewal", {0: DrainDetected, 2: DrainEndDetected}),
+    ("end and renewal elsewhere", {2: DrainDetected, 0: DrainEndDetected}),
+    ("two ends and a renewal", {0: DrainEndDetected, 1: DrainDetected}),
+]
+
+
+@pytest.mark.parametrize(
+    "signals", [case[1] for case in TIES], ids=[case[0] for case in TIES]
+)
+def test_notices_with_the_same_sequence_converge(signals):
+    """Instances kept different notices of one drain until these expired."""
+    registries = [DrainRegistry() for _ in range(N_INSTANCES)]
+    registries[2].handle(DrainDetected(0.0, 1e12, "r", HEALTH))
+    exchange(registries, 0.0, n_rounds=2)
+    now_ms = 19_000.0
+    for index, event_type in signals.items():
+        observed = (now_ms,) if event_type is DrainEndDetected else ()
+        registries[index].handle(event_type(now_ms, 1e12, "r", HEALTH, *observed))
+    exchange(registries, now_ms, n_rounds=5)
+    drained = [bool(registry.active_drains(now_ms)) for registry in registries]
+    assert drained == [True] * N_INSTANCES
+
+
+def exchange(registries, now_ms, n_rounds):
+    """Send the notices of each registry to all others."""
+    for _ in range(n_rounds):
+        for one in registries:
+            notices = one.select_notices(now_ms)
+            for other in registries:
+                other.handle(NoticesReceived(now_ms, notices))
+
+
 @pytest.mark.parametrize(("began_ms", "is_ended"), [(900.0, False), (1_100.0, True)])
 def test_check_that_began_before_the_drain_does_not_end_it(began_ms, is_ended):
     """A slow health check must not end a drain that was signalled meanwhile."""
