Send no new calls to a replica that says that it leaves

Cause: nothing read the header. An instance knew of a leave from the store, or from the store's state at a peer, only. Change: the codec reads the notice from each response, whatever becomes of the call. The registry binds it to the incarnation. The router excludes replicas that drain or have left from queries in flight, too. Waiting calls are sent elsewhere. Peers learn of leaves with the shard sets that they exchange. Ruled out: reading the header where answers are decoded; failures, late answers and answers to other requests do not get there.

--- a/chestnuthall/adapters/http/_pool.py
+++ b/chestnuthall/adapters/http/_pool.py
@@ -44,7 +44,8 @@
         self._idle: list[ClientConnection] = []
         self._n_open = 0
         self._is_closed = False
-        self._waiters: deque[asyncio.Future[ClientConnection | None]] = deque()
+        self._waiters: deque[asyncio.Future[ClientConnection | Failure | None]]
+        self._waiters = deque()
 
     @property
     def n_open(self) -> int:
@@ -96,7 +97,7 @@
         return connection
 
     async def _wait_for_release(self, timeout_ms: float) -> ClientConnection | Failure:
-        waiter: asyncio.Future[ClientConnection | None]
+        waiter: asyncio.Future[ClientConnection | Failure | None]
         waiter = asyncio.get_running_loop().create_future()
         self._waiters.append(waiter)
         try:
@@ -114,11 +115,18 @@
             return connection
         return await self.acquire(timeout_ms)
 
-    def _return_unused(self, connection: ClientConnection | None) -> None:
-        if connection is None:
+    def _return_unused(self, result: ClientConnection | Failure | None) -> None:
+        if result is None:
             self._wake_waiter(None)
-        else:
-            self.release(connection)
+        elif isinstance(result, ClientConnection):
+            self.release(result)
+
+    def reject_waiting(self, failure: Failure) -> None:
+        """Fail the requests that wait for a connection now."""
+        while self._waiters:
+            waiter = self._waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(failure)
 
     def release(self, connection: ClientConnection) -> None:
         """Return a connection to the pool after its request completed or failed."""
--- a/chestnuthall/adapters/http/tests/test_pool.py
+++ b/chestnuthall/adapters/http/tests/test_pool.py
@@ -8,7 +8,7 @@
 import pytest
 
 from chestnuthall.adapters.http import ConnectionPool, PoolSettings
-from chestnuthall.core.results import Failure
+from chestnuthall.core.results import NO_REPLICA, Failure
 
 
 @pytest.mark.parametrize(
@@ -71,3 +71,27 @@
         pool.close()
 
     asyncio.run(scenario())
+
+
+def test_requests_that_wait_for_a_connection_are_rejected():
+    """A request that waits for a replica that leaves must be sent elsewhere."""
+
+    async def scenario():
+        server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        pool = ConnectionPool(f"{host}:{port}", PoolSettings(n_connections_max=1))
+        connection = await pool.acquire(100.0)
+        waiting = [asyncio.ensure_future(pool.acquire(5_000.0)) for _ in range(2)]
+        await asyncio.sleep(0.01)
+        waiting[0].cancel()
+        pool.reject_waiting(NO_REPLICA.with_reason("it leaves"))
+        results = await asyncio.gather(*waiting, return_exceptions=True)
+        pool.release(connection)
+        again = await pool.acquire(100.0)
+        pool.close()
+        server.close()
+        return results[1], again
+
+    rejected, again = asyncio.run(scenario())
+    assert rejected == NO_REPLICA.with_reason("it leaves")
+    assert not isinstance(again, Failure)
--- a/chestnuthall/adapters/searchapi/_codec.py
+++ b/chestnuthall/adapters/searchapi/_codec.py
@@ -9,8 +9,10 @@
 from chestnuthall.adapters.http import HttpRequest, HttpResponse
 from chestnuthall.core.model import (
     Hit,
+    LeaveNotice,
     LookupRequest,
     MutationRequest,
+    Replica,
     Request,
     SearchRequest,
     ShardAnswer,
@@ -129,6 +131,14 @@
         echoed = response.headers.get(CALL_ID)
         return echoed is not None and echoed.decode("latin-1") != call.call_id
 
+    def leave_notices(
+        self, replica: Replica, response: HttpResponse
+    ) -> tuple[LeaveNotice, ...]:
+        """Return the leave of a replica, which it states with any status."""
+        if response.headers.get(DRAINING) != b"1":
+            return ()
+        return (LeaveNotice(replica.name, replica.incarnation),)
+
     def encode_cancel(self, call: ShardCall) -> HttpRequest | None:
         """Return the request that cancels a call; None if it is not idempotent."""
         if not is_idempotent(call.request):
--- a/chestnuthall/adapters/upstreams/_caller.py
+++ b/chestnuthall/adapters/upstreams/_caller.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, replace
 from hashlib import blake2b
 
@@ -17,6 +17,7 @@
 )
 from chestnuthall.adapters.upstreams._codec import UpstreamCodec
 from chestnuthall.core.model import (
+    LeaveNotice,
     Replica,
     ShardAnswer,
     ShardCall,
@@ -28,6 +29,7 @@
     CALL_TIMED_OUT,
     CONNECTION_LOST,
     DEADLINE_PASSED,
+    NO_REPLICA,
     REPLICA_REPLACED,
     Failure,
 )
@@ -98,6 +100,20 @@
         # Time of the last response from each address.
         self._answered_ms_by_address: dict[str, float] = {}
         self._background_tasks: set[asyncio.Task[None]] = set()
+        self._leave_listeners: list[Callable[[LeaveNotice], None]] = []
+
+    def add_leave_listener(self, listener: Callable[[LeaveNotice], None]) -> None:
+        """Call ``listener`` for each statement of a response that a replica leaves.
+
+        Responses that end no call count as well: those to cancelled calls, and those
+        that belong to another call. The listener runs before a response is decoded.
+        """
+        self._leave_listeners.append(listener)
+
+    def _report_leaves(self, replica: Replica, response: HttpResponse) -> None:
+        for notice in self._codec.leave_notices(replica, response):
+            for listener in self._leave_listeners:
+                listener(notice)
 
     def set_connection_budget(
         self,
@@ -193,6 +209,12 @@
         if pool is not None:
             pool.close()
 
+    def reject_waiting(self, address: str) -> None:
+        """Fail the calls that wait for a connection to a replica, as not sent."""
+        pool = self._pools.get(address)
+        if pool is not None:
+            pool.reject_waiting(NO_REPLICA.with_reason(f"{address} leaves"))
+
     async def run(self) -> None:
         """Close connections that were idle for too long, until cancelled."""
         while True:
@@ -244,6 +266,8 @@
         is_cancelled = False
 
         def on_response(result: HttpResponse | Failure) -> None:
+            if isinstance(result, HttpResponse):
+                self._report_leaves(call.replica, result)
             if is_cancelled:
                 return
             if isinstance(result, Failure):
@@ -277,6 +301,7 @@
         def is_foreign(response: HttpResponse) -> bool:
             if not self._codec.is_foreign(call, response):
                 return False
+            self._report_leaves(call.replica, response)
             _log.info(
                 "foreign response discarded",
                 extra={
@@ -316,14 +341,23 @@
         connection: ClientConnection,
         remaining_ms: float,
     ) -> ShardAnswer | Failure:
-        response = connection.send(
-            self._codec.encode_call(call, remaining_ms), self._foreign_test(call)
+        loop = asyncio.get_running_loop()
+        response: asyncio.Future[HttpResponse | Failure] = loop.create_future()
+
+        def on_response(result: HttpResponse | Failure) -> None:
+            if isinstance(result, HttpResponse):
+                self._report_leaves(call.replica, result)
+            if not response.done():
+                response.set_result(result)
+
+        connection.send_with_callback(
+            self._codec.encode_call(call, remaining_ms),
+            on_response,
+            self._foreign_test(call),
         )
         call.trace.is_written = True
         # Each call runs this; a timer handle costs a fraction of asyncio.timeout.
-        timer = asyncio.get_running_loop().call_later(
-            remaining_ms / 1000.0, _set_timed_out, response
-        )
+        timer = loop.call_later(remaining_ms / 1000.0, _set_timed_out, response)
         try:
             result = await response
         except asyncio.CancelledError:
@@ -408,9 +442,12 @@
         unknown, too.
         """
         group = self._group_of_address.get(replica.address) or group
-        return await self._exchange(
+        response = await self._exchange(
             self._pool(replica.address, group), request, timeout_ms
         )
+        if isinstance(response, HttpResponse):
+            self._report_leaves(replica, response)
+        return response
 
     async def _exchange(
         self, pool: ConnectionPool, request: HttpRequest, timeout_ms: float
--- a/chestnuthall/adapters/upstreams/_codec.py
+++ b/chestnuthall/adapters/upstreams/_codec.py
@@ -1,9 +1,10 @@
 """Interface to the protocols of upstreams."""
 
+from collections.abc import Sequence
 from typing import Protocol
 
 from chestnuthall.adapters.http import HttpRequest, HttpResponse
-from chestnuthall.core.model import ShardAnswer, ShardCall
+from chestnuthall.core.model import LeaveNotice, Replica, ShardAnswer, ShardCall
 from chestnuthall.core.results import Failure
 
 
@@ -27,6 +28,12 @@
         """Return whether a response names another call than this one."""
         ...
 
+    def leave_notices(
+        self, replica: Replica, response: HttpResponse
+    ) -> Sequence[LeaveNotice]:
+        """Return the leaves that any response on a connection to a replica states."""
+        ...
+
     def encode_cancel(self, call: ShardCall) -> HttpRequest | None:
         """Return the HTTP request that cancels a call, or None if there is none."""
         ...
--- a/chestnuthall/core/model/_answers.py
+++ b/chestnuthall/core/model/_answers.py
@@ -87,6 +87,17 @@
     is_error: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class LeaveNotice:
+    """Statement in a response that a replica leaves and must get no new calls.
+
+    ``incarnation`` is None if it is not known which start of the replica said so.
+    """
+
+    replica_name: str
+    incarnation: int | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Coverage:
     """Documents and shards of the pinned snapshot that an answer includes.
--- a/chestnuthall/core/registry/_registry.py
+++ b/chestnuthall/core/registry/_registry.py
@@ -9,6 +9,8 @@
 # How long a draining replica is still used if its service has no other. It is half
 # of the minimum time for which a replica keeps serving after it announces a drain.
 DRAINING_FALLBACK_MS = 1_500.0
+# Limit on the leaves that are remembered after their replicas were removed.
+N_LEAVES_MAX = 4_096
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +32,7 @@
     ADDED = "seen"
     RESTARTED = "restarted"
     DRAINING = "draining"
+    LEAVING = "leaving"
     RESTORED = "restored"
     MISSING = "missing"
     REMOVED = "gone"
@@ -49,6 +52,8 @@
     registration: Registration
     missing_since_ms: float | None = None
     draining_since_ms: float | None = None
+    # Whether this incarnation said that it leaves, in an answer to an instance.
+    is_leaving: bool = False
 
 
 class ReplicaRegistry:
@@ -59,12 +64,30 @@
     afterwards. A draining replica is removed at once. The incarnation prevents a
     late registration of an earlier start from replacing that of a later one.
 
+    A leave that an incarnation announced in an answer is final: no registration of
+    the same incarnation ends it, also after the replica was removed.
+
     ``version`` increases with each change of the result of ``replicas_of``.
+
+    Examples
+    --------
+    >>> registry = ReplicaRegistry(2_000.0)
+    >>> started = [Replica("r", "10.0.0.1:80", "a", born) for born in (1, 2)]
+    >>> _ = registry.put(Registration(started[0], "s"), 0.0)
+    >>> _ = registry.announce_leave("r", 1, 10.0)
+    >>> _ = registry.put(Registration(started[0], "s"), 20.0)
+    >>> registry.is_leaving("r")
+    True
+    >>> _ = registry.put(Registration(started[1], "s"), 30.0)
+    >>> registry.is_leaving("r")
+    False
     """
 
     def __init__(self, grace_period_ms: float) -> None:
         self._grace_period_ms = grace_period_ms
         self._entries: dict[str, _Entry] = {}
+        # Newest incarnation of each replica that announced its leave.
+        self._leaves: dict[str, int] = {}
         self.version = 0
 
     def __len__(self) -> int:
@@ -77,7 +100,8 @@
         replaced = self._drop_replaced_at_address(registration.replica)
         if entry is None:
             entry = self._entries[name] = _Entry(registration)
-            if registration.is_draining:
+            entry.is_leaving = self._has_announced_leave(registration.replica)
+            if registration.is_draining or entry.is_leaving:
                 entry.draining_since_ms = now_ms
             self.version += 1
             return [*replaced, ReplicaChange(ReplicaChangeKind.ADDED, registration)]
@@ -87,16 +111,76 @@
         was_missing = entry.missing_since_ms is not None
         entry.registration = registration
         entry.missing_since_ms = None
+        entry.is_leaving = self._has_announced_leave(registration.replica)
         kind = _kind_of_change(old, registration, was_missing)
-        if kind is None:
+        if kind is None or (entry.is_leaving and kind is ReplicaChangeKind.RESTORED):
             return replaced
-        if not registration.is_draining:
+        is_new_incarnation = old.replica.incarnation < registration.replica.incarnation
+        if not registration.is_draining and not entry.is_leaving:
             entry.draining_since_ms = None
-        elif entry.draining_since_ms is None or kind is ReplicaChangeKind.RESTARTED:
+        elif entry.draining_since_ms is None or is_new_incarnation:
             entry.draining_since_ms = now_ms
         self.version += 1
         return [*replaced, ReplicaChange(kind, registration, old)]
 
+    def knows_leave(self, name: str, incarnation: int) -> bool:
+        """Return whether an incarnation, or a later one, announced its leave."""
+        return self._leaves.get(name, -1) >= incarnation
+
+    def _has_announced_leave(self, replica: Replica) -> bool:
+        return self.knows_leave(replica.name, replica.incarnation)
+
+    def announce_leave(
+        self, name: str, incarnation: int, now_ms: float
+    ) -> list[ReplicaChange]:
+        """Record that an incarnation of a replica said that it leaves.
+
+        Earlier incarnations have ended, so they count as leaving, too.
+        """
+        if self.knows_leave(name, incarnation):
+            return []
+        self._leaves.pop(name, None)
+        while len(self._leaves) >= N_LEAVES_MAX:
+            del self._leaves[next(iter(self._leaves))]
+        self._leaves[name] = incarnation
+        entry = self._entries.get(name)
+        if entry is None or entry.is_leaving:
+            return []
+        if not self._has_announced_leave(entry.registration.replica):
+            return []
+        entry.is_leaving = True
+        if entry.missing_since_ms is not None:
+            return [self._remove(name)]
+        if entry.draining_since_ms is None:
+            entry.draining_since_ms = now_ms
+        self.version += 1
+        return [ReplicaChange(ReplicaChangeKind.LEAVING, entry.registration)]
+
+    def is_leaving(self, name: str) -> bool:
+        """Return whether the current incarnation of a replica announced its leave."""
+        entry = self._entries.get(name)
+        return entry is not None and entry.is_leaving
+
+    def incarnation_of(self, name: str) -> int | None:
+        """Return the incarnation under a name, or None if it is unknown.
+
+        It is the registered one, or else the last one that announced its leave.
+        """
+        entry = self._entries.get(name)
+        if entry is None:
+            return self._leaves.get(name)
+        return entry.registration.replica.incarnation
+
+    def last_resort_until_ms(self, name: str) -> float | None:
+        """Return until when a draining replica is used if its service has no other.
+
+        None if the replica is not draining.
+        """
+        entry = self._entries.get(name)
+        if entry is None or entry.draining_since_ms is None:
+            return None
+        return entry.draining_since_ms + DRAINING_FALLBACK_MS
+
     def _drop_replaced_at_address(self, replica: Replica) -> list[ReplicaChange]:
         """Drop replicas with an earlier incarnation at the address of a replica."""
         return [
@@ -112,7 +196,7 @@
         entry = self._entries.get(name)
         if entry is None:
             return []
-        if entry.registration.is_draining:
+        if entry.registration.is_draining or entry.is_leaving:
             return [self._remove(name)]
         if entry.missing_since_ms is not None:
             return []
--- a/chestnuthall/core/registry/tests/test_registry.py
+++ b/chestnuthall/core/registry/tests/test_registry.py
@@ -1,7 +1,8 @@
 """Tests of the replicas in use after changes of their registrations.
 
 They guard against calls to replicas that have left, restarted or been replaced,
-and against dropping replicas while the store is unavailable.
+and against dropping replicas while the store is unavailable. Replicas that announced
+their leave were called while their entries said that they are ready.
 """
 
 import pytest
@@ -25,6 +26,8 @@
     for now_ms, method_name, argument in steps:
         if method_name == "expire":
             changes += registry.expire(now_ms)
+        elif method_name == "announce":
+            changes += registry.announce_leave(*argument, now_ms)
         else:
             changes += getattr(registry, method_name)(argument, now_ms)
     return registry, [change.kind for change in changes]
@@ -149,6 +152,137 @@
 ]
 
 
+LEAVING = ReplicaChangeKind.LEAVING
+RESTARTED = ReplicaChangeKind.RESTARTED
+CASES += [
+    (
+        "leave announced beside another replica",
+        [(0, "put", entry("a")), (0, "put", entry("b")), (1, "announce", ("a", 1))],
+        [ADDED, ADDED, LEAVING],
+        {"b"},
+        1,
+    ),
+    (
+        "last replica announced its leave",
+        [(0, "put", entry("a")), (1, "announce", ("a", 1))],
+        [ADDED, LEAVING],
+        {"a"},
+        DRAINING_FALLBACK_MS,
+    ),
+    (
+        "last replica announced its leave too long ago",
+        [(0, "put", entry("a")), (1, "announce", ("a", 1))],
+        [ADDED, LEAVING],
+        set(),
+        1 + DRAINING_FALLBACK_MS,
+    ),
+    (
+        "leave announced in each answer",
+        [(0, "put", entry("a")), *((i, "announce", ("a", 1)) for i in range(3))],
+        [ADDED, LEAVING],
+        set(),
+        DRAINING_FALLBACK_MS,
+    ),
+    (
+        "leave announced, entry still ready",
+        [
+            (0, "put", entry("a")),
+            (0, "put", entry("b")),
+            (1, "announce", ("a", 1)),
+            (2, "put", entry("a")),
+        ],
+        [ADDED, ADDED, LEAVING],
+        {"b"},
+        60_000,
+    ),
+    (
+        "leave announced, entry draining and ready again",
+        [
+            (0, "put", entry("a")),
+            (0, "put", entry("b")),
+            (1, "announce", ("a", 1)),
+            (2, "put", entry("a", draining=True)),
+            (3, "put", entry("a")),
+        ],
+        [ADDED, ADDED, LEAVING, ReplicaChangeKind.DRAINING],
+        {"b"},
+        60_000,
+    ),
+    (
+        "leave announced, list that lags",
+        [
+            (0, "put", entry("a")),
+            (0, "put", entry("b")),
+            (1, "announce", ("a", 1)),
+            (2, "mark_missing", "a"),
+            (3, "replace_all", [entry("a"), entry("b")]),
+        ],
+        [ADDED, ADDED, LEAVING, REMOVED, ADDED],
+        {"b"},
+        60_000,
+    ),
+    (
+        "leave announced while missing",
+        [
+            (0, "put", entry("a")),
+            (1, "mark_missing", "a"),
+            (2, "announce", ("a", 1)),
+        ],
+        [ADDED, MISSING, REMOVED],
+        set(),
+        2,
+    ),
+    (
+        "leave announced before the entry is known",
+        [(0, "announce", ("a", 1)), (1, "put", entry("a")), (1, "put", entry("b"))],
+        [ADDED, ADDED],
+        {"b"},
+        1,
+    ),
+    (
+        "restarted after its leave",
+        [
+            (0, "put", entry("a")),
+            (1, "announce", ("a", 1)),
+            (2, "put", entry("a", incarnation=2)),
+        ],
+        [ADDED, LEAVING, RESTARTED],
+        {"a"},
+        60_000,
+    ),
+    (
+        "late announcement of an earlier start",
+        [(0, "put", entry("a", incarnation=2)), (1, "announce", ("a", 1))],
+        [ADDED],
+        {"a"},
+        60_000,
+    ),
+    (
+        "restarted and leaving, with an entry of the earlier start",
+        [
+            (0, "put", entry("a")),
+            (0, "put", entry("b")),
+            (1, "announce", ("a", 2)),
+            (2, "put", entry("a", incarnation=2)),
+        ],
+        [ADDED, ADDED, LEAVING, RESTARTED],
+        {"b"},
+        60_000,
+    ),
+    (
+        "address of a leaving replica reused by another service",
+        [
+            (0, "put", entry("a", address="x:1", service="t")),
+            (1, "announce", ("a", 1)),
+            (2, "put", entry("b", incarnation=2, address="x:1")),
+        ],
+        [ADDED, LEAVING, REMOVED, ADDED],
+        {"b"},
+        60_000,
+    ),
+]
+
+
 @pytest.mark.parametrize(
     ("steps", "kinds", "names", "now_ms"),
     [case[1:] for case in CASES],
--- a/chestnuthall/core/routing/_replicas.py
+++ b/chestnuthall/core/routing/_replicas.py
@@ -65,6 +65,8 @@
     a penalty after calls that could not be sent to the replica. Latencies are scaled
     to the reference kind of call; see ``Router``. ``call_gap_ms`` is the mean time
     between two calls to the shard, at the last choice of the replica.
+    ``last_resort_until_ms`` is the time until which the replica, while it drains, is
+    called if all replicas of its shard do.
     """
 
     name: str
@@ -75,6 +77,7 @@
     held_reported_ms: float = float("-inf")
     missing_snapshots: dict[int, float] = field(default_factory=dict)
     drained_until_ms: float = float("-inf")
+    last_resort_until_ms: float = float("-inf")
     penalised_until_ms: float = float("-inf")
     refuses_until_ms: float = float("-inf")
     ramp_started_ms: float = float("-inf")
--- a/chestnuthall/core/routing/_router.py
+++ b/chestnuthall/core/routing/_router.py
@@ -160,12 +160,17 @@
 
         Ejected replicas are used only if no other one is usable, and so are
         persistently slow ones whose last call is less than ``slow_age_min_ms`` ago.
+        A draining replica is used only for a limited time, and while all of the shard
+        are draining.
         """
+        may_call = self.may_call
+        if self._are_all_draining(shard, now_ms):
+            may_call = self._may_call_as_last_resort
         usable = [
             replica
             for replica in shard.replicas
             if replica.name not in excluded_names
-            and self.may_call(replica, snapshot_id, now_ms)
+            and may_call(replica, snapshot_id, now_ms)
             and (not needs_free_slot or self.has_free_slot(replica))
         ]
         if len(usable) > 1:
@@ -200,6 +205,18 @@
         self.state_of(chosen.name).call_gap_ms = gap_ms
         return chosen
 
+    def _are_all_draining(self, shard: Shard, now_ms: float) -> bool:
+        return all(
+            self.state_of(item.name).is_draining(now_ms) for item in shard.replicas
+        )
+
+    def _may_call_as_last_resort(
+        self, replica: Replica, snapshot_id: int, now_ms: float
+    ) -> bool:
+        state = self.state_of(replica.name)
+        is_in_time = now_ms < state.last_resort_until_ms
+        return is_in_time and state.may_serve(snapshot_id, now_ms)
+
     def is_persistently_slow(self, replica: Replica) -> bool:
         """Return whether the last calls to a replica were slow, however long ago."""
         return self.state_of(replica.name).n_slow_in_row >= N_SLOW_PERSISTENT
@@ -412,6 +429,22 @@
         until_ms = now_ms + self._settings.drain_notice_ms
         self.state_of(replica_name).drained_until_ms = until_ms
 
+    def drain_until_removed(
+        self, replica_name: str, last_resort_until_ms: float
+    ) -> None:
+        """Send no new calls to a replica, except for a while if all others drain."""
+        state = self.state_of(replica_name)
+        state.drained_until_ms = float("inf")
+        state.last_resort_until_ms = last_resort_until_ms
+
+    def retire(self, replica_name: str) -> None:
+        """Discard the state of a replica that has left and send it no calls.
+
+        A query that pinned it before could choose it otherwise.
+        """
+        self.remove(replica_name)
+        self.drain_until_removed(replica_name, float("-inf"))
+
     def set_drained_until(self, replica_name: str, until_ms: float) -> None:
         """Send no new calls to a replica until a time; a past time ends a drain."""
         self.state_of(replica_name).drained_until_ms = until_ms
--- a/chestnuthall/core/routing/tests/test_routing.py
+++ b/chestnuthall/core/routing/tests/test_routing.py
@@ -347,3 +347,57 @@
             router.on_started(replica, now_ms)
             router.on_answered(replica, now_ms, ANSWER, now_ms + 20.0)
     assert n_lost <= 10
+
+
+# (case, replicas that drain with the end of their last resort, retired replicas, time,
+# excluded names, names of the chosen replicas)
+DRAINS = [
+    ("one drains", {"r0": 100.0}, (), 50.0, (), {"r1", "r2"}),
+    ("one left", {"r0": 100.0, "r1": 100.0}, (), 50.0, (), {"r2"}),
+    ("one left, already called", {"r0": 9e9, "r1": 9e9}, (), 50.0, {"r2"}, set()),
+    (
+        "all drain",
+        {"r0": 100.0, "r1": 100.0, "r2": 40.0},
+        (),
+        50.0,
+        (),
+        {"r0", "r1"},
+    ),
+    ("all drain for long", dict.fromkeys(("r0", "r1", "r2"), 9.0), (), 9.0, (), set()),
+    (
+        "all drain, one called",
+        dict.fromkeys(("r0", "r1", "r2"), 9.0),
+        (),
+        5.0,
+        {"r0"},
+        {"r1", "r2"},
+    ),
+    ("one retired", {}, ("r0",), 1e9, (), {"r1", "r2"}),
+    ("all retired", {}, ("r0", "r1", "r2"), 50.0, (), set()),
+]
+
+
+@pytest.mark.parametrize(
+    ("drains", "retired", "now_ms", "excluded", "names"),
+    [case[1:] for case in DRAINS],
+    ids=[case[0] for case in DRAINS],
+)
+def test_query_in_flight_calls_no_draining_replica(
+    drains, retired, now_ms, excluded, names
+):
+    """A query that pinned its replicas before chose those that had left since."""
+    router, shard, _ = make_router(other_zone_factor=1.0, other_zone_cost_ms=0.0)
+    for name, last_resort_until_ms in drains.items():
+        router.drain_until_removed(name, last_resort_until_ms)
+    for name in retired:
+        router.retire(name)
+    found = [router.choose(shard, 1, excluded, now_ms) for _ in range(200)]
+    assert {item.name for item in found if item is not None} == names
+
+
+def test_retired_replica_that_registers_again_is_called():
+    """The state of a removed replica must not outlive its next registration."""
+    router, shard, _ = make_router()
+    router.retire("r0")
+    router.remove("r0")
+    assert "r0" in chosen_names(router, shard, 60_000.0)
--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -61,6 +61,7 @@
     InstanceEntry,
     InstanceIdentity,
     InstancePresence,
+    LeaveExchange,
     Lifecycle,
     PeerAwareCaller,
     PeerShardSets,
@@ -259,7 +260,12 @@
         self._quotas = EqualQuotas(
             clock, admissions, lambda: self.presence.n_instances or 1
         )
+        self._leaves = LeaveExchange(
+            self.directory, clock, metrics, settings.drain_ms, settings.name
+        )
+        self._caller.add_leave_listener(self._leaves.on_answer)
         self._peer_caller = self._make_peer_caller()
+        self._peer_caller.add_leave_listener(self._leaves.on_peer)
         peer_shard_sets = PeerShardSets(
             settings.name, settings.zone, lambda: self.presence.peers
         )
@@ -338,6 +344,8 @@
                 ).handle,
                 self.is_ready,
                 lambda: self.configuration.revision,
+                self._leaves.recent,
+                self._leaves.on_peer,
             ).handle,
             limits,
         )
@@ -357,7 +365,7 @@
     def _make_peer_caller(self) -> HttpShardCaller:
         caller = HttpShardCaller(
             self._clock,
-            PeerCodec(lambda: self.configuration.revision),
+            PeerCodec(lambda: self.configuration.revision, self._leaves.recent),
             PoolSettings(
                 n_connections_max=N_PEER_CONNECTIONS,
                 connect_timeout_ms=PEER_CONNECT_TIMEOUT_MS,
--- a/chestnuthall/platform/_peer_calls.py
+++ b/chestnuthall/platform/_peer_calls.py
@@ -3,10 +3,18 @@
 Each call is the caller's request with additional headers.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
+from urllib.parse import quote, unquote
 
 from chestnuthall.adapters.http import HttpRequest, HttpResponse
-from chestnuthall.core.model import RelayedRequest, Reply, ShardAnswer, ShardCall
+from chestnuthall.core.model import (
+    LeaveNotice,
+    RelayedRequest,
+    Replica,
+    Reply,
+    ShardAnswer,
+    ShardCall,
+)
 from chestnuthall.core.results import (
     CALL_MISMATCH,
     QUARANTINED,
@@ -24,6 +32,7 @@
 )
 from chestnuthall.platform._relayed_calls import (
     DEADLINE_MS,
+    LEAVES,
     N_MISSING_MAX,
     REQUEST_ID,
     REVISION,
@@ -37,20 +46,53 @@
 # Subtracted from the peer's time, so that its answer arrives before the caller's
 # deadline.
 RETURN_RESERVE_MS = 4.0
+# Limits of what a peer's header may name; those of this instance are smaller.
+N_LEAVES_MAX = 64
+N_INCARNATION_DIGITS_MAX = 16
 # Statuses that guarantee that the peer has not run the search.
 NOT_RUN_STATUSES = frozenset({NOT_RUN_STATUS, TOO_MANY_REQUESTS_STATUS})
 
 
+def encode_leaves(notices: Iterable[LeaveNotice]) -> bytes:
+    """Return the header that names leaving replicas with their incarnations.
+
+    Examples
+    --------
+    >>> encode_leaves([LeaveNotice("i-1", 17), LeaveNotice("i-2", 18)])
+    b'i-1;17, i-2;18'
+    """
+    return ", ".join(
+        f"{quote(item.replica_name, safe='')};{item.incarnation}" for item in notices
+    ).encode()
+
+
+def decode_leaves(value: bytes | None) -> tuple[LeaveNotice, ...]:
+    """Return the leaves that a peer names; items that cannot be read are skipped."""
+    notices = []
+    for item in (value or b"").decode("latin-1").split(",")[:N_LEAVES_MAX]:
+        name, _, incarnation = item.strip().rpartition(";")
+        is_number = incarnation.isascii() and incarnation.isdecimal()
+        if name and is_number and len(incarnation) <= N_INCARNATION_DIGITS_MAX:
+            notices.append(LeaveNotice(unquote(name), int(incarnation)))
+    return tuple(notices)
+
+
 class PeerCodec:
     """Encodes searches for a peer and decodes its answers.
 
     The request is that of the caller, with the shards that the peer has to search.
+    Both directions carry the leaves of replicas that the sender learnt recently.
     """
 
     cancels_by_closing = True
 
-    def __init__(self, revision: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        revision: Callable[[], int],
+        recent_leaves: Callable[[], Sequence[LeaveNotice]] = tuple,
+    ) -> None:
         self._revision = revision
+        self._recent_leaves = recent_leaves
 
     def encode_call(self, call: ShardCall, remaining_ms: float) -> HttpRequest:
         """Return the caller's request with the headers for the peer."""
@@ -67,6 +109,8 @@
             (N_MISSING_MAX, b"%d" % call.shard_set.n_missing_max),
             (WAITED_MS, b"%d" % (max(0.0, waited_ms) + RETURN_RESERVE_MS)),
         )
+        if leaves := self._recent_leaves():
+            pairs = (*pairs, (LEAVES, encode_leaves(leaves)))
         return HttpRequest(
             request.method, request.target, dict(pairs), request.body, pairs
         )
@@ -99,6 +143,12 @@
         """Return whether a response echoes the id of another request."""
         return not echoes_request_id(call, response, is_required=False)
 
+    def leave_notices(
+        self, replica: Replica, response: HttpResponse
+    ) -> tuple[LeaveNotice, ...]:
+        """Return the leaves that the peer learnt, also from answers to this search."""
+        return decode_leaves(response.headers.get(LEAVES))
+
     def encode_cancel(self, call: ShardCall) -> HttpRequest | None:
         """Return None; a call is cancelled by closing its connection."""
         return None
@@ -117,18 +167,27 @@
         feeds: Callable[[HttpRequest], Awaitable[HttpResponse]],
         is_ready: Callable[[], bool],
         revision: Callable[[], int],
+        recent_leaves: Callable[[], Sequence[LeaveNotice]],
+        on_leave: Callable[[LeaveNotice], None],
     ) -> None:
         self._frontend = frontend
         self._feeds = feeds
         self._is_ready = is_ready
         self._revision = revision
+        self._recent_leaves = recent_leaves
+        self._on_leave = on_leave
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Serve one call of a peer."""
         if SHARD_IDS not in request.headers:
             return await self._feeds(request)
+        for notice in decode_leaves(request.headers.get(LEAVES)):
+            self._on_leave(notice)
         response = await self._search(request)
-        return _with_request_id(response, request.headers.get(REQUEST_ID, b""))
+        own_headers = {REQUEST_ID: request.headers.get(REQUEST_ID, b"")}
+        if leaves := self._recent_leaves():
+            own_headers[LEAVES] = encode_leaves(leaves)
+        return _with_headers(response, own_headers)
 
     async def _search(self, request: HttpRequest) -> HttpResponse:
         headers = request.headers
@@ -144,8 +203,14 @@
         )
 
 
-def _with_request_id(response: HttpResponse, request_id: bytes) -> HttpResponse:
-    """Return a response with the id of its request, by which the peer matches it."""
-    pairs = [pair for pair in response.all_headers if pair[0] != REQUEST_ID]
-    pairs.append((REQUEST_ID, request_id))
+def _with_headers(
+    response: HttpResponse, own_headers: dict[bytes, bytes]
+) -> HttpResponse:
+    """Return a response with headers of this instance in place of any replica's.
+
+    The id of the request is the one by which the peer matches the response.
+    """
+    replaced = own_headers.keys() | {LEAVES}
+    pairs = [pair for pair in response.all_headers if pair[0] not in replaced]
+    pairs += own_headers.items()
     return HttpResponse(response.status, dict(pairs), response.body, tuple(pairs))
--- a/chestnuthall/platform/_relayed_calls.py
+++ b/chestnuthall/platform/_relayed_calls.py
@@ -4,7 +4,9 @@
 
 from chestnuthall.adapters.http import HeaderPairs, HttpRequest, HttpResponse
 from chestnuthall.core.model import (
+    LeaveNotice,
     RelayedRequest,
+    Replica,
     Reply,
     ScatterRequest,
     ShardAnswer,
@@ -25,6 +27,10 @@
 # The replica's signature of its answer.
 SIGNATURE: Final = b"x-server-stamp"
 NOT_RUN: Final = b"x-not-executed"
+# "1" in the responses of a replica that leaves.
+LEAVING: Final = b"server-leaving"
+# Id of the replica that sent a response, in health checks and refusals.
+REPLICA_ID: Final = b"x-instance-id"
 # Signatures of the shard answers that an answer to a search was merged from.
 SHARD_SIGNATURES: Final = b"x-part-stamps"
 # Between instances: the revision of the sender's configuration, the shards that the
@@ -34,6 +40,8 @@
 SHARD_IDS: Final = b"x-chestnuthall-shards"
 N_MISSING_MAX: Final = b"x-chestnuthall-missing-max"
 WAITED_MS: Final = b"x-chestnuthall-waited-ms"
+# In both directions: the replicas that are known to leave.
+LEAVES: Final = b"x-chestnuthall-leaves"
 # Status of a refusal by a replica that is not the expected one; the call has not run.
 MISDIRECTED_STATUS: Final = 421
 # Statuses that tell a caller that its request has not run and never will.
@@ -56,7 +64,15 @@
     }
 )
 _SET_BY_SENDER: Final = frozenset(
-    {DEADLINE_MS, EXPECTED_REPLICA, REVISION, SHARD_IDS, N_MISSING_MAX, WAITED_MS}
+    {
+        DEADLINE_MS,
+        EXPECTED_REPLICA,
+        REVISION,
+        SHARD_IDS,
+        N_MISSING_MAX,
+        WAITED_MS,
+        LEAVES,
+    }
 )
 
 
@@ -151,6 +167,22 @@
         """Return whether a response echoes the id of another request."""
         return not echoes_request_id(call, response, is_required=False)
 
+    def leave_notices(
+        self, replica: Replica, response: HttpResponse
+    ) -> tuple[LeaveNotice, ...]:
+        """Return the leave of the replica that sent a response.
+
+        A refusal by another replica than the expected one speaks about that one.
+        """
+        if response.headers.get(LEAVING) != b"1":
+            return ()
+        sender_name = response.headers.get(REPLICA_ID, b"").decode("latin-1")
+        if sender_name and sender_name != replica.name:
+            return (LeaveNotice(sender_name),)
+        if response.status == MISDIRECTED_STATUS:
+            return ()
+        return (LeaveNotice(replica.name, replica.incarnation),)
+
     def encode_cancel(self, call: ShardCall) -> HttpRequest | None:
         """Return None; a call is cancelled by closing its connection."""
         return None
--- a/chestnuthall/platform/tests/standins.py
+++ b/chestnuthall/platform/tests/standins.py
@@ -169,6 +169,9 @@
         # Whether a crash leaves the connections open, as a loss of power does.
         self.is_crash_silent = False
         self.is_silent = False
+        # Further headers of the refusal of calls to another replica.
+        self.refusal_headers = {}
+        self.n_refused = 0
         self.n_starts = 1
         self.fault = ""
         self.received = []
@@ -194,9 +197,11 @@
         if self.is_silent:
             await asyncio.sleep(float("inf"))
         if request.headers.get(b"x-expect-instance") != self.name.encode():
+            self.n_refused += 1
             headers = {
                 b"x-instance-id": self.name.encode(),
                 b"x-request-id": request.headers[b"x-request-id"],
+                **self.refusal_headers,
             }
             return HttpResponse(421, headers)
         self.received.append(request)
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -67,6 +67,9 @@
         InstanceList,
         ListEntryReader,
     )
+    from chestnuthall.services._leave_exchange import (
+        LeaveExchange,
+    )
     from chestnuthall.services._lifecycle import (
         Lifecycle,
     )
@@ -185,6 +188,7 @@
             "InstanceList",
             "ListEntryReader",
         ),
+        "_leave_exchange": ("LeaveExchange",),
         "_lifecycle": ("Lifecycle",),
         "_identity": ("InstanceIdentity",),
         "_membership": (
@@ -265,6 +269,7 @@
     "InstanceIdentity",
     "InstanceEntry",
     "InstanceList",
+    "LeaveExchange",
     "Lifecycle",
     "ListEntryReader",
     "Membership",
--- a/chestnuthall/services/_service_directory.py
+++ b/chestnuthall/services/_service_directory.py
@@ -34,6 +34,8 @@
 # Limit on the groups, including those of earlier revisions that queries still use.
 N_GROUPS_KEPT = 512
 N_INVALID_ENTRIES_KEPT = 256
+# Exceeds the deadline of any query, which may have pinned a replica before it left.
+REMOVED_KEPT_MS = 60_000.0
 
 RegistrationReader = Callable[[StoredObject], Registration | Failure]
 
@@ -49,6 +51,10 @@
         """Close the connections to a replica that has left."""
         ...
 
+    def reject_waiting(self, address: str) -> None:
+        """Fail the calls that wait for a connection to a replica, as not sent."""
+        ...
+
 
 class ServiceDirectory:
     """Shards that the configuration defines as services, with their replicas.
@@ -80,6 +86,8 @@
         )
         self._invalid_entry_reasons: dict[str, str] = {}
         self._expiry_timer: asyncio.TimerHandle | None = None
+        # When replicas were removed that the router still excludes, oldest first.
+        self._removed_ms: dict[str, float] = {}
         self._is_loaded = False
 
     @property
@@ -141,6 +149,23 @@
         """Return None; these upstreams have no snapshots to become unavailable."""
         return None
 
+    def incarnation_of(self, replica_name: str) -> int | None:
+        """Return the last known incarnation of a replica, or None if unknown."""
+        return self._registry.incarnation_of(replica_name)
+
+    def announce_leave(self, replica_name: str, incarnation: int) -> bool:
+        """Send no new calls to a replica that said that it leaves.
+
+        Returns False if the leave was known.
+        """
+        now_ms = self._clock.now_ms()
+        is_new = not self._registry.knows_leave(replica_name, incarnation)
+        if is_new:
+            self._apply(
+                self._registry.announce_leave(replica_name, incarnation, now_ms)
+            )
+        return is_new
+
     async def run(self) -> None:
         """Follow the registrations until cancelled."""
         await self._follower.run()
@@ -194,8 +219,18 @@
     def _apply(self, changes: list[ReplicaChange]) -> None:
         for change in changes:
             self._apply_change(change)
+        self._forget_removed()
         self._schedule_expiry()
 
+    def _forget_removed(self) -> None:
+        oldest_ms = self._clock.now_ms() - REMOVED_KEPT_MS
+        while self._removed_ms:
+            name, removed_ms = next(iter(self._removed_ms.items()))
+            if removed_ms > oldest_ms:
+                return
+            del self._removed_ms[name]
+            self._router.remove(name)
+
     def _apply_change(self, change: ReplicaChange) -> None:
         replica = change.new.replica
         now_ms = self._clock.now_ms()
@@ -203,12 +238,18 @@
             self._router.remove(replica.name)
             self._connections.close_connections(change.old.replica.address)
         if change.kind is ReplicaChangeKind.REMOVED:
-            self._router.remove(replica.name)
+            self._router.retire(replica.name)
+            self._removed_ms.pop(replica.name, None)
+            self._removed_ms[replica.name] = now_ms
             self._close_connections(replica.address)
+        if change.kind is ReplicaChangeKind.ADDED:
+            self._removed_ms.pop(replica.name, None)
+            self._router.remove(replica.name)
         if change.kind in (ReplicaChangeKind.ADDED, ReplicaChangeKind.RESTARTED):
             self._connections.open_connections(replica, change.new.service)
             if change.new.warm_up_left_ms > 0.0:
                 self._router.start_ramp_up(replica.name, now_ms)
+        self._update_drain(change)
         _log.info(
             "replica changed",
             extra={
@@ -221,6 +262,19 @@
             },
         )
 
+    def _update_drain(self, change: ReplicaChange) -> None:
+        """Apply a drain, or its end, to the queries that have pinned the replica."""
+        replica, old = change.new.replica, change.old
+        if change.kind is ReplicaChangeKind.RESTORED and old and old.is_draining:
+            self._router.set_drained_until(replica.name, float("-inf"))
+        until_ms = self._registry.last_resort_until_ms(replica.name)
+        if until_ms is None:
+            return
+        self._router.drain_until_removed(replica.name, until_ms)
+        others = self._registry.replicas_of(change.new.service, self._clock.now_ms())
+        if replica not in others:
+            self._connections.reject_waiting(replica.address)
+
     def _close_connections(self, address: str) -> None:
         """Close the connections to an address that no other replica has."""
         in_use = any(
