Read the draining mark of the product from any response

Callers saw: calls to a replica that had said that it drains in a failure or a late answer, until its list entry or health showed it. Cause: only the answer to a call that ended with success was asked for the mark, though the interface allows it with any status. Change: the daemon listens for notices like the platform's instance; the wrapper of its caller reports refused connections only.

--- a/chestnuthall/daemon/_instance.py
+++ b/chestnuthall/daemon/_instance.py
@@ -148,6 +148,7 @@
             self.membership.disseminate_now,
             settings.name,
         )
+        self.caller.add_leave_listener(self.drain_exchange.on_leave_notice)
         quarantine_registry = QuarantineRegistry(
             QuarantineSettings(), lambda: self.membership.n_instances
         )
--- a/chestnuthall/services/_drain_news.py
+++ b/chestnuthall/services/_drain_news.py
@@ -19,7 +19,13 @@
     ResumeCalls,
     StopCalls,
 )
-from chestnuthall.core.model import PartitionMap, Replica, ShardAnswer, ShardCall
+from chestnuthall.core.model import (
+    LeaveNotice,
+    PartitionMap,
+    Replica,
+    ShardAnswer,
+    ShardCall,
+)
 from chestnuthall.core.results import CONNECTION_REFUSED, Failure
 from chestnuthall.ports import (
     Clock,
@@ -69,6 +75,10 @@
         now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
         self._handle(DrainDetected(now_ms, wall_ms, replica_name, signal))
 
+    def on_leave_notice(self, notice: LeaveNotice) -> None:
+        """Record that a response of a replica, whatever its status, states a drain."""
+        self.on_signal(notice.replica_name, DrainSignal.ANSWER)
+
     def on_recovered(
         self, replica_name: str, signal: DrainSignal, observed_ms: float
     ) -> None:
@@ -175,7 +185,7 @@
 
 
 class DrainDetectingCaller:
-    """A shard caller that reports the drains indicated by its calls."""
+    """A shard caller that reports replicas that refuse connections as draining."""
 
     def __init__(
         self, caller: MapFetchingCaller, on_signal: Callable[[str, DrainSignal], None]
@@ -184,13 +194,10 @@
         self._on_signal = on_signal
 
     async def call(self, call: ShardCall) -> ShardAnswer | Failure:
-        """Run one call and report a drain that its result indicates."""
+        """Run one call and report a refused connection."""
         result = await self._caller.call(call)
-        if isinstance(result, Failure):
-            if result.kind is CONNECTION_REFUSED:
-                self._on_signal(call.replica.name, DrainSignal.REFUSED)
-        elif result.is_draining:
-            self._on_signal(call.replica.name, DrainSignal.ANSWER)
+        if isinstance(result, Failure) and result.kind is CONNECTION_REFUSED:
+            self._on_signal(call.replica.name, DrainSignal.REFUSED)
         return result
 
     async def fetch_partition_map(
