Stop calls to a replica within the drain time however late its leave is known

Cause: each part of the path from the store to the router had a time of its own: 1.4 s to detect the leader, the same again for each further leader that does not respond, 2.2 s for a missing entry from whenever it was noticed. Nothing summed them up to the bound. Change: the times of leaders and followers follow from the bound. An instance whose leader fails when its feed is old reads the store next. The registry is told after which moment a change was made, and ends the use of the replica at 0.9 of the drain time after it. After an outage of the store missing entries are kept as before. With bounds below 2 s nobody follows a leader. Ruled out: shorter watches alone, which would make leaders poll three times a second where the bound is 3 s; dropping missing replicas at once, which after an outage drops those that are alive.

--- a/chestnuthall/adapters/feeds/_client.py
+++ b/chestnuthall/adapters/feeds/_client.py
@@ -20,8 +20,6 @@
 )
 from chestnuthall.ports import FeedAnswer
 
-# Time that a peer may take to respond in addition to the requested wait.
-WATCH_MARGIN_MS = 400.0
 # A peer in the same region accepts a connection within a few ms, an unreachable one
 # does not.
 CONNECT_TIMEOUT_MS = 100.0
@@ -30,9 +28,16 @@
 
 
 class HttpFeedClient:
-    """Reads the feeds of peers, which are identified by their addresses."""
+    """Reads the feeds of peers, which are identified by their addresses.
 
-    def __init__(self, probes: TcpKeepAlive | None = None) -> None:
+    ``watch_margin_ms`` is the time that a peer may take to respond to a watch in
+    addition to the requested wait.
+    """
+
+    def __init__(
+        self, watch_margin_ms: float, probes: TcpKeepAlive | None = None
+    ) -> None:
+        self._watch_margin_ms = watch_margin_ms
         self._probes = probes
         self._pools: dict[str, ConnectionPool] = {}
 
@@ -58,7 +63,7 @@
         """Wait for changes after a version; return an empty batch on timeout."""
         query = f"?after={after_version}&wait_ms={timeout_ms:.0f}"
         response = await self._exchange(
-            address, _feed_path(kind) + query, timeout_ms + WATCH_MARGIN_MS
+            address, _feed_path(kind) + query, timeout_ms + self._watch_margin_ms
         )
         if isinstance(response, Failure):
             return response
--- a/chestnuthall/adapters/feeds/tests/test_contract.py
+++ b/chestnuthall/adapters/feeds/tests/test_contract.py
@@ -37,7 +37,7 @@
 async def with_feed_server(handler, use_client):
     server = HttpServer(handler)
     port = await server.start("127.0.0.1", 0)
-    client = HttpFeedClient()
+    client = HttpFeedClient(watch_margin_ms=400.0)
     try:
         return await use_client(client, f"127.0.0.1:{port}")
     finally:
--- a/chestnuthall/core/configuration/__init__.py
+++ b/chestnuthall/core/configuration/__init__.py
@@ -10,6 +10,7 @@
         differences,
     )
     from chestnuthall.core.configuration._follower import (
+        BURST_DELAY_MS,
         CONFIRMATION_AGE_MAX_MS,
         WATCH_TIMEOUT_MS,
         Delay,
@@ -68,6 +69,7 @@
         ),
         "_follower": (
             "CONFIRMATION_AGE_MAX_MS",
+            "BURST_DELAY_MS",
             "WATCH_TIMEOUT_MS",
             "Delay",
             "DelayEnded",
@@ -119,6 +121,7 @@
 )
 
 __all__ = [
+    "BURST_DELAY_MS",
     "CONFIRMATION_AGE_MAX_MS",
     "Delay",
     "DelayEnded",
--- a/chestnuthall/core/configuration/_follower.py
+++ b/chestnuthall/core/configuration/_follower.py
@@ -121,8 +121,13 @@
     or a watch that lasted at least ``WATCH_INTERVAL_MIN_MS``.
     """
 
-    def __init__(self, watch_timeout_ms: float = WATCH_TIMEOUT_MS) -> None:
+    def __init__(
+        self,
+        watch_timeout_ms: float = WATCH_TIMEOUT_MS,
+        burst_delay_ms: float = BURST_DELAY_MS,
+    ) -> None:
         self.watch_timeout_ms = watch_timeout_ms
+        self.burst_delay_ms = burst_delay_ms
         self.version: int | None = None
         self.watch_started_ms = 0.0
         self.last_read_ms = float("-inf")
@@ -166,7 +171,7 @@
         return follower.next_delay()
     follower.n_failures = 0
     if event.n_changes >= N_BURST_CHANGES_MIN:
-        return Delay(BURST_DELAY_MS)
+        return Delay(follower.burst_delay_ms)
     return Delay(max(0.0, WATCH_INTERVAL_MIN_MS - elapsed_ms))
 
 
--- a/chestnuthall/core/configuration/_leaders.py
+++ b/chestnuthall/core/configuration/_leaders.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
+from chestnuthall.core.configuration._follower import BURST_DELAY_MS
+
 # In a smaller zone the more frequent watches of a leader cost more than the
 # watches of its followers would.
 N_INSTANCES_MIN = 5
@@ -23,6 +25,18 @@
 # Maximum age of a leader's last confirmation, as a fraction of the same time. It
 # covers a watch and the delay after a burst of changes.
 AGE_RATIO_MAX = 0.46
+# Time-out of a follower's watch of its leader, and the time that the leader may take
+# to respond in addition, also as fractions of it. Together they are the time after
+# which an unresponsive leader is detected.
+LEADER_WATCH_TIMEOUT_MAX_MS = 1_000.0
+LEADER_WATCH_TIMEOUT_RATIO = 0.2
+LEADER_MARGIN_MAX_MS = 400.0
+LEADER_MARGIN_RATIO = 0.1
+# Changes that must come into force sooner leave no time to detect an unresponsive
+# leader, so each instance watches the store itself.
+IN_FORCE_MIN_MS = 2_000.0
+# Delay of the watch that follows a burst of changes, as a fraction of the same time.
+BURST_DELAY_RATIO_MAX = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,9 +46,42 @@
     A change must come into force within ``in_force_ms``. A follower that receives a
     change from its leader, or finds that its leader is out of date, has the rest of
     that time to apply the change or to read the store.
+
+    The store counts as stable ``store_settle_ms`` after an outage.
+
+    Examples
+    --------
+    >>> timing = FeedTiming(3_000.0)
+    >>> timing.leader_watch_timeout_ms, timing.leader_margin_ms
+    (600.0, 300.0)
+    >>> FeedTiming(1_500.0).allows_leaders
+    False
     """
 
     in_force_ms: float
+    store_settle_ms: float = 4_000.0
+
+    @property
+    def allows_leaders(self) -> bool:
+        """Whether an unresponsive leader is detected in time."""
+        return self.in_force_ms >= IN_FORCE_MIN_MS
+
+    @property
+    def leader_watch_timeout_ms(self) -> float:
+        """Time-out of a follower's watch of its leader."""
+        return min(
+            LEADER_WATCH_TIMEOUT_MAX_MS, LEADER_WATCH_TIMEOUT_RATIO * self.in_force_ms
+        )
+
+    @property
+    def leader_margin_ms(self) -> float:
+        """Time that a leader may take to respond in addition to that time-out."""
+        return min(LEADER_MARGIN_MAX_MS, LEADER_MARGIN_RATIO * self.in_force_ms)
+
+    @property
+    def burst_delay_ms(self) -> float:
+        """Delay of the watch that follows a burst of changes."""
+        return min(BURST_DELAY_MS, BURST_DELAY_RATIO_MAX * self.in_force_ms)
 
     @property
     def watch_timeout_ms(self) -> float:
@@ -85,7 +132,7 @@
         self.position = ordered.index(self.own_name)
         self.is_zone_large_enough = True
         n_candidates = min(self.position, N_LEADERS_MAX)
-        if now_ms < self._store_deprioritised_until_ms:
+        if self.is_store_deprioritised(now_ms):
             # An instance that cannot reach the store may follow a later one that can.
             n_candidates = N_LEADERS_MAX
         for name in ordered[:n_candidates]:
@@ -105,6 +152,10 @@
         """Prefer any leader to the store for a while after a failed store call."""
         self._store_deprioritised_until_ms = now_ms + DEPRIORITISE_MS
 
+    def is_store_deprioritised(self, now_ms: float) -> bool:
+        """Return whether a call to the store failed recently."""
+        return now_ms < self._store_deprioritised_until_ms
+
     @property
     def stagger_ms(self) -> float:
         """Time to wait before the next leader is tried."""
--- a/chestnuthall/core/registry/_registry.py
+++ b/chestnuthall/core/registry/_registry.py
@@ -6,9 +6,15 @@
 
 from chestnuthall.core.model import Replica
 
-# How long a draining replica is still used if its service has no other. It is half
-# of the minimum time for which a replica keeps serving after it announces a drain.
+# How long a draining replica is still used if its service has no other, unless the
+# time for which replicas keep serving is less than twice as long.
 DRAINING_FALLBACK_MS = 1_500.0
+DRAINING_FALLBACK_RATIO_MAX = 0.5
+# Part of that time in which calls must have ended to go to a replica, however late
+# its leave became known. The rest is for calls on their way.
+USE_RATIO_MAX = 0.9
+# Part of that time reserved for the news of a missing registration to arrive.
+UPDATE_MARGIN_MS = 800.0
 # Limit on the leaves that are remembered after their replicas were removed.
 N_LEAVES_MAX = 4_096
 
@@ -50,8 +56,10 @@
 @dataclass(slots=True)
 class _Entry:
     registration: Registration
-    missing_since_ms: float | None = None
+    # When a missing replica is removed.
+    removal_ms: float | None = None
     draining_since_ms: float | None = None
+    last_resort_until_ms: float = float("-inf")
     # Whether this incarnation said that it leaves, in an answer to an instance.
     is_leaving: bool = False
 
@@ -64,6 +72,10 @@
     afterwards. A draining replica is removed at once. The incarnation prevents a
     late registration of an earlier start from replacing that of a later one.
 
+    A replica that leaves must get no calls ``drain_ms`` after its registration was
+    changed or deleted. Changes that arrive late shorten the grace period: the methods
+    take the time after which they were made, ``made_after_ms``, by default now.
+
     A leave that an incarnation announced in an answer is final: no registration of
     the same incarnation ends it, also after the replica was removed.
 
@@ -83,8 +95,14 @@
     False
     """
 
-    def __init__(self, grace_period_ms: float) -> None:
-        self._grace_period_ms = grace_period_ms
+    def __init__(self, grace_period_ms: float, drain_ms: float = float("inf")) -> None:
+        self._grace_period_ms = min(
+            grace_period_ms, max(0.0, drain_ms - UPDATE_MARGIN_MS)
+        )
+        self._use_max_ms = USE_RATIO_MAX * drain_ms
+        self._fallback_ms = min(
+            DRAINING_FALLBACK_MS, DRAINING_FALLBACK_RATIO_MAX * drain_ms
+        )
         self._entries: dict[str, _Entry] = {}
         # Newest incarnation of each replica that announced its leave.
         self._leaves: dict[str, int] = {}
@@ -93,7 +111,12 @@
     def __len__(self) -> int:
         return len(self._entries)
 
-    def put(self, registration: Registration, now_ms: float) -> list[ReplicaChange]:
+    def put(
+        self,
+        registration: Registration,
+        now_ms: float,
+        made_after_ms: float | None = None,
+    ) -> list[ReplicaChange]:
         """Add or update a registration that was read from the store."""
         name = registration.replica.name
         entry = self._entries.get(name)
@@ -102,15 +125,15 @@
             entry = self._entries[name] = _Entry(registration)
             entry.is_leaving = self._has_announced_leave(registration.replica)
             if registration.is_draining or entry.is_leaving:
-                entry.draining_since_ms = now_ms
+                self._start_drain(entry, now_ms, made_after_ms)
             self.version += 1
             return [*replaced, ReplicaChange(ReplicaChangeKind.ADDED, registration)]
         old = entry.registration
         if registration.replica.incarnation < old.replica.incarnation:
             return replaced
-        was_missing = entry.missing_since_ms is not None
+        was_missing = entry.removal_ms is not None
         entry.registration = registration
-        entry.missing_since_ms = None
+        entry.removal_ms = None
         entry.is_leaving = self._has_announced_leave(registration.replica)
         kind = _kind_of_change(old, registration, was_missing)
         if kind is None or (entry.is_leaving and kind is ReplicaChangeKind.RESTORED):
@@ -119,10 +142,25 @@
         if not registration.is_draining and not entry.is_leaving:
             entry.draining_since_ms = None
         elif entry.draining_since_ms is None or is_new_incarnation:
-            entry.draining_since_ms = now_ms
+            self._start_drain(entry, now_ms, made_after_ms)
         self.version += 1
         return [*replaced, ReplicaChange(kind, registration, old)]
 
+    def _start_drain(
+        self, entry: _Entry, now_ms: float, made_after_ms: float | None = None
+    ) -> None:
+        entry.draining_since_ms = now_ms
+        entry.last_resort_until_ms = self._use_until_ms(
+            self._fallback_ms, now_ms, made_after_ms
+        )
+
+    def _use_until_ms(
+        self, duration_ms: float, now_ms: float, made_after_ms: float | None
+    ) -> float:
+        """Return until when a replica is used after a change that was made late."""
+        made_ms = now_ms if made_after_ms is None else made_after_ms
+        return min(now_ms + duration_ms, made_ms + self._use_max_ms)
+
     def knows_leave(self, name: str, incarnation: int) -> bool:
         """Return whether an incarnation, or a later one, announced its leave."""
         return self._leaves.get(name, -1) >= incarnation
@@ -149,10 +187,10 @@
         if not self._has_announced_leave(entry.registration.replica):
             return []
         entry.is_leaving = True
-        if entry.missing_since_ms is not None:
+        if entry.removal_ms is not None:
             return [self._remove(name)]
         if entry.draining_since_ms is None:
-            entry.draining_since_ms = now_ms
+            self._start_drain(entry, now_ms)
         self.version += 1
         return [ReplicaChange(ReplicaChangeKind.LEAVING, entry.registration)]
 
@@ -179,7 +217,7 @@
         entry = self._entries.get(name)
         if entry is None or entry.draining_since_ms is None:
             return None
-        return entry.draining_since_ms + DRAINING_FALLBACK_MS
+        return entry.last_resort_until_ms
 
     def _drop_replaced_at_address(self, replica: Replica) -> list[ReplicaChange]:
         """Drop replicas with an earlier incarnation at the address of a replica."""
@@ -191,16 +229,20 @@
             and entry.registration.replica.incarnation < replica.incarnation
         ]
 
-    def mark_missing(self, name: str, now_ms: float) -> list[ReplicaChange]:
+    def mark_missing(
+        self, name: str, now_ms: float, made_after_ms: float | None = None
+    ) -> list[ReplicaChange]:
         """Record that a registration is no longer in the store."""
         entry = self._entries.get(name)
         if entry is None:
             return []
         if entry.registration.is_draining or entry.is_leaving:
             return [self._remove(name)]
-        if entry.missing_since_ms is not None:
+        if entry.removal_ms is not None:
             return []
-        entry.missing_since_ms = now_ms
+        entry.removal_ms = self._use_until_ms(
+            self._grace_period_ms, now_ms, made_after_ms
+        )
         return [ReplicaChange(ReplicaChangeKind.MISSING, entry.registration)]
 
     def remove(self, name: str) -> list[ReplicaChange]:
@@ -213,15 +255,18 @@
         return ReplicaChange(ReplicaChangeKind.REMOVED, entry.registration)
 
     def replace_all(
-        self, registrations: Iterable[Registration], now_ms: float
+        self,
+        registrations: Iterable[Registration],
+        now_ms: float,
+        made_after_ms: float | None = None,
     ) -> list[ReplicaChange]:
         """Update from a complete listing; any registration not in it is missing."""
         changes: list[ReplicaChange] = []
         listed = {item.replica.name: item for item in registrations}
         for registration in listed.values():
-            changes += self.put(registration, now_ms)
+            changes += self.put(registration, now_ms, made_after_ms)
         for name in [name for name in self._entries if name not in listed]:
-            changes += self.mark_missing(name, now_ms)
+            changes += self.mark_missing(name, now_ms, made_after_ms)
         return changes
 
     def expire(self, now_ms: float) -> list[ReplicaChange]:
@@ -229,24 +274,24 @@
         return [
             self._remove(name)
             for name, entry in tuple(self._entries.items())
-            if entry.missing_since_ms is not None
-            and now_ms - entry.missing_since_ms >= self._grace_period_ms
+            if entry.removal_ms is not None and now_ms >= entry.removal_ms
         ]
 
     def next_expiry_ms(self) -> float | None:
         """Return when ``expire`` is due, or None if no registration is missing."""
-        missing = [
-            entry.missing_since_ms
-            for entry in self._entries.values()
-            if entry.missing_since_ms is not None
-        ]
-        return min(missing) + self._grace_period_ms if missing else None
+        return min(
+            (
+                entry.removal_ms
+                for entry in self._entries.values()
+                if entry.removal_ms is not None
+            ),
+            default=None,
+        )
 
     def replicas_of(self, service: str, now_ms: float) -> tuple[Replica, ...]:
         """Return the replicas of a service that may be sent new calls.
 
-        If all are draining, those that began to drain less than
-        ``DRAINING_FALLBACK_MS`` ago are returned.
+        If all are draining, those that began to drain recently are returned.
         """
         entries = [
             entry
@@ -262,7 +307,7 @@
             entry.registration.replica
             for entry in entries
             if entry.draining_since_ms is not None
-            and now_ms - entry.draining_since_ms < DRAINING_FALLBACK_MS
+            and now_ms < entry.last_resort_until_ms
         )
 
     def registrations(self) -> tuple[Registration, ...]:
--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -101,9 +101,6 @@
 # Registrations that lapsed while the store was unavailable are renewed within about
 # 2 s of its return.
 REGISTRATION_RETENTION_MS = 2_200.0
-# Reserved within the drain bound for the update about a lapsed registration to
-# arrive.
-REGISTRATION_UPDATE_MARGIN_MS = 800.0
 # The balancer checks readiness every second and removes an instance after two failed
 # checks. Until then a caller that reconnects may arrive here again, so keep-alive
 # connections stay open.
@@ -178,10 +175,11 @@
             metrics,
             clock,
         )
-        self._feed_client = HttpFeedClient(PEER_PROBES)
         feed_timing = FeedTiming(
-            min(settings.configuration_deadline_ms, settings.drain_ms)
+            min(settings.configuration_deadline_ms, settings.drain_ms),
+            settings.store_settle_ms,
         )
+        self._feed_client = HttpFeedClient(feed_timing.leader_margin_ms, PEER_PROBES)
         shared = SharedObjectStore(
             store,
             clock,
@@ -230,15 +228,12 @@
             self._caller,
             clock,
             read_registration,
-            ReplicaRegistry(
-                min(
-                    REGISTRATION_RETENTION_MS,
-                    settings.drain_ms - REGISTRATION_UPDATE_MARGIN_MS,
-                )
-            ),
+            ReplicaRegistry(REGISTRATION_RETENTION_MS, settings.drain_ms),
             _router_settings(settings.zone),
             random,
             watch_timeout_ms,
+            feed_timing.burst_delay_ms,
+            lambda: shared.made_after_ms(REGISTRATION_KIND),
         )
         self.presence = InstancePresence(
             InstanceEntry(settings.name, settings.peer_address, settings.zone),
@@ -280,7 +275,7 @@
             self._feed_client,
             shared,
             lambda: self.presence.n_instances is not None,
-            feed_timing.age_max_ms,
+            feed_timing,
         )
         self._quarantine_records = QuarantineRecords(
             quarantine,
--- a/chestnuthall/services/_kind_follower.py
+++ b/chestnuthall/services/_kind_follower.py
@@ -6,6 +6,7 @@
 from typing import Protocol, TypeVar
 
 from chestnuthall.core.configuration import (
+    BURST_DELAY_MS,
     Delay,
     DelayEnded,
     FollowerAction,
@@ -64,12 +65,13 @@
         clock: Clock,
         listener: KindListener,
         watch_timeout_ms: float,
+        burst_delay_ms: float = BURST_DELAY_MS,
     ) -> None:
         self._kind = kind
         self._store = store
         self._clock = clock
         self._listener = listener
-        self._follower = ObjectFollower(watch_timeout_ms)
+        self._follower = ObjectFollower(watch_timeout_ms, burst_delay_ms)
 
     async def run(self) -> None:
         """Follow the objects until cancelled."""
--- a/chestnuthall/services/_service_directory.py
+++ b/chestnuthall/services/_service_directory.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import Protocol
 
-from chestnuthall.core.configuration import WATCH_TIMEOUT_MS
+from chestnuthall.core.configuration import BURST_DELAY_MS, WATCH_TIMEOUT_MS
 from chestnuthall.core.model import (
     KeyRange,
     PartitionMap,
@@ -60,7 +60,8 @@
     """Shards that the configuration defines as services, with their replicas.
 
     A group names its services; each is one shard. Replicas come from the
-    registrations that they write to the store themselves.
+    registrations that they write to the store themselves. ``made_after_ms`` returns
+    the time after which the changes that the store returned last were made.
     """
 
     def __init__(
@@ -73,6 +74,8 @@
         router_settings: RouterSettings,
         random: Random,
         watch_timeout_ms: float = WATCH_TIMEOUT_MS,
+        burst_delay_ms: float = BURST_DELAY_MS,
+        made_after_ms: Callable[[], float] | None = None,
     ) -> None:
         self._connections = connections
         self._clock = clock
@@ -82,8 +85,9 @@
         self._groups: dict[str, UpstreamGroup] = {}
         self._maps: dict[str, tuple[int, float, PartitionMap]] = {}
         self._follower = KindFollower(
-            REGISTRATION_KIND, store, clock, self, watch_timeout_ms
+            REGISTRATION_KIND, store, clock, self, watch_timeout_ms, burst_delay_ms
         )
+        self._made_after_ms = made_after_ms or clock.now_ms
         self._invalid_entry_reasons: dict[str, str] = {}
         self._expiry_timer: asyncio.TimerHandle | None = None
         # When replicas were removed that the router still excludes, oldest first.
@@ -173,7 +177,11 @@
     def on_listed(self, listing: ObjectListing) -> bool:
         """Replace all registrations; without any, they have to be read again."""
         found = [item for item in map(self._read_entry, listing) if item is not None]
-        self._apply(self._registry.replace_all(found, self._clock.now_ms()))
+        self._apply(
+            self._registry.replace_all(
+                found, self._clock.now_ms(), self._made_after_ms()
+            )
+        )
         if not listing:
             return False
         self._is_loaded = True
@@ -185,11 +193,19 @@
         if registration is None:
             self._apply(self._registry.remove(stored.name))
         else:
-            self._apply(self._registry.put(registration, self._clock.now_ms()))
+            self._apply(
+                self._registry.put(
+                    registration, self._clock.now_ms(), self._made_after_ms()
+                )
+            )
 
     def on_deleted(self, name: str) -> None:
         """Mark the registration of a deleted entry as missing."""
-        self._apply(self._registry.mark_missing(name, self._clock.now_ms()))
+        self._apply(
+            self._registry.mark_missing(
+                name, self._clock.now_ms(), self._made_after_ms()
+            )
+        )
 
     def on_list_failed(self, failure: Failure) -> None:
         """Keep the known registrations."""
--- a/chestnuthall/services/_shared_store.py
+++ b/chestnuthall/services/_shared_store.py
@@ -27,10 +27,10 @@
 # Failures of a read that show that the store does not serve this instance.
 STORE_OUTAGE_KINDS = frozenset({STORE_UNAVAILABLE, RATE_LIMITED})
 
-# Time-out of one watch at a leader, after which an unresponsive leader is detected.
-LEADER_WATCH_TIMEOUT_MS = 1_000.0
 # Time-out of the first watch of an instance that becomes a leader.
 FIRST_WATCH_TIMEOUT_MS = 50.0
+# A watch that lasted longer has waited for the changes that it returned.
+IMMEDIATE_ANSWER_MS = 100.0
 # Time-out of reading all objects of a kind from a peer while the store is unavailable.
 SNAPSHOT_TIMEOUT_MS = 300.0
 # Peers in the same zone that are queried for such a snapshot, besides the seeds.
@@ -69,6 +69,13 @@
         self._store_listeners: list[Callable[[bool], None]] = []
         # Kinds whose feeds this instance reads from the store itself.
         self._kinds_from_store: set[str] = set()
+        # Kinds whose leader failed when their feeds were too old to try another one.
+        self._kinds_overdue: set[str] = set()
+        # Last answer of the store or a leader, and the time after which the changes
+        # in it were made, by kind.
+        self._answered_ms: dict[str, float] = {}
+        self._made_after_ms: dict[str, float] = {}
+        self._store_failed_ms = float("-inf")
 
     @property
     def is_store_answering(self) -> bool | None:
@@ -82,9 +89,25 @@
     def _on_store_call(self, failure: Failure | None) -> None:
         is_answered = failure is None or failure.kind not in STORE_OUTAGE_KINDS
         self._is_store_answering = is_answered
+        if not is_answered:
+            self._store_failed_ms = self._clock.now_ms()
         for listener in self._store_listeners:
             listener(is_answered)
 
+    def made_after_ms(self, kind: str) -> float:
+        """Return the time after which the changes returned last were made.
+
+        It is the present for changes that arrived without delay, and for those that
+        follow an outage of the store, as objects that expired in it may be renewed.
+        """
+        return self._made_after_ms.get(kind, self._clock.now_ms())
+
+    def _record_answer(self, kind: str, made_after_ms: float) -> None:
+        now_ms = self._clock.now_ms()
+        settled_ms = self._store_failed_ms + self._timing.store_settle_ms
+        self._made_after_ms[kind] = now_ms if now_ms < settled_ms else made_after_ms
+        self._answered_ms[kind] = now_ms
+
     def store_feed(self, kind: str) -> ObjectFeed | None:
         """Return the feed of a shared kind, if it is read from the store."""
         return self._feeds[kind] if kind in self._kinds_from_store else None
@@ -123,10 +146,13 @@
                 feed.replace_all(listed.objects, listed.watch_version)
                 feed.confirm()
             self._on_store_call(None)
+            self._record_answer(kind, self._clock.now_ms())
             return listed
         self._on_store_call(listed)
         if listed.kind is STORE_UNAVAILABLE:
-            return await self._query_peers(kind, feed) or listed
+            known = await self._query_peers(kind, feed)
+            self._record_answer(kind, self._clock.now_ms())
+            return known or listed
         return listed
 
     async def _query_peers(self, kind: str, feed: ObjectFeed) -> ObjectListing | None:
@@ -197,7 +223,7 @@
         ends_at_ms = self._clock.now_ms() + timeout_ms
         while (left_ms := ends_at_ms - self._clock.now_ms()) > 0.0:
             leader = self.leader()
-            if leader is None:
+            if leader is None or kind in self._kinds_overdue:
                 batch = await self._watch_store(kind, after_version, left_ms)
             else:
                 batch = await self._watch_leader(leader, kind, after_version, left_ms)
@@ -208,6 +234,8 @@
 
     def leader(self) -> InstanceEntry | None:
         """Return the instance to follow, or None if this one reads the store."""
+        if not self._timing.allows_leaders:
+            return None
         peers = {item.name: item for item in self._same_zone_peers()}
         name = self._leader_selector.leader(peers, self._clock.now_ms())
         return None if name is None else peers[name]
@@ -228,12 +256,24 @@
                 # The followers of a new leader soon need a recently confirmed feed.
                 left_ms = FIRST_WATCH_TIMEOUT_MS
         self._kinds_from_store.add(kind)
+        is_overdue = kind in self._kinds_overdue
+        self._kinds_overdue.discard(kind)
+        started_ms = self._clock.now_ms()
         batch = await self._store.watch(kind, after_version, left_ms)
         self._on_store_call(batch if isinstance(batch, Failure) else None)
         if isinstance(batch, Failure):
             self._kinds_from_store.discard(kind)
             self._leader_selector.deprioritise_store(self._clock.now_ms())
             return batch
+        now_ms = self._clock.now_ms()
+        if is_overdue:
+            # No source has told since then whether anything changed.
+            made_after_ms = now_ms - feed.age_ms
+        elif now_ms - started_ms < IMMEDIATE_ANSWER_MS:
+            made_after_ms = self._answered_ms.get(kind, now_ms)
+        else:
+            made_after_ms = now_ms
+        self._record_answer(kind, made_after_ms)
         feed.apply(batch)
         feed.confirm()
         return batch
@@ -247,11 +287,20 @@
     ) -> WatchBatch:
         """Watch a leader; an empty batch if it failed and another must be tried."""
         self._kinds_from_store.discard(kind)
+        feed = self._feeds[kind]
+        timeout_ms = min(left_ms, self._timing.leader_watch_timeout_ms)
+        started_ms = self._clock.now_ms()
         answer = await self._feed_client.watch(
-            leader.address, kind, after_version, min(left_ms, LEADER_WATCH_TIMEOUT_MS)
+            leader.address, kind, after_version, timeout_ms
         )
         if not isinstance(answer, Failure):
-            feed = self._feeds[kind]
+            elapsed_ms = self._clock.now_ms() - started_ms
+            is_immediate = elapsed_ms < IMMEDIATE_ANSWER_MS
+            # A leader may have stood still while it was watched.
+            made_after_ms = (
+                self._answered_ms.get(kind, started_ms) if is_immediate else started_ms
+            )
+            self._record_answer(kind, made_after_ms)
             feed.apply(answer.batch)
             feed.confirm(answer.age_ms)
             return answer.batch
@@ -263,7 +312,20 @@
         )
         _log.info(
             "leader passed over",
-            extra={"kind": kind, "leader": leader.name, "reason": answer.reason},
+            extra={
+                "kind": kind,
+                "leader": leader.name,
+                "reason": answer.reason,
+                "age_ms": round(feed.age_ms),
+            },
         )
+        now_ms = self._clock.now_ms()
+        if (
+            feed.age_ms > self._timing.age_max_ms
+            and not self._leader_selector.is_store_deprioritised(now_ms)
+        ):
+            # The next leader may be unresponsive, too.
+            self._kinds_overdue.add(kind)
+            return WatchBatch(after_version, ())
         await self._clock.sleep_ms(self._leader_selector.stagger_ms)
         return WatchBatch(after_version, ())
--- a/chestnuthall/services/_sparse_store.py
+++ b/chestnuthall/services/_sparse_store.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from chestnuthall.core.configuration import FeedTiming
 from chestnuthall.core.results import (
     HISTORY_TRIMMED,
     NOT_READY,
@@ -20,7 +21,6 @@
 from chestnuthall.services._object_feed import ObjectFeed
 from chestnuthall.services._presence import InstanceEntry
 from chestnuthall.services._shared_store import (
-    LEADER_WATCH_TIMEOUT_MS,
     SNAPSHOT_TIMEOUT_MS,
     SharedObjectStore,
 )
@@ -56,7 +56,7 @@
         feed_client: FeedClient,
         shared: SharedObjectStore,
         are_peers_known: Callable[[], bool],
-        age_max_ms: float,
+        timing: FeedTiming,
     ) -> None:
         self._kind = kind
         self._store = store
@@ -64,7 +64,8 @@
         self._feed_client = feed_client
         self._shared = shared
         self._are_peers_known = are_peers_known
-        self.feed = ObjectFeed(clock, age_max_ms)
+        self._leader_watch_timeout_ms = timing.leader_watch_timeout_ms
+        self.feed = ObjectFeed(clock, timing.age_max_ms)
         self._is_watching_store = False
         self._awaits_peers_until_ms = clock.now_ms() + PEERS_WAIT_MAX_MS
         self._n_leader_failures = 0
@@ -224,7 +225,7 @@
             leader.address,
             self._kind,
             after_version,
-            min(left_ms, LEADER_WATCH_TIMEOUT_MS),
+            min(left_ms, self._leader_watch_timeout_ms),
         )
         if not isinstance(answer, Failure):
             self._n_leader_failures = 0
--- a/chestnuthall/services/tests/test_shared_store.py
+++ b/chestnuthall/services/tests/test_shared_store.py
@@ -34,6 +34,7 @@
 
     def __init__(self):
         self.objects = {}
+        self.deleted = {}
         self.version = 1
         self.n_calls = 0
         self.n_calls_by_kind = Counter()
@@ -49,6 +50,12 @@
         self.objects[name] = StoredObject(kind, name, self.version, value)
         self.wake()
 
+    def remove(self, name):
+        self.version += 1
+        del self.objects[name]
+        self.deleted[name] = self.version
+        self.wake()
+
     def objects_of(self, kind):
         return [item for item in self.objects.values() if item.kind == kind]
 
@@ -106,8 +113,13 @@
             changed = tuple(
                 item for item in store.objects_of(kind) if item.version > after_version
             )
-            if changed or loop.time() >= ends_at_s:
-                return WatchBatch(store.version, changed)
+            deleted = tuple(
+                name
+                for name, version in store.deleted.items()
+                if version > after_version and name not in store.objects
+            )
+            if changed or deleted or loop.time() >= ends_at_s:
+                return WatchBatch(store.version, changed, deleted)
             try:
                 async with asyncio.timeout_at(ends_at_s):
                     await store._changed.wait()
@@ -116,16 +128,20 @@
 
 
 class Feeds:
-    """Feeds of the instances; unreachable ones refuse, unresponsive ones hang."""
+    """Feeds of the instances; unreachable ones refuse, unresponsive ones hang.
 
-    def __init__(self):
+    An instance that becomes unresponsive answers no watch in progress either.
+    """
+
+    def __init__(self, timing):
+        self.margin_ms = timing.leader_margin_ms
         self.stores = {}
         self.unreachable = set()
         self.unresponsive = set()
 
     async def _failure_of_call(self, address, timeout_ms):
         if address in self.unresponsive:
-            await asyncio.sleep(timeout_ms / 1000.0 + 0.4)
+            await asyncio.sleep((timeout_ms + self.margin_ms) / 1000.0)
             return STORE_UNAVAILABLE.with_reason("unresponsive")
         await asyncio.sleep(0.001)
         if address in self.unreachable:
@@ -139,7 +155,14 @@
         feed = self.stores[address].store_feed(kind)
         if feed is None:
             return NOT_READY.with_reason("no feed")
-        return await feed.watch(after_version, timeout_ms)
+        loop = asyncio.get_running_loop()
+        gives_up_s = loop.time() + (timeout_ms + self.margin_ms) / 1000.0
+        answer = await feed.watch(after_version, timeout_ms)
+        while address in self.unresponsive:
+            if loop.time() >= gives_up_s:
+                return STORE_UNAVAILABLE.with_reason("unresponsive")
+            await asyncio.sleep(0.001)
+        return answer
 
     async def snapshot(self, address, kind, timeout_ms):
         failure = await self._failure_of_call(address, timeout_ms)
@@ -152,7 +175,7 @@
     def __init__(self):
         self.clock = LoopTimeClock()
         self.store = Store()
-        self.feeds = Feeds()
+        self.feeds = Feeds(FeedTiming(IN_FORCE_MS))
         self.store.put("a", "1")
         self.seen = {}
         self.tasks = []
--- a/chestnuthall/services/tests/test_sparse_store.py
+++ b/chestnuthall/services/tests/test_sparse_store.py
@@ -56,7 +56,7 @@
             fleet.feeds,
             self.shared,
             lambda: loop.time() >= known_s,
-            timing.age_max_ms,
+            timing,
         )
         followers = (
             KindFollower(KIND, self.shared, fleet.clock, _Ignored(), WATCH_MS),
@@ -109,7 +109,7 @@
         self.clock = LoopTimeClock()
         self.store = Store()
         self.store.put("a", "1")
-        self.feeds = Feeds()
+        self.feeds = Feeds(FeedTiming(IN_FORCE_MS))
         self.all_names = [f"entry-{number}" for number in range(n_instances)]
         self.instances = {name: self.start(name) for name in self.all_names}
         selector = LeaderSelector("")
