--- a/chestnuthall/core/registry/_registry.py
+++ b/chestnuthall/core/registry/_registry.py
@@ -10,10 +10,10 @@
 # time for which replicas keep serving is less than twice as long.
 DRAINING_FALLBACK_MS = 1_500.0
 DRAINING_FALLBACK_RATIO_MAX = 0.5
-# Part of that time in which calls must have ended to go to a replica, however late
-# its leave became known. The rest is for calls on their way.
+# Part of that time after which a replica is no longer used, however late its leave
+# became known. The rest is for calls on their way.
 USE_RATIO_MAX = 0.9
-# Part of that time reserved for the news of a missing registration to arrive.
+# Reserved within that time for the news of a missing registration to arrive.
 UPDATE_MARGIN_MS = 800.0
 # Limit on the leaves that are remembered after their replicas were removed.
 N_LEAVES_MAX = 4_096
--- a/chestnuthall/services/_shared_store.py
+++ b/chestnuthall/services/_shared_store.py
@@ -29,6 +29,8 @@
 
 # Time-out of the first watch of an instance that becomes a leader.
 FIRST_WATCH_TIMEOUT_MS = 50.0
+# Logged as the age of a feed that was never confirmed.
+AGE_LOGGED_MAX_MS = 1e9
 # A watch that lasted longer has waited for the changes that it returned.
 IMMEDIATE_ANSWER_MS = 100.0
 # Time-out of reading all objects of a kind from a peer while the store is unavailable.
@@ -316,7 +318,7 @@
                 "kind": kind,
                 "leader": leader.name,
                 "reason": answer.reason,
-                "age_ms": round(feed.age_ms),
+                "age_ms": round(min(feed.age_ms, AGE_LOGGED_MAX_MS)),
             },
         )
         now_ms = self._clock.now_ms()
