--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,4 +1,4 @@
-"""A replica that turns requests away with 503 and Retry-After.
+"""A request that crashes replicas, and a store that comes back from a copy.
 
 Exit status 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 """
@@ -20,15 +20,20 @@
     wait_until_ready,
 )
 
-ZONES = ("a", "b")
-N_REPLICAS = 3
-# How long the replica wants nothing, as its answers say.
-BUSY_S = 6.0
-N_ARRIVALS_MAX = 2
-SETTLED_S = 0.5
+ZONES = ("a", "b", "c", "d")
+N_REPLICAS = 8
+N_RETRIES_MAX = 3
+STABLE_WINDOW_S = 4.0
+# From the copy to the moment at which the store is away.
+COPY_AGE_S = 5.0
+AWAY_S = 1.0
+# From the return of the store to the next time that the request comes.
+CALM_S = 6.0
+OBSERVED_S = 8.0
 REQUEST_INTERVAL_S = 0.05
 HEARTBEAT_S = 1.2
 SERVICE = "ledger"
+CRASHING_TARGET = "/fetch/crash"
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -59,16 +64,20 @@
         self.runs = []
         self.sent = []
         self.events = []
+        self.crashing = []
         self.store = Store()
         self.config = None
         self.replicas = [
-            Replica(f"i-{number}", SERVICE, "a", self.runs)
+            Replica(f"i-{number}", SERVICE, ZONES[number % len(ZONES)], self.runs)
             for number in range(N_REPLICAS)
         ]
+        for replica in self.replicas:
+            replica.crashing_target = CRASHING_TARGET
         self.instances = [
             Instance(f"front-{zone}", zone, self.store.server.port, folder)
             for zone in ZONES
         ]
+        self.is_away = False
 
     def note(self, text):
         self.events.append((now_s(), text))
@@ -85,8 +94,14 @@
     async def beat(self):
         """Let the replicas write their entries again at each heartbeat."""
         while True:
-            await asyncio.sleep(HEARTBEAT_S)
-            for replica in self.replicas:
+            await asyncio.sleep(0.1)
+            if not self.is_away:
+                self.write_entries()
+
+    def write_entries(self):
+        """Write the entries that have changed, as their replicas do."""
+        for replica in self.replicas:
+            if not replica.is_down:
                 self.store.put("servers", replica.name, replica.entry())
 
     async def send_requests(self):
@@ -98,19 +113,20 @@
                 task.add_done_callback(tasks.discard)
             await asyncio.sleep(REQUEST_INTERVAL_S)
 
-    async def send(self, instance):
+    async def send(self, instance, target="/fetch/1"):
         request_id, sent_s = new_id(), now_s()
         headers = {
             "Host": "h.example",
             "X-Request-Id": request_id,
             "X-Request-Deadline-Ms": "4000",
         }
-        answer = await fetch(instance.ports["caller"], "/fetch/1", headers, 4.0)
+        answer = await fetch(instance.ports["caller"], target, headers, 4.0)
         status, body = answer or (None, b"")
         self.sent.append(
             {
                 "id": request_id,
                 "instance": instance.name,
+                "target": target,
                 "sent_s": sent_s,
                 "status": status,
                 "body": body.decode("latin-1")[:40],
@@ -135,44 +151,65 @@
         ]
         try:
             await asyncio.sleep(8.0)
+            copy = self.store.copy()
+            self.note(f"a copy is taken at store revision {self.store.revision}")
+            await self.send_crashing()
+            await asyncio.sleep(COPY_AGE_S / 2.0)
+            await self.send_crashing()
+            await asyncio.sleep(COPY_AGE_S / 2.0)
             if HAS_TROUBLE:
-                self.note(f"{self.replicas[0].name} is full for {BUSY_S} s")
-                self.replicas[0].busy_until_s = now_s() + BUSY_S
-            await asyncio.sleep(BUSY_S + 2.0)
+                await self.restore(copy)
+            for _ in range(3):
+                await asyncio.sleep(CALM_S)
+                await self.send_crashing()
+            await asyncio.sleep(2.0)
         finally:
             for task in tasks:
                 task.cancel()
         return self.judge()
 
-    def judge(self):
-        instance_by_id = {item["id"]: item["instance"] for item in self.sent}
-        n_most = 0
+    async def send_crashing(self):
+        """Send the request that crashes replicas to each instance once."""
+        self.note("the request that crashes replicas comes at each instance")
         for instance in self.instances:
-            arrivals = [
-                run
-                for run in self.runs + self.replicas[0].refusals
-                if run["replica"] == self.replicas[0].name
-                and instance_by_id.get(run["id"]) == instance.name
-            ]
-            refusals = [
-                run
-                for run in self.replicas[0].refusals
-                if instance_by_id.get(run["id"]) == instance.name
-            ]
-            for refusal in refusals:
-                from_s = refusal["run_s"] + SETTLED_S
-                until_s = refusal["run_s"] + refusal["retry_after_s"]
-                n = sum(from_s < run["run_s"] < until_s for run in arrivals)
-                n_most = max(n_most, n)
-            self.note(f"{instance.name}: {len(refusals)} refusals")
+            self.crashing.append(
+                asyncio.ensure_future(self.send(instance, CRASHING_TARGET))
+            )
+
+    async def restore(self, copy):
+        """Let the store come back from the copy."""
+        self.is_away = True
+        names = list(self.store.objects.get("chestnuthall-quarantines", {}))
+        self.note(
+            f"the store is away at revision {self.store.revision}, with the records"
+            f" {names}"
+        )
+        await self.store.server.stop()
+        await asyncio.sleep(AWAY_S)
+        self.store.restore(copy)
+        # The operator and the replicas write again what they wrote.
+        self.write_entries()
+        await self.store.server.start()
+        self.is_away = False
         self.note(
-            f"at most {n_most} requests of a machine reached the replica between half"
-            " a second after its 503 and the end of Retry-After;"
-            f" {N_ARRIVALS_MAX} are allowed"
+            f"the store is back, era {self.store.era}, revision {self.store.revision}"
         )
-        if not any(item["status"] == 200 for item in self.sent):
+
+    def judge(self):
+        crashes = [run for run in self.runs if run["target"] == CRASHING_TARGET]
+        self.note(
+            "the request reached replicas at "
+            + ", ".join(f"{run['run_s']:.3f}" for run in crashes)
+        )
+        if len(crashes) < N_RETRIES_MAX:
             return 2
-        return 1 if n_most > N_ARRIVALS_MAX else 0
+        due_s = crashes[N_RETRIES_MAX - 1]["run_s"] + STABLE_WINDOW_S
+        late = [run for run in crashes if run["run_s"] > due_s]
+        self.note(
+            f"{len(late)} times later than StableWindowMs after the third crash;"
+            f" {N_RETRIES_MAX} are allowed"
+        )
+        return 1 if len(late) > N_RETRIES_MAX else 0
 
     async def end(self):
         for instance in self.instances:
--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -284,7 +284,8 @@
 class Instance:
     """One instance of the project, in a process of its own."""
 
-    def __init__(self, name, zone, store_port, folder):
+    def __init__(self, name, zone, store_port, folder, memory_mb=300):
+        self.memory_mb = memory_mb
         self.name = name
         self.zone = zone
         self.ports = {
@@ -323,7 +324,7 @@
             env={
                 **os.environ,
                 "PYTHONPATH": "target/deps",
-                "CHESTNUTHALL_MEMORY_MB": "300",
+                "CHESTNUTHALL_MEMORY_MB": str(self.memory_mb),
                 "CHESTNUTHALL_DESCRIPTORS": "4100",
             },
         )
