Order the store's versions by era, then revision

Cause: the restored store gives out its revisions again, for other contents. The client, the feeds and their followers compared revisions across its return, so that a new listing counted as old, and a leader handed out batches of the lost history for those of the new one.

Ruled out: that only followers of a leader are affected. An instance that watches the store from a revision which exists again gets no 410 either.

Change: a version holds the era and the revision (core/versions), so every comparison orders by era first, in memory and between peers. A feed tells followers of an earlier era to read all objects, and those of a later one to look elsewhere. An era that is missing or unreadable counts as the current one; an earlier one is not used.

--- a/chestnuthall/adapters/objectapi/_dialect.py
+++ b/chestnuthall/adapters/objectapi/_dialect.py
@@ -18,6 +18,7 @@
     Failure,
     FailureKind,
 )
+from chestnuthall.core.versions import EraReading, UnstatedEra
 from chestnuthall.ports import StoredObject, WatchBatch
 
 
@@ -35,7 +36,14 @@
 
 
 class ObjectDialect(Protocol):
-    """Encodes calls to the store and decodes its responses."""
+    """Encodes calls to the store and decodes its responses.
+
+    Its versions are the store's revisions; ``read_era`` returns their era.
+    """
+
+    def read_era(self, response: HttpResponse) -> EraReading:
+        """Return the era that a response states."""
+        ...
 
     def get(self, kind: str, name: str) -> HttpRequest:
         """Return the request that reads one object."""
@@ -118,7 +126,14 @@
 
 
 class VersionedDialect:
-    """Dialect of the object API described in ``docs/object-kinds.md``."""
+    """Dialect of the object API described in ``docs/object-kinds.md``.
+
+    This API states no eras.
+    """
+
+    def read_era(self, response: HttpResponse) -> EraReading:
+        """Return that the response states no era."""
+        return UnstatedEra()
 
     def get(self, kind: str, name: str) -> HttpRequest:
         """Return the request that reads one object."""
--- a/chestnuthall/platform/_dialect.py
+++ b/chestnuthall/platform/_dialect.py
@@ -20,9 +20,14 @@
     STORE_WRITE_UNKNOWN,
     Failure,
 )
+from chestnuthall.core.versions import EraReading, StatedEra, UnstatedEra
 from chestnuthall.ports import StoredObject, WatchBatch
 
 _JSON_HEADERS = {b"content-type": b"application/json"}
+# Rises by one each time the store comes back from a copy.
+_ERA_HEADER = b"store-era"
+# Eras with more digits are not plausible, and would make versions arbitrarily long.
+_N_ERA_DIGITS_MAX = 9
 
 
 class _Meta(BaseModel):
@@ -113,6 +118,13 @@
     singleton_names: Mapping[str, str] = field(default_factory=dict)
     stale_kinds: frozenset[str] = frozenset()
 
+    def read_era(self, response: HttpResponse) -> EraReading:
+        """Return the era that a response states."""
+        value = response.headers.get(_ERA_HEADER, b"").strip()
+        if not value.isdigit() or len(value) > _N_ERA_DIGITS_MAX or not int(value):
+            return UnstatedEra()
+        return StatedEra(int(value))
+
     def _kind_path(self, kind: str) -> str:
         return f"/v1/objects/{quote(self.kinds.get(kind, kind), safe='')}"
 
--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -171,7 +171,12 @@
         self._metrics = metrics = PrometheusMetrics()
         self._decisions = DecisionLog(clock, metrics, _call_soon)
         store = CountingObjectStore(
-            HttpObjectStore(settings.store_address, DIALECT, STORE_PROBES),
+            HttpObjectStore(
+                settings.store_address,
+                DIALECT,
+                STORE_PROBES,
+                lambda era: metrics.count("store_returns"),
+            ),
             metrics,
             clock,
         )
--- a/chestnuthall/services/_object_feed.py
+++ b/chestnuthall/services/_object_feed.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 
 from chestnuthall.core.results import HISTORY_TRIMMED, STORE_UNAVAILABLE, Failure
+from chestnuthall.core.versions import is_of_earlier_era
 from chestnuthall.ports import Clock, FeedAnswer, StoredObject, WatchBatch
 
 # Batches of changes kept for peers; a peer that is further behind reads the store.
@@ -18,6 +19,10 @@
     ``confirm`` records when the store confirmed that nothing else has changed. A
     watch is served only while that is at most ``age_max_ms`` ago, since a peer that
     follows this instance has no other source of changes.
+
+    The changes between two eras of the store are not known, as what the peer has read
+    may be lost. A watch from an earlier era returns an empty batch of the current one,
+    upon which the peer reads all objects again.
     """
 
     def __init__(self, clock: Clock, age_max_ms: float) -> None:
@@ -52,7 +57,8 @@
         changed = tuple(item for item in objects if self._is_newer(item))
         names = {item.name for item in objects}
         deleted = tuple(name for name in self._objects if name not in names)
-        if not self.is_loaded:
+        if not self.is_loaded or is_of_earlier_era(self.version, version):
+            self._batches.clear()
             self._complete_from_version = version
         self.apply(WatchBatch(version, changed, deleted))
 
@@ -92,6 +98,12 @@
                 return STORE_UNAVAILABLE.with_reason(
                     "the store has not confirmed the feed recently"
                 )
+            if is_of_earlier_era(self.version, after_version):
+                return STORE_UNAVAILABLE.with_reason(
+                    "the store has returned from a copy since the feed was read"
+                )
+            if is_of_earlier_era(after_version, self.version):
+                return FeedAnswer(WatchBatch(self.version, ()), self.age_ms)
             if after_version < self._complete_from_version:
                 return HISTORY_TRIMMED.with_reason("the changes are no longer kept")
             batch = self._changes_after(after_version)
--- a/chestnuthall/services/_shared_store.py
+++ b/chestnuthall/services/_shared_store.py
@@ -5,11 +5,13 @@
 
 from chestnuthall.core.configuration import FeedTiming, LeaderSelector
 from chestnuthall.core.results import (
+    HISTORY_TRIMMED,
     NOT_READY,
     RATE_LIMITED,
     STORE_UNAVAILABLE,
     Failure,
 )
+from chestnuthall.core.versions import is_of_earlier_era
 from chestnuthall.ports import (
     Clock,
     FeedAnswer,
@@ -286,7 +288,7 @@
         kind: str,
         after_version: int,
         left_ms: float,
-    ) -> WatchBatch:
+    ) -> WatchBatch | Failure:
         """Watch a leader; an empty batch if it failed and another must be tried."""
         self._kinds_from_store.discard(kind)
         feed = self._feeds[kind]
@@ -303,6 +305,10 @@
                 self._answered_ms.get(kind, started_ms) if is_immediate else started_ms
             )
             self._record_answer(kind, made_after_ms)
+            if is_of_earlier_era(after_version, answer.batch.version):
+                return HISTORY_TRIMMED.with_reason(
+                    "the store has returned from a copy, as the leader tells"
+                )
             feed.apply(answer.batch)
             feed.confirm(answer.age_ms)
             return answer.batch
--- a/chestnuthall/services/_sparse_store.py
+++ b/chestnuthall/services/_sparse_store.py
@@ -10,6 +10,7 @@
     STORE_UNAVAILABLE,
     Failure,
 )
+from chestnuthall.core.versions import is_of_earlier_era
 from chestnuthall.ports import (
     Clock,
     FeedClient,
@@ -163,6 +164,10 @@
             return answer
         if not answer.batch.version:
             return NOT_READY.with_reason("the peer has not read the objects yet")
+        if is_of_earlier_era(answer.batch.version, self.feed.version):
+            return NOT_READY.with_reason(
+                "the store has returned from a copy since the peer read the objects"
+            )
         return ObjectListing(answer.batch.changed, answer.batch.version)
 
     async def watch(
@@ -229,6 +234,10 @@
         )
         if not isinstance(answer, Failure):
             self._n_leader_failures = 0
+            if is_of_earlier_era(after_version, answer.batch.version):
+                return HISTORY_TRIMMED.with_reason(
+                    "the store has returned from a copy, as the leader tells"
+                )
             self.feed.apply(answer.batch)
             self.feed.confirm(answer.age_ms)
             return answer.batch
