End each watch before the store counts as stable again

Cause: a watch that starts in the silence was awaited for store_settle_ms and 1 s of margin, and the delay and the read came after that. A leader's watch followed from the bound alone, that of the quarantines was 15 s long. After such a watch the instance read its peers for 3 s more, though the store had answered.

Ruled out: that the reads of other kinds reveal the outage. A silence of a second may meet one watch only, and an answer to another call does not show that this one was received.

Change: safe_watch_timeout_ms leaves room for the margin, the delay and the read, and bounds the watches of all kinds and of leaders.

--- a/chestnuthall/adapters/objectapi/_client.py
+++ b/chestnuthall/adapters/objectapi/_client.py
@@ -35,7 +35,7 @@
 
 # A watch occupies one connection while it waits; short calls use the others.
 N_CONNECTIONS_MAX = 16
-# Time allowed for the response to a watch beyond the time-out that it requested.
+# Time allowed by default for the response to a watch beyond the time-out of the watch.
 WATCH_MARGIN_MS = 1_000.0
 # Maximum number of pages read per listing. A store that always announces another
 # page would otherwise keep the reader in an endless loop.
@@ -53,6 +53,8 @@
     while it waits, and a conditional write with ``OBJECT_CONFLICT``. A response of an
     earlier era counts as lost. ``on_new_era`` is called with each era in which the
     store returned from a copy.
+
+    The response to a watch may take ``watch_margin_ms`` beyond the watch's time-out.
     """
 
     def __init__(
@@ -61,8 +63,10 @@
         dialect: ObjectDialect | None = None,
         probes: TcpKeepAlive | None = None,
         on_new_era: Callable[[int], None] = lambda era: None,
+        watch_margin_ms: float = WATCH_MARGIN_MS,
     ) -> None:
         self._dialect: ObjectDialect = dialect or VersionedDialect()
+        self._watch_margin_ms = watch_margin_ms
         self._on_new_era = on_new_era
         self._eras = EraTracker()
         self._era_changed = asyncio.Event()
@@ -153,7 +157,9 @@
         if self._is_outdated(after_version):
             return _replaced_history()
         request = self._dialect.watch(kind, revision_of(after_version), timeout_ms)
-        response = await self._exchange_in_era(request, timeout_ms + WATCH_MARGIN_MS)
+        response = await self._exchange_in_era(
+            request, timeout_ms + self._watch_margin_ms
+        )
         if self._is_outdated(after_version):
             return _replaced_history()
         if isinstance(response, Failure):
--- a/chestnuthall/core/configuration/__init__.py
+++ b/chestnuthall/core/configuration/__init__.py
@@ -25,6 +25,7 @@
         WatchEnded,
         WatchHistoryTrimmed,
         safe_watch_timeout_ms,
+        watch_margin_ms,
     )
     from chestnuthall.core.configuration._leaders import (
         FeedTiming,
@@ -83,6 +84,7 @@
             "WatchEnded",
             "WatchHistoryTrimmed",
             "safe_watch_timeout_ms",
+            "watch_margin_ms",
         ),
         "_leaders": (
             "FeedTiming",
@@ -159,4 +161,5 @@
     "promotion_draft",
     "resolve_write",
     "safe_watch_timeout_ms",
+    "watch_margin_ms",
 ]
--- a/chestnuthall/core/configuration/_follower.py
+++ b/chestnuthall/core/configuration/_follower.py
@@ -15,6 +15,12 @@
 CONFIRMATION_AGE_MAX_MS = 4_500.0
 DELAY_FIRST_MS = 250.0
 DELAY_MAX_MS = 1_000.0
+# Time that the response to a watch may take beyond the watch's time-out, and that of
+# the read after a failed watch, as fractions of the time in which a change must be
+# known after an outage of the store.
+WATCH_MARGIN_MAX_MS = 1_000.0
+WATCH_MARGIN_RATIO = 0.25
+READ_RATIO = 0.0625
 # A shorter delay may be lost in rounding, and another delay would follow.
 DELAY_MIN_MS = 1.0
 # Minimum time between the starts of two consecutive watches.
@@ -25,21 +31,35 @@
 BURST_DELAY_MS = 700.0
 
 
+def watch_margin_ms(recovery_ms: float) -> float:
+    """Return how long the response to a watch is awaited beyond its time-out.
+
+    Examples
+    --------
+    >>> watch_margin_ms(4_000.0), watch_margin_ms(1_000.0)
+    (1000.0, 250.0)
+    """
+    return min(WATCH_MARGIN_MAX_MS, WATCH_MARGIN_RATIO * recovery_ms)
+
+
 def safe_watch_timeout_ms(recovery_ms: float) -> float:
     """Return the longest watch time-out with which changes come into force in time.
 
     When the store becomes unresponsive, the connection of a watch stays open, and
     the watch returns nothing even after the store has recovered. Changes made after
     the recovery must be in force once the store has been stable for ``recovery_ms``.
-    A watch that started with the outage ends early enough if the outage lasts at
-    least as long as the reads that follow the watch.
+    A watch that started right before the end of an outage therefore ends, with its
+    margin, the delay after it and the next read, within that time.
 
     Examples
     --------
     >>> safe_watch_timeout_ms(4_000.0)
-    4000.0
+    2500.0
     """
-    return max(WATCH_INTERVAL_MIN_MS, recovery_ms)
+    reserved_ms = (
+        watch_margin_ms(recovery_ms) + DELAY_FIRST_MS + READ_RATIO * recovery_ms
+    )
+    return max(WATCH_INTERVAL_MIN_MS, recovery_ms - reserved_ms)
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,6 +163,17 @@
         duration_ms: float = DELAY_FIRST_MS * 2.0 ** min(self.n_failures - 1, 8)
         return Delay(min(duration_ms, DELAY_MAX_MS))
 
+    def has_watched_in_vain(self, now_ms: float) -> bool:
+        """Return whether a watch has just ended without an answer.
+
+        It took so long that the next call needs no further delay for the failures
+        before it, and the outage may have ended long ago.
+        """
+        return (
+            self.version is not None
+            and now_ms >= self.watch_started_ms + self.watch_timeout_ms
+        )
+
     def watch(self, now_ms: float) -> Watch:
         """Return a watch from the known version, so that no change is missed."""
         self.watch_started_ms = now_ms
@@ -185,6 +216,8 @@
 def _(event: StoreCallFailed, follower: ObjectFollower) -> FollowerAction:
     # A read ends soon in any case, whereas a watch of an unresponsive store would
     # hang until its time-out.
+    if follower.has_watched_in_vain(event.now_ms):
+        follower.n_failures = 0
     follower.version = None
     return follower.next_delay()
 
--- a/chestnuthall/core/configuration/_leaders.py
+++ b/chestnuthall/core/configuration/_leaders.py
@@ -4,7 +4,10 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
-from chestnuthall.core.configuration._follower import BURST_DELAY_MS
+from chestnuthall.core.configuration._follower import (
+    BURST_DELAY_MS,
+    safe_watch_timeout_ms,
+)
 
 # In a smaller zone the more frequent watches of a leader cost more than the
 # watches of its followers would.
@@ -86,7 +89,10 @@
     @property
     def watch_timeout_ms(self) -> float:
         """Time-out of a leader's watches."""
-        return WATCH_TIMEOUT_RATIO * self.in_force_ms
+        return min(
+            WATCH_TIMEOUT_RATIO * self.in_force_ms,
+            safe_watch_timeout_ms(self.store_settle_ms),
+        )
 
     @property
     def age_max_ms(self) -> float:
@@ -152,6 +158,10 @@
         """Prefer any leader to the store for a while after a failed store call."""
         self._store_deprioritised_until_ms = now_ms + DEPRIORITISE_MS
 
+    def prioritise_store(self) -> None:
+        """Read the store again, as it has answered a call."""
+        self._store_deprioritised_until_ms = float("-inf")
+
     def is_store_deprioritised(self, now_ms: float) -> bool:
         """Return whether a call to the store failed recently."""
         return now_ms < self._store_deprioritised_until_ms
--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -27,6 +27,7 @@
     FeedTiming,
     LeaderSelector,
     safe_watch_timeout_ms,
+    watch_margin_ms,
 )
 from chestnuthall.core.intake import plan_intake
 from chestnuthall.core.model import Configuration
@@ -78,9 +79,6 @@
 from chestnuthall.services._presence import PRESENCE_KIND
 from chestnuthall.services._quarantine_records import QUARANTINE_KIND
 from chestnuthall.services._service_directory import REGISTRATION_KIND
-from chestnuthall.services._sparse_store import (
-    WATCH_TIMEOUT_MS as QUARANTINE_WATCH_TIMEOUT_MS,
-)
 
 _log = logging.getLogger(__name__)
 
@@ -176,6 +174,7 @@
                 DIALECT,
                 STORE_PROBES,
                 lambda era: metrics.count("store_returns"),
+                watch_margin_ms(settings.store_settle_ms),
             ),
             metrics,
             clock,
@@ -289,7 +288,7 @@
             random,
             read_quarantine,
             encode_quarantine,
-            QUARANTINE_WATCH_TIMEOUT_MS,
+            watch_timeout_ms,
             lambda: shared.is_store_answering,
         )
         feeds = {QUARANTINE_KIND: sparse.feed}
--- a/chestnuthall/services/_shared_store.py
+++ b/chestnuthall/services/_shared_store.py
@@ -95,6 +95,8 @@
         self._is_store_answering = is_answered
         if not is_answered:
             self._store_failed_ms = self._clock.now_ms()
+        else:
+            self._leader_selector.prioritise_store()
         for listener in self._store_listeners:
             listener(is_answered)
 
@@ -264,7 +266,13 @@
         self._kinds_overdue.discard(kind)
         started_ms = self._clock.now_ms()
         batch = await self._store.watch(kind, after_version, left_ms)
-        self._on_store_call(batch if isinstance(batch, Failure) else None)
+        if not isinstance(batch, Failure):
+            self._on_store_call(None)
+        elif self._clock.now_ms() >= started_ms + left_ms:
+            # The outage may have ended long ago; the next read tells whether it has.
+            self._store_failed_ms = self._clock.now_ms()
+        else:
+            self._on_store_call(batch)
         if isinstance(batch, Failure):
             self._kinds_from_store.discard(kind)
             self._leader_selector.deprioritise_store(self._clock.now_ms())
--- a/chestnuthall/services/_sparse_store.py
+++ b/chestnuthall/services/_sparse_store.py
@@ -26,8 +26,6 @@
     SharedObjectStore,
 )
 
-# A watch of the store may last that long, as reads of other kinds show an outage.
-WATCH_TIMEOUT_MS = 15_000.0
 # Time in which an instance that starts finds its peers, and with them its leader. Until
 # then it watches nothing; what changes meanwhile it gets from the leader.
 PEERS_WAIT_MAX_MS = 3_200.0
@@ -42,9 +40,9 @@
 
     In a zone with leaders only these read the store, except that each instance lists
     the objects there when it starts: it must know them before it serves, and its peers
-    become known later. A watch of the store lasts long, because the reads of
-    ``shared``, of other kinds, tell whether the store answers: when one of them fails,
-    the watch is given up, and the objects are listed again once the store answers.
+    become known later. The reads of ``shared``, of other kinds, tell whether the store
+    answers: when one of them fails, the watch of the store is given up, and the objects
+    are listed again once the store answers. An outage may also fail only this watch.
     ``are_peers_known`` tells whether the instances of the zone have been listed,
     without which each would take itself for a leader.
     """
