Count an outage from the call that it failed, not from the end of the wait

Cause: a failed call was recorded as an outage at the time when its wait ended. A replica that is missing in the next listing was then kept for the whole grace period, as if its entry could have expired just now, though the store had been stable for seconds. Listings counted as made in the present, too.

Change: the outage counts from the start of the failed call, since it may have ended at any time after that; the grace period is not extended beyond the time in which the store settles after it. What a listing shows has changed since the last answer. A listing of a later era follows an outage even if no call failed.

--- a/chestnuthall/services/_shared_store.py
+++ b/chestnuthall/services/_shared_store.py
@@ -79,7 +79,9 @@
         # in it were made, by kind.
         self._answered_ms: dict[str, float] = {}
         self._made_after_ms: dict[str, float] = {}
-        self._store_failed_ms = float("-inf")
+        # Start of the last call that the store did not serve. The outage that failed
+        # it may have ended at any time since then.
+        self._outage_began_after_ms = float("-inf")
 
     @property
     def is_store_answering(self) -> bool | None:
@@ -90,28 +92,33 @@
         """Call ``listener`` after each read, with whether the store answered."""
         self._store_listeners.append(listener)
 
-    def _on_store_call(self, failure: Failure | None) -> None:
+    def _on_store_call(self, failure: Failure | None, started_ms: float) -> None:
         is_answered = failure is None or failure.kind not in STORE_OUTAGE_KINDS
         self._is_store_answering = is_answered
         if not is_answered:
-            self._store_failed_ms = self._clock.now_ms()
+            self._note_outage(started_ms)
         else:
             self._leader_selector.prioritise_store()
         for listener in self._store_listeners:
             listener(is_answered)
 
+    def _note_outage(self, began_after_ms: float) -> None:
+        self._outage_began_after_ms = max(self._outage_began_after_ms, began_after_ms)
+
     def made_after_ms(self, kind: str) -> float:
         """Return the time after which the changes returned last were made.
 
         It is the present for changes that arrived without delay, and for those that
-        follow an outage of the store, as objects that expired in it may be renewed.
+        follow an outage of the store, as objects that expired in it may be renewed. An
+        outage may have ended when the first call that it failed was sent, however long
+        that call was awaited.
         """
         return self._made_after_ms.get(kind, self._clock.now_ms())
 
     def _record_answer(self, kind: str, made_after_ms: float) -> None:
         now_ms = self._clock.now_ms()
-        settled_ms = self._store_failed_ms + self._timing.store_settle_ms
-        self._made_after_ms[kind] = now_ms if now_ms < settled_ms else made_after_ms
+        settled_ms = self._outage_began_after_ms + self._timing.store_settle_ms
+        self._made_after_ms[kind] = max(made_after_ms, min(now_ms, settled_ms))
         self._answered_ms[kind] = now_ms
 
     def store_feed(self, kind: str) -> ObjectFeed | None:
@@ -126,11 +133,12 @@
         self, kind: str, name: str, timeout_ms: float
     ) -> StoredObject | Failure:
         """Read one object."""
+        started_ms = self._clock.now_ms()
         stored = await self._store.get(kind, name, timeout_ms)
         feed = self._feeds.get(kind)
         if feed is None:
             return stored
-        self._on_store_call(stored if isinstance(stored, Failure) else None)
+        self._on_store_call(stored if isinstance(stored, Failure) else None, started_ms)
         if not isinstance(stored, Failure):
             feed.replace_all((stored,), stored.seen_version or stored.version)
             feed.confirm()
@@ -143,18 +151,24 @@
 
     async def list_kind(self, kind: str, timeout_ms: float) -> ObjectListing | Failure:
         """Read all objects of a kind."""
+        started_ms = self._clock.now_ms()
         listed = await self._store.list_kind(kind, timeout_ms)
         feed = self._feeds.get(kind)
         if feed is None:
             return listed
         if not isinstance(listed, Failure):
+            if is_of_earlier_era(feed.version, listed.watch_version):
+                # The store was away since it answered last.
+                self._note_outage(self._answered_ms.get(kind, started_ms))
             if listed:
                 feed.replace_all(listed.objects, listed.watch_version)
                 feed.confirm()
-            self._on_store_call(None)
-            self._record_answer(kind, self._clock.now_ms())
+            self._on_store_call(None, started_ms)
+            # What changed since the last answer may have changed right after it.
+            now_ms = self._clock.now_ms()
+            self._record_answer(kind, self._answered_ms.get(kind, now_ms))
             return listed
-        self._on_store_call(listed)
+        self._on_store_call(listed, started_ms)
         if listed.kind is STORE_UNAVAILABLE:
             known = await self._query_peers(kind, feed)
             self._record_answer(kind, self._clock.now_ms())
@@ -267,12 +281,12 @@
         started_ms = self._clock.now_ms()
         batch = await self._store.watch(kind, after_version, left_ms)
         if not isinstance(batch, Failure):
-            self._on_store_call(None)
+            self._on_store_call(None, started_ms)
         elif self._clock.now_ms() >= started_ms + left_ms:
             # The outage may have ended long ago; the next read tells whether it has.
-            self._store_failed_ms = self._clock.now_ms()
+            self._note_outage(started_ms)
         else:
-            self._on_store_call(batch)
+            self._on_store_call(batch, started_ms)
         if isinstance(batch, Failure):
             self._kinds_from_store.discard(kind)
             self._leader_selector.deprioritise_store(self._clock.now_ms())
