Keep the quarantines whose records the store has lost

Cause: a record that is missing in a listing counted as deleted, which lifts the quarantine. The restored store lacks the records that were written last, and has those again that were deleted last.

Ruled out: that versions ordered by era suffice. The listing of the later era is newer than each record, so the missing ones were lifted all the same.

Change: a record of an earlier era that a listing lacks is lost. What the instance knows stays, nobody claims its probe or retest, and it is written again. A lifted record that is back is deleted again. Instances take turns, so that one write brings the store up to date.

--- a/chestnuthall/core/quarantine/__init__.py
+++ b/chestnuthall/core/quarantine/__init__.py
@@ -2,6 +2,7 @@
 
 from chestnuthall.core.quarantine._probe_claim import ProbeClaim
 from chestnuthall.core.quarantine._record import QuarantineRecord
+from chestnuthall.core.quarantine._recovery import is_lifted_again, turn_ms
 from chestnuthall.core.quarantine._registry import QuarantineRegistry
 from chestnuthall.core.quarantine._sharing import (
     CreateRecord,
@@ -32,6 +33,8 @@
     "Suspicion",
     "SuspicionState",
     "UpdateRecord",
+    "is_lifted_again",
     "loss_name",
     "next_write",
+    "turn_ms",
 ]
--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -32,7 +32,11 @@
 from chestnuthall.core.intake import plan_intake
 from chestnuthall.core.model import Configuration
 from chestnuthall.core.overload import LagSettings, OverloadDetector
-from chestnuthall.core.quarantine import QuarantineRegistry, QuarantineSettings
+from chestnuthall.core.quarantine import (
+    QuarantineRegistry,
+    QuarantineSettings,
+    turn_ms,
+)
 from chestnuthall.core.registry import ReplicaRegistry
 from chestnuthall.core.routing import (
     RouterSettings,
@@ -290,6 +294,7 @@
             encode_quarantine,
             watch_timeout_ms,
             lambda: shared.is_store_answering,
+            self._turn_ms,
         )
         feeds = {QUARANTINE_KIND: sparse.feed}
         query = QueryService(
@@ -356,6 +361,11 @@
         self._overload = OverloadDetector(LagSettings())
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _turn_ms(self, fingerprint: str) -> float:
+        """Return when this instance writes a quarantine record that was lost."""
+        peer_names = [item.name for item in self.presence.peers]
+        return turn_ms(self.settings.name, peer_names, fingerprint)
+
     def _make_server(self, handler: Handler, limits: ServerLimits) -> HttpServer:
         return HttpServer(
             handler, limits, encode_http_error, reception=self._client_memory
--- a/chestnuthall/services/_quarantine_records.py
+++ b/chestnuthall/services/_quarantine_records.py
@@ -15,6 +15,7 @@
     RecordWrite,
     SuspicionState,
     UpdateRecord,
+    is_lifted_again,
     next_write,
 )
 from chestnuthall.core.results import (
@@ -23,6 +24,7 @@
     OBJECT_NOT_FOUND,
     Failure,
 )
+from chestnuthall.core.versions import is_of_earlier_era
 from chestnuthall.ports import Clock, ObjectListing, ObjectStore, StoredObject
 from chestnuthall.services._kind_follower import KindFollower
 
@@ -42,6 +44,9 @@
 # Limit of the records in the store. When it is reached, the oldest suspicion makes
 # room for a new record.
 N_RECORDS_MAX = 512
+# How long a lifted record is remembered. A copy from which the store returns is seconds
+# old.
+LIFTED_KEPT_MS = 60_000.0
 SHARED_STATES = frozenset(
     {SuspicionState.QUARANTINED, SuspicionState.UNRESOLVED, SuspicionState.CLEARED}
 )
@@ -58,6 +63,14 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True)
+class _LiftedRecord:
+    """The last state of a record that is no longer in the store."""
+
+    shared: _SharedRecord
+    lifted_ms: float
+
+
 class QuarantineRecords:
     """Keeps a record in the store for each request that is not cleared at once.
 
@@ -67,6 +80,11 @@
     a conditional write, so that only one instance runs it; while the store is
     unavailable there is none. ``is_store_answering`` tells whether the store answered
     the last read of any kind.
+
+    A store that returns from a copy has lost the last records, and has those again that
+    were lifted last. What this instance knows stays, and it brings the store up to
+    date when its turn comes: ``turn_ms`` returns how long it waits for another
+    instance to write the record of a fingerprint.
     """
 
     def __init__(
@@ -79,8 +97,10 @@
         write: RecordWriter,
         watch_timeout_ms: float,
         is_store_answering: Callable[[], bool | None] = lambda: None,
+        turn_ms: Callable[[str], float] = lambda fingerprint: 0.0,
     ) -> None:
         self._is_store_answering = is_store_answering
+        self._turn_ms = turn_ms
         self._registry = registry
         self._store = store
         self._clock = clock
@@ -89,6 +109,9 @@
         self._write_value = write
         self._shared: dict[str, _SharedRecord] = {}
         self._pending: set[str] = set()
+        # Records that the store has lost and that nobody has written again yet.
+        self._lost: set[str] = set()
+        self._lifted: dict[str, _LiftedRecord] = {}
         self._claiming: set[str] = set()
         self._may_serve = False
         self._n_listings_failed = 0
@@ -101,9 +124,34 @@
     def _on_change(
         self, fingerprint: str, state: SuspicionState, is_local: bool
     ) -> None:
-        if is_local and state in SHARED_STATES:
-            self._pending.add(fingerprint)
-            self._has_pending.set()
+        if not is_local or state not in SHARED_STATES:
+            return
+        if state is SuspicionState.CLEARED:
+            self._remember_lifted(fingerprint)
+        self._request_write(fingerprint)
+
+    def _request_write(self, fingerprint: str) -> None:
+        self._pending.add(fingerprint)
+        self._has_pending.set()
+
+    def _request_write_in_turn(self, fingerprint: str) -> None:
+        """Bring a record up to date, unless another instance does so before."""
+        asyncio.get_running_loop().call_later(
+            self._turn_ms(fingerprint) / 1000.0, self._request_write, fingerprint
+        )
+
+    def _remember_lifted(self, fingerprint: str) -> None:
+        shared = self._shared.get(fingerprint)
+        if shared is None:
+            return
+        now_ms = self._clock.now_ms()
+        self._lifted.pop(fingerprint, None)
+        self._lifted[fingerprint] = _LiftedRecord(shared, now_ms)
+        while (
+            len(self._lifted) > N_RECORDS_MAX
+            or next(iter(self._lifted.values())).lifted_ms < now_ms - LIFTED_KEPT_MS
+        ):
+            del self._lifted[next(iter(self._lifted))]
 
     def may_serve(self) -> bool:
         """Return whether requests may be served with what is known of the records.
@@ -158,7 +206,8 @@
             "cannot write a quarantine record",
             extra={"fingerprint": fingerprint, "result_code": failure.code},
         )
-        await self._refresh(fingerprint)
+        if await self._is_missing_after_refresh(fingerprint):
+            self._shared.pop(fingerprint, None)
         return False
 
     @singledispatchmethod
@@ -203,6 +252,7 @@
         if isinstance(written, Failure):
             return written
         self._shared[record.fingerprint] = _SharedRecord(record, written.version)
+        self._lost.discard(record.fingerprint)
         self._registry.keep(record.fingerprint)
         return None
 
@@ -226,29 +276,30 @@
         )
         await self._delete(oldest.record.fingerprint)
 
-    async def _refresh(self, fingerprint: str) -> None:
-        """Read a record that may have changed since it was last seen."""
+    async def _is_missing_after_refresh(self, fingerprint: str) -> bool:
+        """Read a record that may have changed; return whether there is none."""
         stored = await self._store.get(QUARANTINE_KIND, fingerprint, STORE_TIMEOUT_MS)
         if not isinstance(stored, Failure):
             self.on_changed(stored)
-        elif stored.kind is OBJECT_NOT_FOUND:
-            self._shared.pop(fingerprint, None)
+            return False
+        return stored.kind is OBJECT_NOT_FOUND
 
     async def claim_probe(self, fingerprint: str) -> bool:
         """Return whether this instance may probe a suspected request now.
 
         Instances that get the request at the same moment would crash a replica each.
         A suspicion that is not shared yet needs no claim, and without the store there
-        is none.
+        is none. One whose record the store has lost cannot be claimed.
         """
         shared = self._shared.get(fingerprint)
         if shared is None:
-            return True
+            return fingerprint not in self._lost
         record = replace(shared.record, n_probes=shared.record.n_probes + 1)
         failure = await self._update(record, CLAIM_TIMEOUT_MS)
         if failure is None or failure.kind not in (OBJECT_CONFLICT, OBJECT_NOT_FOUND):
             return True
-        await self._refresh(fingerprint)
+        # A missing record was deleted or lost, which the next listing or watch shows.
+        await self._is_missing_after_refresh(fingerprint)
         return False
 
     async def claim(self, fingerprint: str) -> bool:
@@ -278,14 +329,30 @@
     def on_listed(self, listing: ObjectListing) -> bool:
         """Replace all records, except those written after the listing."""
         names = {item.name for item in listing}
-        for name, shared in tuple(self._shared.items()):
-            if name not in names and shared.version <= listing.watch_version:
+        version = listing.watch_version
+        missing = [item for item in self._shared.items() if item[0] not in names]
+        lost = [name for name, x in missing if is_of_earlier_era(x.version, version)]
+        for name, shared in missing:
+            if name not in lost and shared.version <= version:
                 self.on_deleted(name)
+        self._on_lost(lost)
         for stored in listing:
             self.on_changed(stored)
         self._may_serve = True
         return True
 
+    def _on_lost(self, fingerprints: list[str]) -> None:
+        """Write records again that the store has lost; what they say still holds."""
+        for fingerprint in fingerprints:
+            del self._shared[fingerprint]
+            self._lost.add(fingerprint)
+            self._request_write_in_turn(fingerprint)
+        if fingerprints:
+            _log.warning(
+                "quarantine records lost by the store",
+                extra={"n_records": len(fingerprints)},
+            )
+
     def on_changed(self, stored: StoredObject) -> None:
         """Adopt a record that another instance has written."""
         known = self._shared.get(stored.name)
@@ -299,15 +366,37 @@
             )
             return
         self._shared[stored.name] = _SharedRecord(record, stored.version)
+        self._lost.discard(stored.name)
+        if self._is_lifted_again(record, stored.version):
+            # It is deleted again, since the registry does not know it.
+            self._request_write_in_turn(stored.name)
+            return
         self._registry.adopt(record, self._clock.now_ms())
         self._registry.keep(stored.name)
+        if known is not None and is_of_earlier_era(known.version, stored.version):
+            # The copy may have an earlier state of the record.
+            self._request_write_in_turn(stored.name)
+
+    def _is_lifted_again(self, record: QuarantineRecord, version: int) -> bool:
+        """Return whether the store has a lifted record again, after its return."""
+        lifted = self._lifted.get(record.fingerprint)
+        return (
+            lifted is not None
+            and is_of_earlier_era(lifted.shared.version, version)
+            and is_lifted_again(record, lifted.shared.record)
+            and not self._registry.is_suspected(
+                record.fingerprint, self._clock.now_ms()
+            )
+        )
 
     def on_deleted(self, name: str) -> None:
         """Lift a quarantine that another instance or an operator has ended.
 
         Losses that this instance has not shared yet remain.
         """
+        self._remember_lifted(name)
         self._shared.pop(name, None)
+        self._lost.discard(name)
         if name not in self._pending:
             self._registry.lift(name)
 
