Use no replica again because a restored store has its entry

Callers would see: calls to a replica that had drained or left, as the store that came back from a copy lists it as ready.

Cause: the registry takes each entry that is listed for news. An entry in the copy is older than the drain or the removal that the instance knows.

Change: with each later era, a drain is final for its incarnation, and an incarnation that was gone or missing is used only if its entry is still there after store_settle_ms, by which time the store has removed those of replicas that do not run. What goes missing right after a return does not count as gone.

Evidence: test_return_of_the_store_brings_no_replica_back and test_drain_is_not_ended_by_the_entry_of_a_restored_store pass; registries before this change have no eras, so their 20 cases cannot run there.

--- a/chestnuthall/core/registry/_registry.py
+++ b/chestnuthall/core/registry/_registry.py
@@ -17,6 +17,13 @@
 UPDATE_MARGIN_MS = 800.0
 # Limit on the leaves that are remembered after their replicas were removed.
 N_LEAVES_MAX = 4_096
+# How long a replica is remembered that was removed, and how many. A copy from which the
+# store returns is seconds old.
+REMOVED_KEPT_MS = 60_000.0
+N_REMOVED_MAX = 4_096
+# Time after which an entry in a restored store is that of a running replica, by
+# default. The store removes the others after three heartbeats without news.
+RESTORED_ENTRY_MS = 4_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +71,14 @@
     is_leaving: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class _Removed:
+    """A replica that was removed, or was missing when the store returned."""
+
+    registration: Registration
+    removed_ms: float
+
+
 class ReplicaRegistry:
     """Current registrations by the name of the replica.
 
@@ -79,6 +94,11 @@
     A leave that an incarnation announced in an answer is final: no registration of
     the same incarnation ends it, also after the replica was removed.
 
+    A store that returns from a copy has earlier registrations again. After
+    ``begin_era``, none of them ends the drain of an incarnation, and an incarnation
+    that was removed or missing is not used for ``restored_entry_ms``, by which time
+    the store has removed the registration of a replica that does not run.
+
     ``version`` increases with each change of the result of ``replicas_of``.
 
     Examples
@@ -95,7 +115,12 @@
     False
     """
 
-    def __init__(self, grace_period_ms: float, drain_ms: float = float("inf")) -> None:
+    def __init__(
+        self,
+        grace_period_ms: float,
+        drain_ms: float = float("inf"),
+        restored_entry_ms: float = RESTORED_ENTRY_MS,
+    ) -> None:
         self._grace_period_ms = min(
             grace_period_ms, max(0.0, drain_ms - UPDATE_MARGIN_MS)
         )
@@ -106,11 +131,55 @@
         self._entries: dict[str, _Entry] = {}
         # Newest incarnation of each replica that announced its leave.
         self._leaves: dict[str, int] = {}
+        # Replicas that were removed, oldest first.
+        self._removed: dict[str, _Removed] = {}
+        self._restored_entry_ms = restored_entry_ms
+        # Incarnations that are not used in the first time of an era, and their
+        # registrations in the restored store.
+        self._withheld_incarnations: dict[str, int] = {}
+        self._withheld: dict[str, Registration] = {}
+        self._withheld_until_ms = float("-inf")
         self.version = 0
 
     def __len__(self) -> int:
         return len(self._entries)
 
+    def begin_era(self, now_ms: float) -> None:
+        """Record that the store has returned from a copy."""
+        for entry in self._entries.values():
+            if entry.removal_ms is not None:
+                self._remember_removed(entry.registration, now_ms)
+            if entry.registration.is_draining:
+                entry.is_leaving = True
+        oldest_ms = now_ms - REMOVED_KEPT_MS
+        removed = [
+            item.registration
+            for item in self._removed.values()
+            if item.removed_ms > oldest_ms
+        ]
+        for registration in (*removed, *self.registrations()):
+            if registration.is_draining:
+                replica = registration.replica
+                self._remember_leave(replica.name, replica.incarnation)
+        self._withheld_until_ms = now_ms + self._restored_entry_ms
+        self._withheld_incarnations = {
+            item.replica.name: item.replica.incarnation for item in removed
+        }
+
+    def _is_withheld(self, replica: Replica, now_ms: float) -> bool:
+        incarnation = self._withheld_incarnations.get(replica.name, -1)
+        return now_ms < self._withheld_until_ms and replica.incarnation <= incarnation
+
+    def _remember_removed(self, registration: Registration, now_ms: float) -> None:
+        if now_ms < self._withheld_until_ms:
+            # The store may have lost the entry of a running replica.
+            return
+        name = registration.replica.name
+        self._removed.pop(name, None)
+        while len(self._removed) >= N_REMOVED_MAX:
+            del self._removed[next(iter(self._removed))]
+        self._removed[name] = _Removed(registration, now_ms)
+
     def put(
         self,
         registration: Registration,
@@ -119,8 +188,12 @@
     ) -> list[ReplicaChange]:
         """Add or update a registration that was read from the store."""
         name = registration.replica.name
+        if self._is_withheld(registration.replica, now_ms):
+            self._withheld[name] = registration
+            return []
+        self._withheld.pop(name, None)
         entry = self._entries.get(name)
-        replaced = self._drop_replaced_at_address(registration.replica)
+        replaced = self._drop_replaced_at_address(registration.replica, now_ms)
         if entry is None:
             entry = self._entries[name] = _Entry(registration)
             entry.is_leaving = self._has_announced_leave(registration.replica)
@@ -177,10 +250,7 @@
         """
         if self.knows_leave(name, incarnation):
             return []
-        self._leaves.pop(name, None)
-        while len(self._leaves) >= N_LEAVES_MAX:
-            del self._leaves[next(iter(self._leaves))]
-        self._leaves[name] = incarnation
+        self._remember_leave(name, incarnation)
         entry = self._entries.get(name)
         if entry is None or entry.is_leaving:
             return []
@@ -188,12 +258,18 @@
             return []
         entry.is_leaving = True
         if entry.removal_ms is not None:
-            return [self._remove(name)]
+            return [self._remove(name, now_ms)]
         if entry.draining_since_ms is None:
             self._start_drain(entry, now_ms)
         self.version += 1
         return [ReplicaChange(ReplicaChangeKind.LEAVING, entry.registration)]
 
+    def _remember_leave(self, name: str, incarnation: int) -> None:
+        incarnation = max(incarnation, self._leaves.pop(name, incarnation))
+        while len(self._leaves) >= N_LEAVES_MAX:
+            del self._leaves[next(iter(self._leaves))]
+        self._leaves[name] = incarnation
+
     def is_leaving(self, name: str) -> bool:
         """Return whether the current incarnation of a replica announced its leave."""
         entry = self._entries.get(name)
@@ -219,10 +295,12 @@
             return None
         return entry.last_resort_until_ms
 
-    def _drop_replaced_at_address(self, replica: Replica) -> list[ReplicaChange]:
+    def _drop_replaced_at_address(
+        self, replica: Replica, now_ms: float
+    ) -> list[ReplicaChange]:
         """Drop replicas with an earlier incarnation at the address of a replica."""
         return [
-            self._remove(name)
+            self._remove(name, now_ms)
             for name, entry in tuple(self._entries.items())
             if entry.registration.replica.address == replica.address
             and name != replica.name
@@ -233,11 +311,12 @@
         self, name: str, now_ms: float, made_after_ms: float | None = None
     ) -> list[ReplicaChange]:
         """Record that a registration is no longer in the store."""
+        self._withheld.pop(name, None)
         entry = self._entries.get(name)
         if entry is None:
             return []
         if entry.registration.is_draining or entry.is_leaving:
-            return [self._remove(name)]
+            return [self._remove(name, now_ms)]
         if entry.removal_ms is not None:
             return []
         entry.removal_ms = self._use_until_ms(
@@ -245,12 +324,14 @@
         )
         return [ReplicaChange(ReplicaChangeKind.MISSING, entry.registration)]
 
-    def remove(self, name: str) -> list[ReplicaChange]:
+    def remove(self, name: str, now_ms: float) -> list[ReplicaChange]:
         """Remove a replica whose registration can no longer be decoded."""
-        return [self._remove(name)] if name in self._entries else []
+        self._withheld.pop(name, None)
+        return [self._remove(name, now_ms)] if name in self._entries else []
 
-    def _remove(self, name: str) -> ReplicaChange:
+    def _remove(self, name: str, now_ms: float) -> ReplicaChange:
         entry = self._entries.pop(name)
+        self._remember_removed(entry.registration, now_ms)
         self.version += 1
         return ReplicaChange(ReplicaChangeKind.REMOVED, entry.registration)
 
@@ -265,28 +346,36 @@
         listed = {item.replica.name: item for item in registrations}
         for registration in listed.values():
             changes += self.put(registration, now_ms, made_after_ms)
-        for name in [name for name in self._entries if name not in listed]:
+        known = {**self._entries, **self._withheld}
+        for name in [name for name in known if name not in listed]:
             changes += self.mark_missing(name, now_ms, made_after_ms)
         return changes
 
     def expire(self, now_ms: float) -> list[ReplicaChange]:
-        """Remove the replicas that have been missing for the grace period."""
-        return [
-            self._remove(name)
+        """Remove the replicas that have been missing for the grace period.
+
+        Those that a restored store still has after some time are used again.
+        """
+        changes = [
+            self._remove(name, now_ms)
             for name, entry in tuple(self._entries.items())
             if entry.removal_ms is not None and now_ms >= entry.removal_ms
         ]
+        if now_ms >= self._withheld_until_ms:
+            for registration in tuple(self._withheld.values()):
+                changes += self.put(registration, now_ms)
+        return changes
 
     def next_expiry_ms(self) -> float | None:
-        """Return when ``expire`` is due, or None if no registration is missing."""
-        return min(
-            (
-                entry.removal_ms
-                for entry in self._entries.values()
-                if entry.removal_ms is not None
-            ),
-            default=None,
-        )
+        """Return when ``expire`` is due, or None if nothing is pending."""
+        due_ms = [
+            entry.removal_ms
+            for entry in self._entries.values()
+            if entry.removal_ms is not None
+        ]
+        if self._withheld:
+            due_ms.append(self._withheld_until_ms)
+        return min(due_ms, default=None)
 
     def replicas_of(self, service: str, now_ms: float) -> tuple[Replica, ...]:
         """Return the replicas of a service that may be sent new calls.
--- a/chestnuthall/core/registry/tests/test_registry.py
+++ b/chestnuthall/core/registry/tests/test_registry.py
@@ -292,3 +292,105 @@
     registry, observed_kinds = run(steps)
     assert observed_kinds == kinds
     assert {item.name for item in registry.replicas_of("s", now_ms)} == names
+
+
+RETURN_MS = 10_000.0
+# (case, steps before the store returns, registrations in the restored store and time of
+# the listing after the return, whether the replica is in use)
+RETURNS = [
+    ("in use before", [(0, "put", entry("a"))], [entry("a")], 0, True),
+    (
+        "draining since the copy",
+        [(0, "put", entry("a")), (9_000, "put", entry("a", draining=True))],
+        [entry("a")],
+        0,
+        False,
+    ),
+    (
+        "draining since the copy, for good",
+        [(0, "put", entry("a")), (9_000, "put", entry("a", draining=True))],
+        [entry("a")],
+        9_000,
+        False,
+    ),
+    (
+        "drained and removed since the copy",
+        [
+            (0, "put", entry("a")),
+            (8_000, "put", entry("a", draining=True)),
+            (9_000, "mark_missing", "a"),
+        ],
+        [entry("a")],
+        9_000,
+        False,
+    ),
+    (
+        "missing since the copy",
+        [(0, "put", entry("a")), (9_500, "mark_missing", "a")],
+        [entry("a")],
+        2_000,
+        False,
+    ),
+    (
+        "removed since the copy",
+        [(0, "put", entry("a")), (7_000, "mark_missing", "a"), (9_000, "expire", None)],
+        [entry("a")],
+        3_000,
+        False,
+    ),
+    (
+        "removed by mistake",
+        [(0, "put", entry("a")), (7_000, "mark_missing", "a"), (9_000, "expire", None)],
+        [entry("a")],
+        4_000,
+        True,
+    ),
+    (
+        "started again since it was removed",
+        [(0, "put", entry("a")), (7_000, "mark_missing", "a"), (9_000, "expire", None)],
+        [entry("a", incarnation=2)],
+        0,
+        True,
+    ),
+    (
+        "earlier start in the copy",
+        [(0, "put", entry("a", incarnation=2)), (9_000, "mark_missing", "a")],
+        [entry("a", incarnation=1)],
+        3_000,
+        False,
+    ),
+]
+
+
+@pytest.mark.parametrize("n_returns", [1, 2])
+@pytest.mark.parametrize(
+    ("steps", "restored", "listed_ms", "is_used"),
+    [case[1:] for case in RETURNS],
+    ids=[case[0] for case in RETURNS],
+)
+def test_return_of_the_store_brings_no_replica_back(
+    steps, restored, listed_ms, is_used, n_returns
+):
+    """A copy has the entries of replicas that have left since it was made."""
+    registry, _ = run([(0, "put", entry("other")), *steps])
+    for index in range(n_returns):
+        now_ms = RETURN_MS + 200.0 * index
+        registry.begin_era(now_ms)
+        registry.replace_all([entry("other"), *restored], now_ms)
+    now_ms += listed_ms
+    registry.expire(now_ms)
+    registry.replace_all([entry("other"), *restored], now_ms)
+    names = {item.name for item in registry.replicas_of("s", now_ms)}
+    assert names == ({"a", "other"} if is_used else {"other"})
+
+
+def test_replica_that_the_store_has_lost_is_used_once_its_entry_is_back():
+    """Two returns in a row must not count a replica as gone that writes again."""
+    registry, _ = run([(0, "put", entry("a")), (0, "put", entry("other"))])
+    for now_ms in (RETURN_MS, RETURN_MS + 1_500.0):
+        registry.begin_era(now_ms)
+        registry.replace_all([entry("other")], now_ms)
+    registry.put(entry("a"), RETURN_MS + 1_800.0)
+    registry.expire(RETURN_MS + 5_000.0)
+    names = {item.name for item in registry.replicas_of("s", RETURN_MS + 5_000.0)}
+    assert names == {"a", "other"}
--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -236,7 +236,9 @@
             self._caller,
             clock,
             read_registration,
-            ReplicaRegistry(REGISTRATION_RETENTION_MS, settings.drain_ms),
+            ReplicaRegistry(
+                REGISTRATION_RETENTION_MS, settings.drain_ms, settings.store_settle_ms
+            ),
             _router_settings(settings.zone),
             random,
             watch_timeout_ms,
--- a/chestnuthall/services/_service_directory.py
+++ b/chestnuthall/services/_service_directory.py
@@ -22,6 +22,7 @@
 )
 from chestnuthall.core.results import Failure
 from chestnuthall.core.routing import Router, RouterSettings
+from chestnuthall.core.versions import is_of_earlier_era
 from chestnuthall.ports import Clock, ObjectListing, ObjectStore, StoredObject
 from chestnuthall.services._kind_follower import KindFollower
 
@@ -93,6 +94,7 @@
         # When replicas were removed that the router still excludes, oldest first.
         self._removed_ms: dict[str, float] = {}
         self._is_loaded = False
+        self._listed_version = 0
 
     @property
     def is_ready(self) -> bool:
@@ -177,11 +179,11 @@
     def on_listed(self, listing: ObjectListing) -> bool:
         """Replace all registrations; without any, they have to be read again."""
         found = [item for item in map(self._read_entry, listing) if item is not None]
-        self._apply(
-            self._registry.replace_all(
-                found, self._clock.now_ms(), self._made_after_ms()
-            )
-        )
+        now_ms = self._clock.now_ms()
+        if is_of_earlier_era(self._listed_version, listing.watch_version):
+            self._registry.begin_era(now_ms)
+        self._listed_version = listing.watch_version
+        self._apply(self._registry.replace_all(found, now_ms, self._made_after_ms()))
         if not listing:
             return False
         self._is_loaded = True
@@ -191,7 +193,7 @@
         """Add, replace or remove the registration that an entry contains."""
         registration = self._read_entry(stored)
         if registration is None:
-            self._apply(self._registry.remove(stored.name))
+            self._apply(self._registry.remove(stored.name, self._clock.now_ms()))
         else:
             self._apply(
                 self._registry.put(
--- a/chestnuthall/services/tests/test_store_returns.py
+++ b/chestnuthall/services/tests/test_store_returns.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from dataclasses import replace
+from random import Random
 
 import pytest
 
@@ -14,12 +15,22 @@
     LeaderSelector,
     safe_watch_timeout_ms,
 )
+from chestnuthall.core.model import UpstreamGroup
+from chestnuthall.core.registry import ReplicaRegistry
 from chestnuthall.core.results import HISTORY_TRIMMED, STORE_UNAVAILABLE
+from chestnuthall.core.routing import RouterSettings
 from chestnuthall.core.versions import is_of_earlier_era, make_version, revision_of
 from chestnuthall.ports import ObjectListing, StoredObject, WatchBatch
-from chestnuthall.services import InstanceEntry, SharedObjectStore, SparseObjectStore
+from chestnuthall.services import (
+    InstanceEntry,
+    ServiceDirectory,
+    SharedObjectStore,
+    SparseObjectStore,
+)
 from chestnuthall.services._kind_follower import KindFollower
+from chestnuthall.services._service_directory import REGISTRATION_KIND
 from chestnuthall.services.tests._harness import LoopTimeClock
+from chestnuthall.services.tests.test_drain_news import Connections, read_registration
 from chestnuthall.services.tests.test_shared_store import Feeds
 from chestnuthall.standins.virtual_time import run_virtual
 
@@ -28,6 +39,13 @@
 IN_FORCE_MS = 3_000.0
 SETTLE_MS = 4_000.0
 N_REVISIONS_LOST = 3
+GROUP = UpstreamGroup(
+    name="g",
+    n_slots=3,
+    n_connections_max=31,
+    connect_cost_ms=0.0,
+    shard_ids=("s",),
+)
 
 
 class ReturningStore:
@@ -211,3 +229,32 @@
     known_at_once, expected, known_later = run_virtual(scenario())
     assert known_at_once == [expected] * n_instances
     assert known_later == [{**expected, "kept": "2"}] * n_instances
+
+
+def test_drain_is_not_ended_by_the_entry_of_a_restored_store():
+    """Calls reached a replica that had reported its drain after the copy was made."""
+
+    async def scenario():
+        directory = ServiceDirectory(
+            ReturningStore(),
+            Connections(),
+            LoopTimeClock(),
+            read_registration,
+            ReplicaRegistry(2_200.0, 3_000.0),
+            RouterSettings(zone="z"),
+            Random(1),
+        )
+        directory.add_group(GROUP)
+        used = []
+        for era, value in ((1, "ready"), (1, "draining"), (2, "ready")):
+            objects = [
+                StoredObject(REGISTRATION_KIND, name, make_version(era, 7), state)
+                for name, state in (("r0", value), ("r1", "ready"))
+            ]
+            listing = ObjectListing(tuple(objects), make_version(era, 7))
+            directory.on_listed(listing)
+            (shard,) = directory.pin("g").shards
+            used.append({item.name for item in shard.replicas})
+        return used
+
+    assert run_virtual(scenario()) == [{"r0", "r1"}, {"r1"}, {"r1"}]
