Write the entry of an instance again that the store has lost

Callers would see: more repeated calls than the budget allows, as the instances whose entries the store lost by its return from a copy were no longer counted by the others.

Cause: an instance wrote its entry once, at its start.

Change: an instance that misses its entry in a listing of a later era writes it again. The others count entries that were lost until all instances have listed the entries twice.

Evidence: test_entries_that_the_store_has_lost_count_until_written_again. The stand-in in test_presence.py returns the listing type of the port now.

--- a/chestnuthall/services/_presence.py
+++ b/chestnuthall/services/_presence.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass
 
 from chestnuthall.core.results import OBJECT_CONFLICT, Failure
-from chestnuthall.ports import Clock, ObjectStore, StoredObject
+from chestnuthall.core.versions import is_of_earlier_era
+from chestnuthall.ports import Clock, ObjectListing, ObjectStore, StoredObject
 
 _log = logging.getLogger(__name__)
 
@@ -17,6 +18,9 @@
 # too few instances.
 FIRST_LISTING_DELAY_MS = 3_000.0
 LISTING_INTERVAL_MS = 10_000.0
+# How long entries count that the store has lost by its return from a copy: until each
+# instance has listed the entries and written its own again.
+LOST_ENTRY_KEPT_MS = 2.5 * LISTING_INTERVAL_MS
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,7 +40,9 @@
     """Writes the entry of this instance to the store once, and counts the entries.
 
     An entry stays when its instance ends, so the count is an upper bound on the
-    number of running instances, as required to divide a fleet-wide limit.
+    number of running instances, as required to divide a fleet-wide limit. Entries that
+    the store loses by its return from a copy count until their instances have had the
+    time to write them again.
     """
 
     def __init__(
@@ -57,6 +63,13 @@
         self.n_instances: int | None = None
         # The other instances, including unavailable ones.
         self.peers: tuple[InstanceEntry, ...] = ()
+        self._listed: dict[str, StoredObject] = {}
+        self._listed_version = 0
+        # Version of this instance's entry when it was last seen; 0 before.
+        self._own_version = 0
+        # Entries that the store has lost, until when they count.
+        self._lost: dict[str, StoredObject] = {}
+        self._lost_until_ms = float("-inf")
 
     @property
     def same_zone_peers(self) -> tuple[InstanceEntry, ...]:
@@ -87,6 +100,7 @@
             PRESENCE_KIND, self._own.name, self._write(self._own), STORE_TIMEOUT_MS
         )
         if not isinstance(created, Failure):
+            self._own_version = created.version
             return True
         if created.kind is OBJECT_CONFLICT:
             return False
@@ -98,14 +112,33 @@
         if isinstance(listed, Failure):
             _log.warning("cannot list instances", extra={"result_code": listed.code})
             return False
-        names = {item.name for item in listed} | {self._own.name}
+        entries = self._with_lost_entries(listed)
+        names = {item.name for item in entries} | {self._own.name}
         if len(names) != self.n_instances:
             self.n_instances = len(names)
             _log.info("instances counted", extra={"n_instances": self.n_instances})
         self._on_counted(len(names))
-        self._update_peers(listed)
+        self._update_peers(entries)
+        if self._own.name not in self._listed and is_of_earlier_era(
+            self._own_version, listed.watch_version
+        ):
+            return await self._create_entry() is not None
         return await self._correct_own_entry(listed)
 
+    def _with_lost_entries(self, listed: ObjectListing) -> list[StoredObject]:
+        """Return the listed entries, and those that the store has just lost."""
+        now_ms = self._clock.now_ms()
+        if is_of_earlier_era(self._listed_version, listed.watch_version):
+            self._lost = {**self._lost, **self._listed}
+            self._lost_until_ms = now_ms + LOST_ENTRY_KEPT_MS
+        self._listed = {item.name: item for item in listed}
+        self._listed_version = listed.watch_version
+        if self._own.name in self._listed:
+            self._own_version = self._listed[self._own.name].version
+        if now_ms >= self._lost_until_ms:
+            self._lost.clear()
+        return list({**self._lost, **self._listed}.values())
+
     async def _correct_own_entry(self, listed: Iterable[StoredObject]) -> bool:
         """Replace this instance's entry if an earlier start wrote other values."""
         value = self._write(self._own)
--- a/chestnuthall/services/tests/test_presence.py
+++ b/chestnuthall/services/tests/test_presence.py
@@ -9,7 +9,8 @@
     OBJECT_CONFLICT,
     STORE_UNAVAILABLE,
 )
-from chestnuthall.ports import StoredObject
+from chestnuthall.core.versions import make_version
+from chestnuthall.ports import ObjectListing, StoredObject
 from chestnuthall.services import InstanceEntry, InstancePresence
 from chestnuthall.services.tests._harness import LoopTimeClock
 from chestnuthall.standins.virtual_time import run_virtual
@@ -28,8 +29,11 @@
         return StoredObject(kind, name, 1, value) if result is None else result
 
     async def list_kind(self, kind, timeout_ms):
-        return tuple(
-            StoredObject(kind, name, 5, value) for name, value in self.listed.items()
+        return ObjectListing(
+            tuple(
+                StoredObject(kind, name, 5, value)
+                for name, value in self.listed.items()
+            )
         )
 
     async def update(self, kind, name, value, version, timeout_ms):
@@ -110,3 +114,67 @@
     store = Store([CONFLICT], {"own": value, **OTHERS})
     run_presence(store, 0.1)
     assert bool(store.updated) == is_updated
+
+
+class ReturningStore:
+    """A store that loses entries when it returns from a copy."""
+
+    def __init__(self, entries):
+        self.era = 1
+        self.entries = dict(entries)
+
+    async def create(self, kind, name, value, timeout_ms):
+        if name in self.entries:
+            return CONFLICT
+        self.entries[name] = value
+        return StoredObject(kind, name, make_version(self.era, 7), value)
+
+    async def list_kind(self, kind, timeout_ms):
+        version = make_version(self.era, 7)
+        items = self.entries.items()
+        return ObjectListing(
+            tuple(StoredObject(kind, name, version, value) for name, value in items),
+            version,
+        )
+
+    def return_without(self, names):
+        self.era += 1
+        for name in names:
+            del self.entries[name]
+
+
+# (case, entries that the copy lacks, seconds after the return, count)
+RETURNS = [
+    ("none lost", [], 15.0, 3),
+    ("own entry lost", ["own"], 15.0, 3),
+    ("another entry lost", ["far"], 15.0, 3),
+    ("another entry lost for good", ["far"], 50.0, 2),
+    ("all lost", ["own", "near", "far"], 15.0, 3),
+]
+
+
+@pytest.mark.parametrize(
+    ("lost", "wait_s", "count"),
+    [case[1:] for case in RETURNS],
+    ids=[case[0] for case in RETURNS],
+)
+def test_entries_that_the_store_has_lost_count_until_written_again(lost, wait_s, count):
+    """The fleet would repeat more calls than allowed, divided by too few instances."""
+    counted = []
+
+    async def scenario():
+        store = ReturningStore(OTHERS)
+        presence = InstancePresence(
+            OWN, store, LoopTimeClock(), counted.append, read, write
+        )
+        task = asyncio.get_running_loop().create_task(presence.run())
+        await asyncio.sleep(5.0)
+        store.return_without(lost)
+        await asyncio.sleep(wait_s)
+        task.cancel()
+        return store.entries
+
+    entries = run_virtual(scenario())
+    assert entries["own"] == write(OWN)
+    assert counted[-1] == count
+    assert set(counted) <= {3, count}
