Ask the seeds for the configuration in force at a start

Callers would see: an instance that starts between the store's return from a copy and the operator's next write serves an older configuration than its peers.

Cause: an instance read the configuration from the store alone if the store answered, and the feeds of its peers contain what the store has.

Change: an instance offers its configuration in force as a feed of its own, and one that starts reads it from the seeds at the same time as the store. The highest version counts, as for every configuration.

Evidence: test_instance_that_starts_after_a_return_serves_the_configuration_of_ its_peers gets the older service without the composition of this commit.

--- a/chestnuthall/platform/_instance.py
+++ b/chestnuthall/platform/_instance.py
@@ -63,6 +63,8 @@
     CountingObjectStore,
     DecisionLog,
     EqualQuotas,
+    InForceFeed,
+    InForceFetcher,
     InstanceEntry,
     InstanceIdentity,
     InstancePresence,
@@ -80,6 +82,7 @@
     keep_running,
 )
 from chestnuthall.services._configuration import ENVIRONMENT_KIND
+from chestnuthall.services._configuration_feed import IN_FORCE_KIND
 from chestnuthall.services._presence import PRESENCE_KIND
 from chestnuthall.services._quarantine_records import QUARANTINE_KIND
 from chestnuthall.services._service_directory import REGISTRATION_KIND
@@ -188,6 +191,9 @@
             settings.store_settle_ms,
         )
         self._feed_client = HttpFeedClient(feed_timing.leader_margin_ms, PEER_PROBES)
+        seed_addresses = [
+            item for item in settings.seed_addresses if item != settings.peer_address
+        ]
         shared = SharedObjectStore(
             store,
             clock,
@@ -196,7 +202,7 @@
             feed_timing,
             LeaderSelector(settings.name),
             lambda: self.presence.same_zone_peers,
-            [x for x in settings.seed_addresses if x != settings.peer_address],
+            seed_addresses,
         )
         self._extra_load_budget = ServiceExtraLoadBudget(
             ServiceExtraLoadLimits(
@@ -229,6 +235,7 @@
             shared,
             clock,
             read_configuration,
+            InForceFetcher(self._feed_client, seed_addresses).fetch,
             watch_timeout_ms=watch_timeout_ms,
         )
         self.directory = ServiceDirectory(
@@ -299,6 +306,7 @@
             self._turn_ms,
         )
         feeds = {QUARANTINE_KIND: sparse.feed}
+        snapshots = {**feeds, IN_FORCE_KIND: InForceFeed(self.configuration)}
         query = QueryService(
             identity=InstanceIdentity(
                 settings.name, settings.caller_address, settings.zone
@@ -346,7 +354,7 @@
                 frontend,
                 FeedHandler(
                     lambda kind: feeds.get(kind) or shared.store_feed(kind),
-                    lambda kind: feeds.get(kind) or shared.any_feed(kind),
+                    lambda kind: snapshots.get(kind) or shared.any_feed(kind),
                 ).handle,
                 self.is_ready,
                 lambda: self.configuration.revision,
--- a/chestnuthall/platform/tests/test_store_eras.py
+++ b/chestnuthall/platform/tests/test_store_eras.py
@@ -20,7 +20,11 @@
 )
 from chestnuthall.core.versions import make_version
 from chestnuthall.platform._instance import DIALECT
-from chestnuthall.platform.tests.standins import LOOPBACK
+from chestnuthall.platform.tests.standins import (
+    LOOPBACK,
+    forward_route,
+    open_deployment,
+)
 from chestnuthall.ports import WatchBatch
 
 KIND = "k"
@@ -189,3 +193,21 @@
     (batch,) = results
     assert isinstance(batch, WatchBatch)
     assert [item.version for item in batch.changed] == [make_version(3, 10)]
+
+
+def test_instance_that_starts_after_a_return_serves_the_configuration_of_its_peers():
+    """The store has an older configuration until the operator writes again."""
+
+    async def scenario():
+        async with open_deployment() as deployment:
+            for service in ("t", "u"):
+                await deployment.add_replica(f"{service}0", service, service.encode())
+            deployment.configure(5, [forward_route("t")])
+            deployment.configure(7, [forward_route("u")])
+            peer = await deployment.add_peer("entry-2", "a")
+            deployment.configure(5, [forward_route("t")])
+            await deployment.start(seeds=(peer.settings.peer_address,))
+            response = await deployment.send("/fetch/x")
+            return response.body, peer.configuration.revision
+
+    assert asyncio.run(scenario()) == (b"u", 7)
--- a/chestnuthall/services/__init__.py
+++ b/chestnuthall/services/__init__.py
@@ -27,6 +27,10 @@
         ConfigurationManager,
         ConfigurationReader,
     )
+    from chestnuthall.services._configuration_feed import (
+        InForceFeed,
+        InForceFetcher,
+    )
     from chestnuthall.services._configuration_peers import (
         PeerConfigurations,
     )
@@ -161,6 +165,10 @@
             "ConfigurationManager",
             "ConfigurationReader",
         ),
+        "_configuration_feed": (
+            "InForceFeed",
+            "InForceFetcher",
+        ),
         "_configuration_peers": ("PeerConfigurations",),
         "_connections": ("ConnectionBudgets",),
         "_decision_log": (
@@ -266,6 +274,8 @@
     "FleetView",
     "GroupDirectory",
     "HealthChecks",
+    "InForceFeed",
+    "InForceFetcher",
     "InstanceIdentity",
     "InstanceEntry",
     "InstanceList",
