Apply what a replica reports that was renewed before a return of the store

Callers would see: calls to a replica that reports a drain right after the store's return, if its entry had lapsed and been renewed in the minute before.

Cause: the removal stayed remembered after the entry was back, so the first reports of the later era were withheld.

Evidence: the new case of test_return_of_the_store_brings_no_replica_back fails without this change.

--- a/chestnuthall/core/registry/_registry.py
+++ b/chestnuthall/core/registry/_registry.py
@@ -192,6 +192,7 @@
             self._withheld[name] = registration
             return []
         self._withheld.pop(name, None)
+        self._removed.pop(name, None)
         entry = self._entries.get(name)
         replaced = self._drop_replaced_at_address(registration.replica, now_ms)
         if entry is None:
--- a/chestnuthall/core/registry/tests/test_registry.py
+++ b/chestnuthall/core/registry/tests/test_registry.py
@@ -345,6 +345,18 @@
         4_000,
         True,
     ),
+    (
+        "renewed after its removal, draining after the return",
+        [
+            (0, "put", entry("a")),
+            (1_000, "mark_missing", "a"),
+            (3_000, "expire", None),
+            (3_500, "put", entry("a")),
+        ],
+        [entry("a", draining=True)],
+        0,
+        False,
+    ),
     (
         "started again since it was removed",
         [(0, "put", entry("a")), (7_000, "mark_missing", "a"), (9_000, "expire", None)],
