Await a watch for a shorter time beyond its end, so that watches stay long

The response to a watch is due at its end, so half a second more suffices, and a read that follows a watch of seconds needs no delay. Watches are 3.25 s now. A watch that ends with its history, after it has waited, is followed by the read at once, too: the followers of a leader that met a later era at the end of its watch learned of it too late.

--- a/chestnuthall/core/configuration/_follower.py
+++ b/chestnuthall/core/configuration/_follower.py
@@ -19,7 +19,7 @@
 # the read after a failed watch, as fractions of the time in which a change must be
 # known after an outage of the store.
 WATCH_MARGIN_MAX_MS = 1_000.0
-WATCH_MARGIN_RATIO = 0.25
+WATCH_MARGIN_RATIO = 0.125
 READ_RATIO = 0.0625
 # A shorter delay may be lost in rounding, and another delay would follow.
 DELAY_MIN_MS = 1.0
@@ -37,7 +37,7 @@
     Examples
     --------
     >>> watch_margin_ms(4_000.0), watch_margin_ms(1_000.0)
-    (1000.0, 250.0)
+    (500.0, 125.0)
     """
     return min(WATCH_MARGIN_MAX_MS, WATCH_MARGIN_RATIO * recovery_ms)
 
@@ -49,16 +49,14 @@
     the watch returns nothing even after the store has recovered. Changes made after
     the recovery must be in force once the store has been stable for ``recovery_ms``.
     A watch that started right before the end of an outage therefore ends, with its
-    margin, the delay after it and the next read, within that time.
+    margin and the next read, within that time.
 
     Examples
     --------
     >>> safe_watch_timeout_ms(4_000.0)
-    2500.0
+    3250.0
     """
-    reserved_ms = (
-        watch_margin_ms(recovery_ms) + DELAY_FIRST_MS + READ_RATIO * recovery_ms
-    )
+    reserved_ms = watch_margin_ms(recovery_ms) + READ_RATIO * recovery_ms
     return max(WATCH_INTERVAL_MIN_MS, recovery_ms - reserved_ms)
 
 
@@ -166,8 +164,8 @@
     def has_watched_in_vain(self, now_ms: float) -> bool:
         """Return whether a watch has just ended without an answer.
 
-        It took so long that the next call needs no further delay for the failures
-        before it, and the outage may have ended long ago.
+        It took so long that the next call needs no delay, and the outage may have
+        ended long ago.
         """
         return (
             self.version is not None
@@ -208,7 +206,10 @@
 
 @_apply.register
 def _(event: WatchHistoryTrimmed, follower: ObjectFollower) -> FollowerAction:
+    elapsed_ms = event.now_ms - follower.watch_started_ms
     follower.version = None
+    if elapsed_ms >= WATCH_INTERVAL_MIN_MS:
+        return Delay(0.0)
     return follower.next_delay()
 
 
@@ -216,9 +217,11 @@
 def _(event: StoreCallFailed, follower: ObjectFollower) -> FollowerAction:
     # A read ends soon in any case, whereas a watch of an unresponsive store would
     # hang until its time-out.
-    if follower.has_watched_in_vain(event.now_ms):
-        follower.n_failures = 0
+    has_watched_in_vain = follower.has_watched_in_vain(event.now_ms)
     follower.version = None
+    if has_watched_in_vain:
+        follower.n_failures = 0
+        return Delay(0.0)
     return follower.next_delay()
 
 
--- a/chestnuthall/services/tests/test_drain_news.py
+++ b/chestnuthall/services/tests/test_drain_news.py
@@ -14,6 +14,7 @@
     FeedTiming,
     LeaderSelector,
     safe_watch_timeout_ms,
+    watch_margin_ms,
 )
 from chestnuthall.core.model import Replica, UpstreamGroup
 from chestnuthall.core.registry import Registration, ReplicaRegistry
@@ -58,6 +59,7 @@
         self.timing = FeedTiming(drain_ms, SETTLE_MS)
         self.clock = LoopTimeClock()
         self.store = Store()
+        self.store.watch_margin_ms = watch_margin_ms(SETTLE_MS)
         self.feeds = Feeds(self.timing)
         names = [f"entry-{i}" for i in range(n_instances)]
         selectors = {name: LeaderSelector(name) for name in names}
--- a/chestnuthall/services/tests/test_shared_store.py
+++ b/chestnuthall/services/tests/test_shared_store.py
@@ -43,6 +43,8 @@
         self.refused = set()
         self.unresponsive = set()
         self.unanswered_watches = set()
+        # Time for which the client awaits a watch beyond its time-out.
+        self.watch_margin_ms = 1_000.0
         self._changed = asyncio.Event()
 
     def put(self, name, value, kind=KIND):
@@ -98,7 +100,7 @@
         store = self._store
         if kind == KIND:
             store.watched_ms.setdefault(self._name, []).append(timeout_ms)
-        failure = await self._failure_of_call(kind, timeout_ms + 1_000.0)
+        failure = await self._failure_of_call(kind, timeout_ms + store.watch_margin_ms)
         if failure is not None:
             return failure
         # The mark applies only to watches in progress when the outage starts.
@@ -108,7 +110,8 @@
         while True:
             if (self._name, kind) in store.unanswered_watches:
                 # Such a watch does not notice the end of the outage either.
-                await asyncio.sleep(max(0.0, ends_at_s + 1.0 - loop.time()))
+                margin_s = store.watch_margin_ms / 1000.0
+                await asyncio.sleep(max(0.0, ends_at_s + margin_s - loop.time()))
                 return STORE_UNAVAILABLE.with_reason("unresponsive")
             changed = tuple(
                 item for item in store.objects_of(kind) if item.version > after_version
--- a/chestnuthall/services/tests/test_short_silences.py
+++ b/chestnuthall/services/tests/test_short_silences.py
@@ -12,6 +12,7 @@
     FeedTiming,
     LeaderSelector,
     safe_watch_timeout_ms,
+    watch_margin_ms,
 )
 from chestnuthall.services import InstanceEntry, SharedObjectStore, SparseObjectStore
 from chestnuthall.services._kind_follower import KindFollower
@@ -20,6 +21,7 @@
     LEAVER,
     REGISTRATION_KIND,
     SETTLE_MS,
+    WATCH_TIMEOUT_MS,
     start_zone,
 )
 from chestnuthall.services.tests.test_shared_store import KIND, Feeds, Store
@@ -86,6 +88,7 @@
 
 def start_instances(n_instances, in_force_ms):
     clock, store = LoopTimeClock(), Store()
+    store.watch_margin_ms = watch_margin_ms(SETTLE_MS)
     timing = FeedTiming(in_force_ms, SETTLE_MS)
     feeds = Feeds(timing)
     names = [f"entry-{i}" for i in range(n_instances)]
@@ -133,7 +136,7 @@
 
 @pytest.mark.parametrize("leave_after_s", [0.0, 0.3, 1.0])
 # Longer watches than the product has must not prolong the use of the replica either.
-@pytest.mark.parametrize("watch_timeout_ms", [2_500.0, 4_000.0, 5_000.0])
+@pytest.mark.parametrize("watch_timeout_ms", [WATCH_TIMEOUT_MS, 4_000.0, 5_000.0])
 @pytest.mark.parametrize("silence_s", [0.5, 2.5])
 @pytest.mark.parametrize("n_started", [1, 6])
 @pytest.mark.parametrize("drain_ms", [3_000.0, 6_000.0])
