Let a crash run that fails fail its tests, not hang them

A stack dump shows asyncio.run waiting in _cancel_all_tasks.

Cause: the first run that failed cancelled the others, one of which was starting its process in the place that the failed run had freed. Python 3.11 then waits for pipes that were never connected. The error itself is lost; with that load, the time-out of 120 s of a run is likely, but not shown.

Change: the runs end on their own, and a failed one raises its error in each test that reads its report. No bound or check changes.

--- a/chestnuthall/platform/tests/test_crash_runs.py
+++ b/chestnuthall/platform/tests/test_crash_runs.py
@@ -32,18 +32,34 @@
         finally:
             if process.returncode is None:
                 process.kill()
-    return name, json.loads(output)
+    return json.loads(output)
+
+
+class Reports(dict):
+    """Reports of the runs by their names; that of a failed run raises its error."""
+
+    def __getitem__(self, name):
+        report = super().__getitem__(name)
+        if isinstance(report, BaseException):
+            raise report
+        return report
 
 
 @pytest.fixture(scope="module")
 def reports():
-    """Return the reports of all runs by their names."""
+    """Return the reports of all runs.
+
+    A run that fails must not cancel the others: Python 3.11 waits without end for a
+    process that is cancelled while it starts.
+    """
 
     async def scenario():
         semaphore = asyncio.Semaphore(N_RUNS_AT_ONCE)
-        return dict(await asyncio.gather(*(play(name, semaphore) for name in RUNS)))
+        return await asyncio.gather(
+            *(play(name, semaphore) for name in RUNS), return_exceptions=True
+        )
 
-    return asyncio.run(scenario())
+    return Reports(zip(RUNS, asyncio.run(scenario()), strict=True))
 
 
 @pytest.mark.processes
